feat: workspace skeleton with core ids, codes, wire messages, kernel and platform clients

Cause: the repository was empty; every package needs the shared types before work can go on side by side. Conclusion: the edges are fixed; the path and the parts behind it can be built.

--- /dev/null
+++ b/crates/azuregap/src/lib.rs
@@ -0,0 +1,1 @@
+//! Facade of the azuregap libraries.
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Benches and scenario measures with regression bounds.
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Runs the measures and checks them against their bounds.
+
+fn main() {}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Binary.
+fn main() {}
--- /dev/null
+++ b/crates/control/src/snapshot.rs
@@ -0,0 +1,78 @@
+//! The configuration in force at this process.
+
+use std::collections;
+use std::sync;
+
+use arc_swap::ArcSwap;
+use azuregap_core::ids;
+use azuregap_core::intent;
+use azuregap_core::key;
+use tokio::time;
+
+/// One version of the configuration, indexed for the data path.
+#[derive(Clone, Debug)]
+pub struct Snapshot {
+    /// Its version; 0 means none was heard of yet.
+    pub version: ids::Version,
+    /// What operators declared.
+    pub intent: intent::Intent,
+    /// Grants by the digest of their key.
+    pub keys: collections::HashMap<key::Digest, intent::KeyGrant>,
+}
+
+impl Snapshot {
+    /// Indexes `intent`.
+    #[must_use]
+    pub fn new(version: ids::Version, intent: intent::Intent) -> Self {
+        let keys = intent.keys.iter().map(|grant| (grant.digest, grant.clone())).collect();
+        Self { version, intent, keys }
+    }
+}
+
+/// Shares the configuration in force; found in the registry under [`Handle::NAME`].
+#[derive(Clone, Debug)]
+pub struct Handle {
+    current: sync::Arc<ArcSwap<Snapshot>>,
+    fresh: sync::Arc<ArcSwap<time::Instant>>,
+}
+
+impl Default for Handle {
+    fn default() -> Self {
+        let empty = Snapshot::new(0, intent::Intent::default());
+        Self {
+            current: sync::Arc::new(ArcSwap::from_pointee(empty)),
+            fresh: sync::Arc::new(ArcSwap::from_pointee(time::Instant::now())),
+        }
+    }
+}
+
+impl Handle {
+    /// Name in the registry.
+    pub const NAME: &'static str = "configuration";
+
+    /// The snapshot in force.
+    #[must_use]
+    pub fn load(&self) -> sync::Arc<Snapshot> {
+        self.current.load_full()
+    }
+
+    /// Puts `snapshot` in force if it is newer; answers whether it was.
+    pub fn advance(&self, snapshot: Snapshot) -> bool {
+        let snapshot = sync::Arc::new(snapshot);
+        let before = self.current.rcu(|current| {
+            if snapshot.version > current.version { snapshot.clone() } else { current.clone() }
+        });
+        snapshot.version > before.version
+    }
+
+    /// Notes that at `instant` the version in force was known to be the newest.
+    pub fn prove_fresh(&self, instant: time::Instant) {
+        self.fresh.rcu(|fresh| if instant > **fresh { instant.into() } else { fresh.clone() });
+    }
+
+    /// How long ago the version in force was last known to be the newest.
+    #[must_use]
+    pub fn age(&self) -> std::time::Duration {
+        self.fresh.load().elapsed()
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/lib.rs
@@ -0,0 +1,1 @@
+//! Coordination parts to embed: lease, versioned configuration, membership, claims and usage ledger.
--- /dev/null
+++ b/crates/core/src/settings.rs
@@ -0,0 +1,13 @@
+//! Settings files of the two roles, in JSON.
+
+mod agent;
+mod entry;
+mod load;
+mod platform;
+
+pub use agent::AgentSettings;
+pub use entry::EntrySettings;
+pub use entry::OperatorKey;
+pub use load::LoadError;
+pub use load::from_text;
+pub use platform::PlatformSettings;
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Services of an entry VM: caller API, admission, routing and retries.
--- /dev/null
+++ b/crates/platform/src/objects.rs
@@ -0,0 +1,1 @@
+//! The object store.
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pure decisions: admission, fair sharing, replica choice, retries, placement and spend.
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small fakes of engine, plain service and platform with fault switches.
--- /dev/null
+++ b/crates/wire/tests/socket.rs
@@ -0,0 +1,58 @@
+//! Control messages over real nng sockets.
+
+use std::time;
+
+use azuregap_core::code;
+use azuregap_wire::PROTOCOL;
+use azuregap_wire::control;
+use azuregap_wire::socket;
+use googletest::prelude::*;
+
+const WAIT: time::Duration = time::Duration::from_secs(5);
+
+fn message(protocol: u16, body: control::Body) -> control::Message {
+    control::Message { protocol, from: "a".into(), incarnation: 1, version: 7, body }
+}
+
+fn serve() -> (socket::Server, String) {
+    let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let server = socket::Server::listen(
+        free.to_string(),
+        |request| message(PROTOCOL, request.body),
+        |code, reason| message(PROTOCOL, control::Body::Failed { code, message: reason }),
+    )
+    .unwrap();
+    (server, free.to_string())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_message_is_answered() -> Result<()> {
+    let (server, address) = serve();
+    let client = socket::Client::dial(&address)?;
+    let reply = client.ask(&message(PROTOCOL, control::Body::DrainState), WAIT).await?;
+    verify_that!(reply.body, eq(&control::Body::DrainState))?;
+    server.close();
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn another_protocol_version_is_refused_with_its_code() -> Result<()> {
+    let (server, address) = serve();
+    let client = socket::Client::dial(&address)?;
+    let reply = client.ask(&message(PROTOCOL + 1, control::Body::DrainState), WAIT).await?;
+    let control::Body::Failed { code, .. } = reply.body else { panic!("taken: {reply:?}") };
+    verify_that!(code, eq(code::Code::ProtocolMismatch))?;
+    server.close();
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_peer_that_is_not_there_is_reported_in_time() -> Result<()> {
+    let client = socket::Client::dial("127.0.0.1:9")?;
+    let short = time::Duration::from_millis(100);
+    let reply = client.ask(&message(PROTOCOL, control::Body::DrainState), short).await;
+    verify_that!(matches!(reply, Err(socket::SocketError::Silent(_))), eq(true))
+}
