--- a/x
+++ b/x
@@ -12,8 +12,8 @@
 
 run_tests() {
   if cargo nextest --version >/dev/null 2>&1; then
-    cargo nextest run --workspace --no-fail-fast "$@"
     cargo test --quiet --workspace --doc
+    cargo nextest run --workspace --no-fail-fast "$@"
   else
     cargo test --workspace --no-fail-fast "$@"
   fi
