feat(wire): runs name the agent incarnation they are meant for

Cause: a request that reaches a restarted agent late could run although the entry asked the earlier incarnation about it. Change: RunRequest.incarnation, Accepted.id, a decode limit per use, and whether a backend server is a model engine in the agent's settings. Conclusion: an agent can refuse what was not meant for it.

--- a/crates/core/src/settings/agent.rs
+++ b/crates/core/src/settings/agent.rs
@@ -26,6 +26,8 @@
     pub pool: ids::PoolId,
     /// Where the backend server listens, as a URL without a trailing slash.
     pub engine: String,
+    /// Whether it is a model engine; a plain service otherwise.
+    pub model: bool,
     /// Whether the backend server refuses orders with an old fencing number by itself.
     pub checks_fence: bool,
     /// Where entries connect for answers.
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -55,7 +55,16 @@
 ///
 /// [`CodecError`] when the bytes are too many or no such message.
 pub fn decode<T: de::DeserializeOwned>(bytes: &[u8]) -> Result<T, CodecError> {
-    if bytes.len() > crate::MAX_MESSAGE {
+    decode_up_to(bytes, crate::MAX_MESSAGE)
+}
+
+/// Decodes a message of at most `limit` bytes.
+///
+/// # Errors
+///
+/// [`CodecError`] when the bytes are too many or no such message.
+pub fn decode_up_to<T: de::DeserializeOwned>(bytes: &[u8], limit: usize) -> Result<T, CodecError> {
+    if bytes.len() > limit {
         return Err(CodecError::TooLarge(bytes.len()));
     }
     postcard::from_bytes(bytes).map_err(|error| CodecError::Unknown(error.to_string()))
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -17,6 +17,8 @@
 pub enum Frame {
     /// The agent took the request; it may run from now on.
     Accepted {
+        /// The request, so that an answer can't be taken for another's.
+        id: ids::RequestId,
         /// The agent's incarnation, for a resume.
         incarnation: ids::Incarnation,
         /// Version of the configuration the agent has.
--- a/crates/wire/src/run.rs
+++ b/crates/wire/src/run.rs
@@ -24,6 +24,8 @@
     pub protocol: u16,
     /// Id, the same over all attempts; the agent runs it at most once.
     pub id: ids::RequestId,
+    /// The agent incarnation it is meant for; another one refuses it, nothing run.
+    pub incarnation: ids::Incarnation,
     /// The entry that asks.
     pub entry: ids::NodeId,
     /// Version of the configuration the entry has.
