feat(coordination): lease with fencing number as a machine without I/O

Cause: one process must be in charge although answers get lost and holders pause. Change: lease::Lease is fed rows, outcomes and the clock; it counts a renewal from before it was sent, stops a margin early, and takes a row only after a whole term and margin unchanged.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -1,1 +1,42 @@
-//! Coordination parts to embed: lease, versioned configuration, membership, claims and usage ledger.
+//! Coordination parts to embed: one process in charge, work that runs at most once, one
+//! configuration in force everywhere, and usage that is billed exactly once.
+//!
+//! Everything that must last is a row in a transactional table service that the embedding
+//! program reaches by itself. Nothing here opens a socket, reads a clock or spawns a task: each
+//! part is a state machine that is fed events (a row that was read, the [`store::Outcome`] of a
+//! write, the present [`tokio::time::Instant`]) and answers with a typed action (what to read or
+//! write next, what is allowed now). That makes every part testable in virtual time.
+//!
+//! Rows are plain serde structures; the caller stores them as JSON under a key of its choice,
+//! with a row version that the table service moves on at each write (0 means absent).
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use azuregap_coordination::lease;
+//! use azuregap_coordination::store;
+//! use tokio::time;
+//!
+//! let start = time::Instant::now();
+//! let mut row = store::Stored::absent();
+//! let mut lease = lease::Lease::new("entry-1", 7, lease::Terms::default());
+//!
+//! // The row is read once, then watched for a whole term and margin, then taken.
+//! assert_eq!(lease.handle(lease::Event::Tick, start), lease::Action::Read);
+//! lease.handle(lease::Event::Read(row.clone()), start);
+//! let later = start + Duration::from_secs(10);
+//! let lease::Action::Write { version, row: next } = lease.handle(lease::Event::Tick, later) else {
+//!     panic!("the row was watched for long enough");
+//! };
+//! assert_eq!(version, row.version);
+//! row = store::Stored::new(version + 1, next);
+//! lease.handle(lease::Event::Wrote(store::Outcome::Applied(row.version)), later);
+//!
+//! // To be asked right before each order is sent.
+//! assert_eq!(lease.may_act(later), Some(1));
+//! assert_eq!(lease.may_act(later + Duration::from_secs(3)), None);
+//! ```
+
+pub mod ids;
+pub mod lease;
+pub mod store;
