feat(coordination): at-most-once claims per idempotency key

Cause: a credit or certification record must run at most once over lost answers and repeats. Change: claim::Claim inserts a row before the dispatch and stores the answer after it; rows carry request id and attempt, so that an own write is recognised by reading and never guessed. A claim is released by state and not by deletion, so that row versions never repeat.

--- /dev/null
+++ b/crates/coordination/src/claim/phase.rs
@@ -0,0 +1,35 @@
+//! How far a claim is.
+
+use crate::claim;
+use crate::ids;
+
+/// How far a claim is.
+#[derive(Clone, Debug)]
+pub(crate) enum Phase {
+    /// The row is to be made ours; nothing of ours has run.
+    Claiming,
+    /// An earlier request holds the key and its agent is asked.
+    Asking {
+        /// Version of the row.
+        version: ids::RowVersion,
+        /// The row.
+        row: claim::ClaimRow,
+    },
+    /// The answer of an earlier request is stored on its behalf.
+    Helping(claim::StoredAnswer),
+    /// An earlier request is marked as of unknown outcome.
+    Burying,
+    /// The request is at the agent.
+    Dispatched {
+        /// Version of the row.
+        version: ids::RowVersion,
+    },
+    /// The answer is to be stored.
+    Storing(claim::StoredAnswer),
+    /// The row is to be released, because nothing ran.
+    Releasing(claim::Reason),
+    /// The row is to be marked as of unknown outcome.
+    Marking,
+    /// Nothing is left to do.
+    Settled(claim::Verdict),
+}
--- /dev/null
+++ b/crates/coordination/src/claim/reply.rs
@@ -0,0 +1,18 @@
+//! What an agent says of an earlier request.
+
+use crate::claim;
+
+/// What the agent named in a claim says of the request that holds it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// It waits or runs.
+    Running,
+    /// It ran; this was its answer.
+    Done(claim::StoredAnswer),
+    /// It did not run, and this incarnation of the agent will refuse it from now on.
+    NotRun,
+    /// The incarnation that is named in the claim is gone.
+    Gone,
+    /// The agent did not answer, or cannot tell.
+    Silent,
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -37,6 +37,7 @@
 //! assert_eq!(lease.may_act(later + Duration::from_secs(3)), None);
 //! ```
 
+pub mod claim;
 pub mod ids;
 pub mod lease;
 pub mod store;
