feat(coordination): versioned configuration, acceptance, freshness and read budget

Cause: an accepted configuration must be in force everywhere within seconds and never revert, and a withdrawn key must stop at a process that is cut from store and peers too. Ruled out: serving on for as long as some peer answers; a group cut off together would never stop.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -38,6 +38,7 @@
 //! ```
 
 pub mod claim;
+pub mod configuration;
 pub mod ids;
 pub mod lease;
 pub mod store;
