feat(control): mailbox, configuration, membership and usage services

Cause: the daemon needs the control services to build its kernel. Change: mailbox over nng with version notes; configuration polled from config/current; VM list and greetings fill the directory; usage batches inserted under their own keys with a check that the window is not closed; entry copies settle with the agent or are written.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,7 +3,22 @@
 //!
 //! The decisions are in `azuregap-coordination` and `azuregap-policy`; this crate does the I/O
 //! around them and offers handles that the services of entries and agents read.
+//!
+//! ```
+//! use azuregap_control::snapshot;
+//! use azuregap_core::intent;
+//!
+//! let handle = snapshot::Handle::default();
+//! assert!(handle.advance(snapshot::Snapshot::new(2, intent::Intent::default())));
+//! assert!(!handle.advance(snapshot::Snapshot::new(1, intent::Intent::default())));
+//! assert_eq!(handle.load().version, 2);
+//! ```
 
+pub mod configuration;
 pub mod directory;
+pub mod mailbox;
+pub mod membership;
 pub mod process;
 pub mod snapshot;
+pub mod tasks;
+pub mod usage;
--- a/crates/control/src/snapshot.rs
+++ b/crates/control/src/snapshot.rs
@@ -4,6 +4,7 @@
 use std::sync;
 
 use arc_swap::ArcSwap;
+use arc_swap::ArcSwapOption;
 use azuregap_core::ids;
 use azuregap_core::intent;
 use azuregap_core::key;
@@ -33,16 +34,13 @@
 #[derive(Clone, Debug)]
 pub struct Handle {
     current: sync::Arc<ArcSwap<Snapshot>>,
-    fresh: sync::Arc<ArcSwap<time::Instant>>,
+    fresh: sync::Arc<ArcSwapOption<time::Instant>>,
 }
 
 impl Default for Handle {
     fn default() -> Self {
         let empty = Snapshot::new(0, intent::Intent::default());
-        Self {
-            current: sync::Arc::new(ArcSwap::from_pointee(empty)),
-            fresh: sync::Arc::new(ArcSwap::from_pointee(time::Instant::now())),
-        }
+        Self { current: sync::Arc::new(ArcSwap::from_pointee(empty)), fresh: sync::Arc::default() }
     }
 }
 
@@ -67,12 +65,18 @@
 
     /// Notes that at `instant` the version in force was known to be the newest.
     pub fn prove_fresh(&self, instant: time::Instant) {
-        self.fresh.rcu(|fresh| if instant > **fresh { instant.into() } else { fresh.clone() });
+        self.fresh.rcu(|fresh| match fresh {
+            Some(known) if **known >= instant => fresh.clone(),
+            _ => Some(sync::Arc::new(instant)),
+        });
     }
 
-    /// How long ago the version in force was last known to be the newest.
+    /// How long ago the version in force was last known to be the newest; [`Duration::MAX`] while
+    /// that was never known.
+    ///
+    /// [`Duration::MAX`]: std::time::Duration::MAX
     #[must_use]
     pub fn age(&self) -> std::time::Duration {
-        self.fresh.load().elapsed()
+        self.fresh.load().as_ref().map_or(std::time::Duration::MAX, |fresh| fresh.elapsed())
     }
 }
--- /dev/null
+++ b/crates/control/src/usage/agent.rs
@@ -0,0 +1,89 @@
+//! The service "usage" of an agent.
+
+use std::time;
+
+use azuregap_core::settings;
+use azuregap_kernel::service;
+use azuregap_platform::table;
+use azuregap_wire::control;
+use tokio::time::Instant;
+
+use super::flush;
+use super::recorder;
+use super::windows;
+use crate::mailbox;
+use crate::process;
+use crate::tasks;
+
+/// Time between two batches.
+pub(super) const FLUSH_EVERY: time::Duration = time::Duration::from_secs(1);
+
+/// The service "usage" of an agent; offers a [`recorder::Recorder`]. Windows have the length
+/// `window`. On stop it tries once more to write what is pending.
+#[must_use]
+pub fn service(
+    process: process::Process,
+    platform: &settings::PlatformSettings,
+    window: time::Duration,
+) -> service::Service {
+    let platform = platform.clone();
+    let tasks = tasks::Tasks::default();
+    let running = tasks.clone();
+    let recorder = recorder::Recorder::default();
+    let left = recorder.clone();
+    let (own, place) = (process.clone(), platform.clone());
+    service::Service::new(recorder::Recorder::NAME)
+        .needs([mailbox::Mailbox::NAME])
+        .start(move |registry| async move {
+            let mailbox = registry.find::<mailbox::Mailbox>(mailbox::Mailbox::NAME)?;
+            answer_copies(&mailbox, recorder.clone());
+            registry.offer(recorder::Recorder::NAME, recorder.clone());
+            let table = table::Table::http(&platform.table, platform.timeout);
+            tasks.spawn(write_on(recorder, table, process, windows::Windows::system(window)));
+            Ok(())
+        })
+        .stop(move |_| async move {
+            running.abort();
+            let table = table::Table::http(&place.table, place.timeout);
+            let windows = windows::Windows::system(window);
+            if let Err(error) = flush::flush(&left, &table, &own, &windows).await {
+                tracing::warn!(%error, left = left.unflushed(), "usage not flushed at stop");
+            }
+        })
+}
+
+/// An entry sends its copies and hears which of them are durable; an unknown one is recorded.
+fn answer_copies(mailbox: &mailbox::Mailbox, recorder: recorder::Recorder) {
+    mailbox.on(move |message| match &message.body {
+        control::Body::Usage(records) => {
+            let durable = records.iter().filter(|record| recorder.is_durable(record.id));
+            let ids = durable.map(|record| record.id).collect();
+            records.iter().for_each(|record| recorder.record(record.clone()));
+            Some(control::Body::UsageDurable { ids })
+        }
+        _ => None,
+    });
+}
+
+async fn write_on(
+    recorder: recorder::Recorder,
+    table: table::Table,
+    process: process::Process,
+    windows: windows::Windows,
+) {
+    let mut progress = flush::Progress::new(windows.number(Instant::now()));
+    loop {
+        let window = windows.number(Instant::now());
+        let written = match flush::flush(&recorder, &table, &process, &windows).await {
+            Ok(()) => {
+                let complete = recorder.oldest().unwrap_or(window).min(window);
+                progress.announce(&table, &process, complete).await
+            }
+            Err(error) => Err(error),
+        };
+        if let Err(error) = written {
+            tracing::warn!(%error, unflushed = recorder.unflushed(), "usage not written yet");
+        }
+        tokio::time::sleep(FLUSH_EVERY).await;
+    }
+}
--- /dev/null
+++ b/crates/control/src/usage/flush.rs
@@ -0,0 +1,87 @@
+//! Writing batches and the progress of their writer.
+
+use azuregap_platform::error;
+use azuregap_platform::table;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::time::Instant;
+
+use super::batch;
+use super::keys;
+use super::recorder;
+use super::windows;
+use crate::process;
+
+/// Value of the row at [`keys::writer`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Writer {
+    /// Name of the process.
+    pub node: String,
+    /// First window it may have records of.
+    pub from: u64,
+    /// Every window before this one is complete as far as this process is concerned.
+    pub complete: u64,
+}
+
+/// Writes every batch; stops at the first whose outcome is not known.
+///
+/// # Errors
+///
+/// [`error::PlatformError`] when a batch could not be written now; nothing is lost.
+pub async fn flush(
+    recorder: &recorder::Recorder,
+    table: &table::Table,
+    process: &process::Process,
+    windows: &windows::Windows,
+) -> error::PlatformResult<()> {
+    while let Some(first) = recorder.first_batch() {
+        match first.insert(table, process).await? {
+            batch::Inserted::Durable => recorder.settle_first(),
+            batch::Inserted::WindowClosed => {
+                let open = windows.number(Instant::now()).max(first.window + 1);
+                recorder.move_first(open);
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Announces which windows are complete, to the closer of windows.
+#[derive(Clone, Debug)]
+pub struct Progress {
+    from: u64,
+    announced: Option<u64>,
+}
+
+impl Progress {
+    /// A writer that starts in window `from`.
+    #[must_use]
+    pub const fn new(from: u64) -> Self {
+        Self { from, announced: None }
+    }
+
+    /// Writes the row if `complete` moved on.
+    ///
+    /// # Errors
+    ///
+    /// [`error::PlatformError`] when the outcome is not known; it is written again next time.
+    pub async fn announce(
+        &mut self,
+        table: &table::Table,
+        process: &process::Process,
+        complete: u64,
+    ) -> error::PlatformResult<()> {
+        if self.announced.is_some_and(|announced| announced >= complete) {
+            return Ok(());
+        }
+        let peer = &process.peer;
+        let row = Writer { node: peer.node.clone(), from: self.from, complete };
+        let value = serde_json::to_value(&row)
+            .map_err(|error| error::PlatformError::Refused(error.to_string()))?;
+        let key = keys::writer(&peer.node, peer.incarnation);
+        table.commit(table::Transaction::new().put(key, value)).await?;
+        self.announced = Some(complete);
+        Ok(())
+    }
+}
