--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -20,3 +20,8 @@
 
 /// Result of a call to the platform.
 pub type PlatformResult<T> = Result<T, PlatformError>;
+
+/// The answer was of another kind than the call asks for.
+pub(crate) fn unexpected() -> PlatformError {
+    PlatformError::Unknown("an answer of another kind".to_owned())
+}
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -39,8 +39,14 @@
 }
 
 /// A call that never left has no effect; anything else may have had one.
+///
+/// The client library reports a connection that was closed after the call was sent, and before an
+/// answer came, as `Connect(Disconnected)`: such a call may have had its effect.
 fn sort(reason: awc::error::SendRequestError) -> error::PlatformError {
     match reason {
+        awc::error::SendRequestError::Connect(awc::error::ConnectError::Disconnected) => {
+            unknown(reason)
+        }
         awc::error::SendRequestError::Connect(_) => {
             error::PlatformError::Refused(reason.to_string())
         }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each client holds a closure that carries one call, so that the same client speaks HTTP in the
 //! daemons and to an in-process fake in tests on paused time.
 
+pub mod call;
 pub mod error;
 pub mod http;
 pub mod objects;
--- a/crates/platform/src/orders.rs
+++ b/crates/platform/src/orders.rs
@@ -1,17 +1,13 @@
 //! The interface that orders backend servers by availability zone.
 
-use std::fmt;
-use std::rc;
 use std::time;
 
 use azuregap_core::ids;
-use futures::future;
-use futures::future::FutureExt as _;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::call;
 use crate::error;
-use crate::http;
 
 /// An order to the platform, posted as JSON to `/orders`.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -56,20 +52,13 @@
     pub repeated: bool,
 }
 
-/// Carries one order.
-pub type OrderCarrier =
-    rc::Rc<dyn Fn(ZoneOrder) -> future::LocalBoxFuture<'static, error::PlatformResult<OrderTaken>>>;
+/// Carries one call.
+pub type OrderCarrier = call::Carrier<ZoneOrder, OrderTaken>;
 
 /// Client of the ordering interface.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct Orders {
-    carry: OrderCarrier,
-}
-
-impl fmt::Debug for Orders {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Orders").finish_non_exhaustive()
-    }
+    carrier: OrderCarrier,
 }
 
 impl Orders {
@@ -78,18 +67,13 @@
     where
         F: Future<Output = error::PlatformResult<OrderTaken>> + 'static,
     {
-        Self { carry: rc::Rc::new(move |order| carry(order).boxed_local()) }
+        Self { carrier: call::Carrier::new(carry) }
     }
 
     /// A client over HTTP to the interface at `base`.
     #[must_use]
     pub fn http(base: impl Into<String>, timeout: time::Duration) -> Self {
-        let url = format!("{}/orders", base.into());
-        let client = awc::Client::default();
-        Self::new(move |order| {
-            let (client, url) = (client.clone(), url.clone());
-            async move { http::post(&client, &url, &order, timeout).await }
-        })
+        Self { carrier: call::Carrier::http(format!("{}/orders", base.into()), timeout) }
     }
 
     /// Sends an order.
@@ -99,6 +83,6 @@
     /// [`error::PlatformError::Refused`] when it certainly was not taken,
     /// [`error::PlatformError::Unknown`] when it may have been.
     pub async fn send(&self, order: ZoneOrder) -> error::PlatformResult<OrderTaken> {
-        (self.carry)(order).await
+        self.carrier.call(order).await
     }
 }
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -1,16 +1,12 @@
 //! The transactional table service.
 
-use std::fmt;
-use std::rc;
 use std::time;
 
-use futures::future;
-use futures::future::FutureExt as _;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::call;
 use crate::error;
-use crate::http;
 
 /// A row: a JSON value under a key, with a version that each write moves on.
 #[derive(Clone, Debug, PartialEq)]
@@ -129,19 +125,12 @@
 }
 
 /// Carries one call.
-pub type TableCarrier =
-    rc::Rc<dyn Fn(TableCall) -> future::LocalBoxFuture<'static, error::PlatformResult<TableReply>>>;
+pub type TableCarrier = call::Carrier<TableCall, TableReply>;
 
 /// Client of the table service.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct Table {
-    carry: TableCarrier,
-}
-
-impl fmt::Debug for Table {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Table").finish_non_exhaustive()
-    }
+    carrier: TableCarrier,
 }
 
 impl Table {
@@ -150,18 +139,13 @@
     where
         F: Future<Output = error::PlatformResult<TableReply>> + 'static,
     {
-        Self { carry: rc::Rc::new(move |call| carry(call).boxed_local()) }
+        Self { carrier: call::Carrier::new(carry) }
     }
 
     /// A client over HTTP to the service at `base`.
     #[must_use]
     pub fn http(base: impl Into<String>, timeout: time::Duration) -> Self {
-        let url = format!("{}/table", base.into());
-        let client = awc::Client::default();
-        Self::new(move |call| {
-            let (client, url) = (client.clone(), url.clone());
-            async move { http::post(&client, &url, &call, timeout).await }
-        })
+        Self { carrier: call::Carrier::http(format!("{}/table", base.into()), timeout) }
     }
 
     /// Reads the row at `key`.
@@ -195,21 +179,17 @@
     /// [`error::PlatformError::Refused`] when it certainly was not applied,
     /// [`error::PlatformError::Unknown`] when it may have been.
     pub async fn commit(&self, transaction: Transaction) -> error::PlatformResult<Commit> {
-        match (self.carry)(TableCall::Commit(transaction)).await? {
+        match self.carrier.call(TableCall::Commit(transaction)).await? {
             TableReply::Applied(versions) => Ok(Commit::Applied(versions)),
             TableReply::Conflict(rows) => Ok(Commit::Conflict(rows)),
-            TableReply::Rows(_) => Err(unexpected()),
+            TableReply::Rows(_) => Err(error::unexpected()),
         }
     }
 
     async fn rows(&self, call: TableCall) -> error::PlatformResult<Vec<Row>> {
-        match (self.carry)(call).await? {
+        match self.carrier.call(call).await? {
             TableReply::Rows(rows) => Ok(rows),
-            TableReply::Applied(_) | TableReply::Conflict(_) => Err(unexpected()),
+            TableReply::Applied(_) | TableReply::Conflict(_) => Err(error::unexpected()),
         }
     }
 }
-
-fn unexpected() -> error::PlatformError {
-    error::PlatformError::Unknown("an answer of another kind".to_owned())
-}
--- a/crates/platform/src/usage.rs
+++ b/crates/platform/src/usage.rs
@@ -1,18 +1,14 @@
 //! The interface that takes usage reports.
 
-use std::fmt;
-use std::rc;
 use std::time;
 
 use azuregap_core::ids;
 use bytes::Bytes;
-use futures::future;
-use futures::future::FutureExt as _;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::call;
 use crate::error;
-use crate::http;
 
 /// A usage report of one window, posted as JSON to `/reports`.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -34,21 +30,13 @@
     pub window: u64,
 }
 
-/// Carries one report.
-pub type UsageCarrier = rc::Rc<
-    dyn Fn(UsageReport) -> future::LocalBoxFuture<'static, error::PlatformResult<ReportTaken>>,
->;
+/// Carries one call.
+pub type UsageCarrier = call::Carrier<UsageReport, ReportTaken>;
 
 /// Client of the usage intake.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct UsageIntake {
-    carry: UsageCarrier,
-}
-
-impl fmt::Debug for UsageIntake {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("UsageIntake").finish_non_exhaustive()
-    }
+    carrier: UsageCarrier,
 }
 
 impl UsageIntake {
@@ -57,18 +45,13 @@
     where
         F: Future<Output = error::PlatformResult<ReportTaken>> + 'static,
     {
-        Self { carry: rc::Rc::new(move |report| carry(report).boxed_local()) }
+        Self { carrier: call::Carrier::new(carry) }
     }
 
     /// A client over HTTP to the intake at `base`.
     #[must_use]
     pub fn http(base: impl Into<String>, timeout: time::Duration) -> Self {
-        let url = format!("{}/reports", base.into());
-        let client = awc::Client::default();
-        Self::new(move |report| {
-            let (client, url) = (client.clone(), url.clone());
-            async move { http::post(&client, &url, &report, timeout).await }
-        })
+        Self { carrier: call::Carrier::http(format!("{}/reports", base.into()), timeout) }
     }
 
     /// Sends a report.
@@ -77,6 +60,6 @@
     ///
     /// [`error::PlatformError`] when the intake did not acknowledge it.
     pub async fn send(&self, report: UsageReport) -> error::PlatformResult<ReportTaken> {
-        (self.carry)(report).await
+        self.carrier.call(report).await
     }
 }
--- a/crates/platform/src/vms.rs
+++ b/crates/platform/src/vms.rs
@@ -1,17 +1,13 @@
 //! The lagging list of live and leaving VMs.
 
-use std::fmt;
-use std::rc;
 use std::time;
 
 use azuregap_core::ids;
-use futures::future;
-use futures::future::FutureExt as _;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::call;
 use crate::error;
-use crate::http;
 
 /// One VM of the list.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -43,7 +39,12 @@
     },
 }
 
-/// The list as the platform last published it, posted `{}` to `/vms`.
+/// A read of the list, posted as `{}` to `/vms`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct VmListCall {}
+
+/// The list as the platform last published it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct VmList {
@@ -51,20 +52,13 @@
     pub vms: Vec<Vm>,
 }
 
-/// Carries one read.
-pub type VmCarrier =
-    rc::Rc<dyn Fn() -> future::LocalBoxFuture<'static, error::PlatformResult<VmList>>>;
+/// Carries one call.
+pub type VmCarrier = call::Carrier<VmListCall, VmList>;
 
 /// Client of the VM list.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct Vms {
-    carry: VmCarrier,
-}
-
-impl fmt::Debug for Vms {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Vms").finish_non_exhaustive()
-    }
+    carrier: VmCarrier,
 }
 
 impl Vms {
@@ -73,18 +67,13 @@
     where
         F: Future<Output = error::PlatformResult<VmList>> + 'static,
     {
-        Self { carry: rc::Rc::new(move || carry().boxed_local()) }
+        Self { carrier: call::Carrier::new(move |_| carry()) }
     }
 
     /// A client over HTTP to the list at `base`.
     #[must_use]
     pub fn http(base: impl Into<String>, timeout: time::Duration) -> Self {
-        let url = format!("{}/vms", base.into());
-        let client = awc::Client::default();
-        Self::new(move || {
-            let (client, url) = (client.clone(), url.clone());
-            async move { http::post(&client, &url, &serde_json::json!({}), timeout).await }
-        })
+        Self { carrier: call::Carrier::http(format!("{}/vms", base.into()), timeout) }
     }
 
     /// Reads the list.
@@ -93,6 +82,6 @@
     ///
     /// [`error::PlatformError`] when the platform gave none.
     pub async fn list(&self) -> error::PlatformResult<VmList> {
-        (self.carry)().await
+        self.carrier.call(VmListCall {}).await
     }
 }
