--- /dev/null
+++ b/crates/policy/src/choice/outcome.rs
@@ -0,0 +1,35 @@
+//! What an entry observed of a request that it sent to a replica.
+
+use std::time::Duration;
+
+/// What an entry observed of a request that it sent to a replica.
+///
+/// After a choice exactly one of `Accepted`, `Refused` and `Unreachable` follows. After
+/// `Accepted` come any of `FirstByte` and `Progress`, then one of `Done` and `Broken`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The agent took the request.
+    Accepted,
+    /// The agent refused it for load or order; the replica is well.
+    Refused,
+    /// The agent refuses new work because it is leaving.
+    Leaving,
+    /// No agent or no backend server answered there; nothing ran.
+    Unreachable,
+    /// The first byte came, or has not come yet, this long after the request was accepted.
+    FirstByte {
+        /// Time since the request was accepted.
+        after: Duration,
+    },
+    /// Tokens came after the first byte; for a plain service one token is one whole answer.
+    Progress {
+        /// Tokens since the last such observation; none if the stream is stuck.
+        tokens: u32,
+        /// Time since the last such observation.
+        over: Duration,
+    },
+    /// The answer ended, or its caller went away.
+    Done,
+    /// The answer broke off on the replica's side.
+    Broken,
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,4 +15,5 @@
 //! assert!(matches!(offer.decision, queue::Decision::Run(_)));
 //! ```
 
+pub mod choice;
 pub mod queue;
