feat(policy): team limits, cost estimate, retry decision and budget

Cause: entries limit teams without a store access for each request, and must not multiply a brown-out. Change: each entry enforces limit/entries plus a tenth of the limit; a smoothed output length for each route and class; one function decides retry or final answer, one retry for ten successes. Ruled out: a hedge, for which no measurement speaks yet.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,4 +16,7 @@
 //! ```
 
 pub mod choice;
+pub mod estimate;
+pub mod limits;
 pub mod queue;
+pub mod retry;
--- /dev/null
+++ b/crates/policy/tests/limits.rs
@@ -0,0 +1,92 @@
+//! Team limits over several entries, and the cost estimate.
+
+use std::time::Duration;
+
+use azuregap_core::code;
+use azuregap_core::intent;
+use azuregap_policy::estimate;
+use azuregap_policy::limits;
+use googletest::prelude::*;
+use tokio::time;
+
+fn team(rate: Option<u32>, concurrency: Option<u32>) -> intent::Team {
+    intent::Team { name: "large".to_owned(), weight: 1, rate, concurrency }
+}
+
+fn entries(count: u32, team: &intent::Team) -> Vec<limits::TeamLimits> {
+    let mut limits = limits::TeamLimits::new();
+    limits.set_entries(count);
+    limits.set_teams([team]);
+    vec![limits; count as usize]
+}
+
+/// Requests admitted over `seconds` if each entry is offered far more than the limit.
+fn admitted(count: u32, rate: u32, seconds: u64) -> u64 {
+    let mut entries = entries(count, &team(Some(rate), None));
+    let start = time::Instant::now();
+    let mut total = 0;
+    for tick in 0..seconds * 1000 {
+        let now = start + Duration::from_millis(tick);
+        let through = entries.iter_mut().filter_map(|entry| entry.admit("large", now).ok());
+        total += through.count() as u64;
+    }
+    total
+}
+
+#[gtest]
+fn rate_stays_within_the_stated_error() {
+    for (count, rate) in [(1, 10), (2, 10), (3, 50), (3, 7), (8, 100)] {
+        let seconds = 20;
+        let most = f64::from(rate) * (1.0 + f64::from(count) / 10.0);
+        let most = most * (seconds + 1) as f64 + f64::from(count);
+        let total = admitted(count, rate, seconds);
+        verify_that!(total as f64, le(most)).and_log_failure();
+        verify_that!(total, ge(u64::from(rate) * seconds)).and_log_failure();
+    }
+}
+
+#[gtest]
+fn concurrency_stays_within_the_stated_error() {
+    let (count, limit) = (3, 10_u32);
+    let mut entries = entries(count, &team(None, Some(limit)));
+    let now = time::Instant::now();
+    let mut running = 0;
+    for entry in &mut entries {
+        running += (0..100).filter(|_| entry.admit("large", now).is_ok()).count();
+    }
+    verify_that!(running, eq(15)).and_log_failure();
+    entries[0].release("large");
+    verify_that!(entries[0].admit("large", now), ok(anything())).and_log_failure();
+}
+
+#[gtest]
+fn a_refused_team_is_told_when_to_come_back() {
+    let mut limits = entries(1, &team(Some(1), None)).remove(0);
+    let now = time::Instant::now();
+    verify_that!(limits.admit("large", now), ok(anything())).and_log_failure();
+    let refusal = limits.admit("large", now).unwrap_err();
+    verify_that!(refusal.code, eq(code::Code::TeamLimit)).and_log_failure();
+    verify_that!(refusal.retry_after, some(eq(Duration::from_secs(1)))).and_log_failure();
+    let later = now + Duration::from_secs(1);
+    verify_that!(limits.admit("large", later), ok(anything())).and_log_failure();
+    verify_that!(limits.admit("other", now), ok(anything())).and_log_failure();
+}
+
+#[gtest]
+fn the_estimate_follows_what_a_class_generates() {
+    let mut estimator = estimate::Estimator::new();
+    let mut costs = vec![estimator.cost("advisor", "chat", 400, None)];
+    for _ in 0..64 {
+        estimator.observe("advisor", "chat", 80);
+        costs.push(estimator.cost("advisor", "chat", 400, None));
+    }
+    for _ in 0..64 {
+        estimator.observe("advisor", "chat", 800);
+    }
+    costs.push(estimator.cost("advisor", "chat", 400, None));
+    costs.push(estimator.cost("advisor", "chat", 400, Some(50)));
+    verify_that!(costs[0], eq(356)).and_log_failure();
+    verify_that!(costs[64], eq(180)).and_log_failure();
+    verify_that!(costs[65], all![ge(870), le(900)]).and_log_failure();
+    verify_that!(costs[66], eq(150)).and_log_failure();
+}
