--- /dev/null
+++ b/crates/core/src/findings.rs
@@ -0,0 +1,117 @@
+//! Collects the faults that the checks of one document find.
+
+use std::collections;
+use std::fmt;
+use std::hash;
+use std::ops;
+use std::time;
+
+use crate::code;
+use crate::intent;
+
+/// Longest name of anything, in bytes.
+const MAX_NAME: usize = 64;
+
+/// What a name must look like.
+const NAME_EXPECTED: &str = "1 to 64 ASCII letters, digits, '-', '_' or '.'";
+
+/// The faults found so far.
+#[derive(Debug, Default)]
+pub(crate) struct Findings {
+    faults: Vec<intent::Fault>,
+}
+
+impl Findings {
+    /// The faults, in the order they were found.
+    pub(crate) fn into_faults(self) -> Vec<intent::Fault> {
+        self.faults
+    }
+
+    /// Adds a fault at `path`.
+    pub(crate) fn add(
+        &mut self,
+        path: impl fmt::Display,
+        code: code::Code,
+        expected: impl Into<String>,
+    ) {
+        self.faults.push(intent::Fault::new(path.to_string(), code, expected));
+    }
+
+    /// Adds a fault about a value unless `holds`.
+    pub(crate) fn require(
+        &mut self,
+        holds: bool,
+        path: impl fmt::Display,
+        expected: impl Into<String>,
+    ) {
+        if !holds {
+            self.add(path, code::Code::ValueInvalid, expected);
+        }
+    }
+
+    /// Adds a fault about two parts that contradict each other unless `holds`.
+    pub(crate) fn agree(
+        &mut self,
+        holds: bool,
+        path: impl fmt::Display,
+        expected: impl Into<String>,
+    ) {
+        if !holds {
+            self.add(path, code::Code::PartsClash, expected);
+        }
+    }
+
+    /// Adds a fault about a name that refers to nothing unless `known`.
+    pub(crate) fn known(&mut self, known: bool, path: impl fmt::Display, kind: &str) {
+        if !known {
+            self.add(path, code::Code::NameUnknown, format!("the name of a declared {kind}"));
+        }
+    }
+
+    /// Requires a name that is safe in paths, table keys and log lines.
+    pub(crate) fn name(&mut self, name: &str, path: impl fmt::Display) {
+        let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+        let sound = !name.is_empty() && name.len() <= MAX_NAME && name.chars().all(allowed);
+        self.require(sound, path, NAME_EXPECTED);
+    }
+
+    /// Requires that no value comes twice; `path` names the one at an index.
+    pub(crate) fn unique<T: Eq + hash::Hash>(
+        &mut self,
+        values: impl IntoIterator<Item = T>,
+        path: impl Fn(usize) -> String,
+    ) {
+        let mut seen = collections::HashMap::new();
+        for (i, value) in values.into_iter().enumerate() {
+            if let Some(first) = seen.get(&value) {
+                let first = path(*first);
+                self.agree(false, path(i), format!("a value other than that of {first}"));
+            } else {
+                seen.insert(value, i);
+            }
+        }
+    }
+
+    /// Requires a duration in `range`, told in milliseconds.
+    pub(crate) fn milliseconds(
+        &mut self,
+        value: time::Duration,
+        range: ops::RangeInclusive<u64>,
+        path: impl fmt::Display,
+    ) {
+        let limits = (u128::from(*range.start()), u128::from(*range.end()));
+        let expected = format!("{} to {} milliseconds", limits.0, limits.1);
+        self.require((limits.0..=limits.1).contains(&value.as_millis()), path, expected);
+    }
+
+    /// Requires a duration in `range`, told in seconds.
+    pub(crate) fn seconds(
+        &mut self,
+        value: time::Duration,
+        range: ops::RangeInclusive<u64>,
+        path: impl fmt::Display,
+    ) {
+        let expected = format!("{} to {} seconds", range.start(), range.end());
+        self.require(range.contains(&value.as_secs()), path, expected);
+    }
+}
--- a/crates/core/src/intent.rs
+++ b/crates/core/src/intent.rs
@@ -5,6 +5,8 @@
 
 mod check;
 mod class;
+mod fault;
+mod matching;
 mod pool;
 mod route;
 mod team;
@@ -13,8 +15,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-pub use check::Fault;
+pub use check::MODEL_PATHS;
 pub use class::Class;
+pub use fault::Fault;
 pub use pool::Pool;
 pub use pool::PoolKind;
 pub use route::Route;
--- a/crates/core/src/intent/route.rs
+++ b/crates/core/src/intent/route.rs
@@ -6,6 +6,9 @@
 use crate::ids;
 
 /// Which requests go to which pool, under which class.
+///
+/// [`super::Intent::model_route`] and [`super::Intent::plain_route`] say how a request finds its
+/// route.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 //! ```
 
 pub mod code;
+mod findings;
 pub mod ids;
 pub mod intent;
 pub mod key;
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -1,11 +1,13 @@
 //! Settings files of the two roles, in JSON.
 
 mod agent;
+mod check;
 mod entry;
 mod load;
 mod platform;
 
 pub use agent::AgentSettings;
+pub use check::Deployment;
 pub use entry::EntrySettings;
 pub use entry::OperatorKey;
 pub use load::LoadError;
