feat: entry, agent and daemon serve a request over a resumable connection

Cause: there was no path from caller to backend server. Change: the agent's desk runs each request id at most once and keeps its answer for a resume; the entry identifies, dispatches, resumes over a new connection and retries only what did not run or is idempotent; azuregapd starts both roles. Ruled out: nng for the answer stream (one reply a request, no stream). Conclusion: the edges of the path are in place.

--- /dev/null
+++ b/crates/agent/src/answer.rs
@@ -0,0 +1,209 @@
+//! An answer as it grows, kept so that it can be read again from any offset.
+
+use std::sync;
+
+use azuregap_core::code;
+use azuregap_core::ids;
+use azuregap_core::refusal;
+use azuregap_wire::frame;
+use azuregap_wire::run;
+use bytes::Bytes;
+use bytes::BytesMut;
+use tokio::sync::watch;
+
+/// Largest answer kept, in bytes.
+pub const MAX_ANSWER: usize = 64 * 1024 * 1024;
+
+/// Most bytes put into one frame.
+const MAX_DATA: usize = 256 * 1024;
+
+/// How an answer ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum End {
+    /// It is whole.
+    Whole(frame::Usage),
+    /// It was refused or failed.
+    Failed(refusal::Refusal),
+}
+
+/// Status and headers of an answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Head {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers.
+    pub headers: Vec<run::Header>,
+}
+
+#[derive(Debug, Default)]
+struct Content {
+    head: Option<Head>,
+    bytes: BytesMut,
+    end: Option<End>,
+}
+
+/// One growing answer, shared by the run that writes it and the connections that read it.
+#[derive(Debug)]
+pub struct Answer {
+    /// The request it answers.
+    pub id: ids::RequestId,
+    /// Offset of the first byte kept; above 0 when another replica produced the start.
+    pub base: u64,
+    content: sync::Mutex<Content>,
+    changed: watch::Sender<()>,
+}
+
+/// Where one reader of an answer stands.
+#[derive(Clone, Debug)]
+pub struct Cursor {
+    /// Offset of the next byte to send.
+    pub offset: u64,
+    accepted: bool,
+    head: bool,
+    ended: bool,
+}
+
+impl Cursor {
+    /// A reader that has the first `offset` bytes.
+    #[must_use]
+    pub const fn new(offset: u64) -> Self {
+        Self { offset, accepted: false, head: false, ended: false }
+    }
+
+    /// Whether the last frame was handed out.
+    #[must_use]
+    pub const fn is_ended(&self) -> bool {
+        self.ended
+    }
+}
+
+/// What an agent tells of itself on frames.
+#[derive(Clone, Copy, Debug)]
+pub struct Teller {
+    /// Its incarnation.
+    pub incarnation: ids::Incarnation,
+    /// Version of its configuration.
+    pub version: ids::Version,
+    /// Its load.
+    pub load: frame::Load,
+}
+
+impl Answer {
+    /// An answer to request `id` of which the first `base` bytes were given elsewhere.
+    #[must_use]
+    pub fn new(id: ids::RequestId, base: u64) -> Self {
+        Self { id, base, content: sync::Mutex::default(), changed: watch::Sender::new(()) }
+    }
+
+    /// Wakes whenever the answer grew or ended.
+    #[must_use]
+    pub fn watch(&self) -> watch::Receiver<()> {
+        self.changed.subscribe()
+    }
+
+    /// How many connections read the answer.
+    #[must_use]
+    pub fn readers(&self) -> usize {
+        self.changed.receiver_count()
+    }
+
+    /// Sets status and headers.
+    pub fn set_head(&self, head: Head) {
+        self.lock().head = Some(head);
+        self.changed.send_replace(());
+    }
+
+    /// Whether status and headers are known.
+    #[must_use]
+    pub fn has_head(&self) -> bool {
+        self.lock().head.is_some()
+    }
+
+    /// Adds bytes; answers false when the answer became too large.
+    #[must_use]
+    pub fn push(&self, bytes: &[u8]) -> bool {
+        let mut content = self.lock();
+        if content.bytes.len() + bytes.len() > MAX_ANSWER {
+            return false;
+        }
+        content.bytes.extend_from_slice(bytes);
+        drop(content);
+        self.changed.send_replace(());
+        true
+    }
+
+    /// Ends the answer; the first end counts.
+    pub fn finish(&self, end: End) {
+        self.lock().end.get_or_insert(end);
+        self.changed.send_replace(());
+    }
+
+    /// Whether the answer ended.
+    #[must_use]
+    pub fn is_ended(&self) -> bool {
+        self.lock().end.is_some()
+    }
+
+    /// The next frame for a reader, or none when it has to wait.
+    #[must_use]
+    pub fn next_frame(&self, cursor: &mut Cursor, teller: Teller) -> Option<frame::Frame> {
+        let content = self.lock();
+        if cursor.ended {
+            return None;
+        }
+        if cursor.offset < self.base {
+            cursor.ended = true;
+            let text = format!("the answer starts at {}, not {}", self.base, cursor.offset);
+            let refusal = refusal::Refusal::may_have_run(code::Code::AnswerCut, text);
+            return Some(refused(refusal, teller.load));
+        }
+        let all_sent = cursor.offset >= self.base + content.bytes.len() as u64;
+        if let Some(End::Failed(refusal)) = &content.end
+            && (!cursor.accepted || all_sent)
+        {
+            cursor.ended = true;
+            return Some(refused(refusal.clone(), teller.load));
+        }
+        if !cursor.accepted {
+            cursor.accepted = true;
+            let Teller { incarnation, version, load } = teller;
+            return Some(frame::Frame::Accepted { id: self.id, incarnation, version, load });
+        }
+        let head = content.head.as_ref()?;
+        if !cursor.head {
+            cursor.head = true;
+            return Some(frame::Frame::Head { status: head.status, headers: head.headers.clone() });
+        }
+        self.next_data(&content, cursor, teller)
+    }
+
+    fn next_data(
+        &self,
+        content: &Content,
+        cursor: &mut Cursor,
+        teller: Teller,
+    ) -> Option<frame::Frame> {
+        let start = (cursor.offset - self.base) as usize;
+        let rest = content.bytes.get(start..).unwrap_or_default();
+        if !rest.is_empty() {
+            let bytes = Bytes::copy_from_slice(&rest[..rest.len().min(MAX_DATA)]);
+            let offset = cursor.offset;
+            cursor.offset += bytes.len() as u64;
+            return Some(frame::Frame::Data { offset, bytes });
+        }
+        let Some(End::Whole(usage)) = &content.end else { return None };
+        cursor.ended = true;
+        let length = self.base + content.bytes.len() as u64;
+        Some(frame::Frame::End { length, usage: *usage, load: teller.load })
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, Content> {
+        self.content.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+/// The frame that refuses a request.
+#[must_use]
+pub const fn refused(refusal: refusal::Refusal, load: frame::Load) -> frame::Frame {
+    frame::Frame::Refused { refusal, load }
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,1 +1,12 @@
-//! Services beside each backend server: bounded queue, fair sharing, answers, usage.
+//! The agent beside a backend server.
+//!
+//! It is the authority for what its backend server runs: it takes or refuses each request at
+//! once, runs a request id at most once, keeps every running answer so that an entry can ask for
+//! the rest of it over a new connection, and counts what is billed.
+
+pub mod answer;
+pub mod daemon;
+pub mod desk;
+pub mod engine;
+pub mod http;
+pub mod meter;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,2 +1,99 @@
-//! Binary.
-fn main() {}
+//! `azuregapd`, the daemon of entry VMs and of backend servers.
+//!
+//! Exit codes: 0 after a graceful stop, 1 when a service failed, 2 on wrong arguments or
+//! settings.
+
+use std::fs;
+use std::path;
+use std::process;
+
+use azuregap_core::settings;
+use azuregap_kernel::kernel;
+use clap::Parser as _;
+use serde::de;
+use tokio::signal::unix;
+
+/// Routes language-model traffic with service levels and priorities.
+#[derive(Debug)]
+#[derive(clap::Parser)]
+#[command(name = "azuregapd", version)]
+struct Arguments {
+    #[command(subcommand)]
+    role: Role,
+}
+
+/// What this process is.
+#[derive(Debug)]
+#[derive(clap::Subcommand)]
+enum Role {
+    /// Takes callers' requests on an entry VM.
+    Entry {
+        /// Settings file, JSON.
+        #[arg(long)]
+        settings: path::PathBuf,
+    },
+    /// Stands beside a backend server.
+    Agent {
+        /// Settings file, JSON.
+        #[arg(long)]
+        settings: path::PathBuf,
+    },
+}
+
+/// Exit code on wrong settings.
+const EXIT_SETTINGS: u8 = 2;
+
+fn main() -> process::ExitCode {
+    tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_env_filter(filter())
+        .with_writer(std::io::stderr)
+        .init();
+    let kernel =
+        match Arguments::parse().role {
+            Role::Entry { settings } => read::<settings::EntrySettings>(&settings)
+                .map(|it| azuregap_entry::daemon::kernel(&it)),
+            Role::Agent { settings } => read::<settings::AgentSettings>(&settings)
+                .map(|it| azuregap_agent::daemon::kernel(&it)),
+        };
+    match kernel {
+        Ok(kernel) => actix_rt::System::new().block_on(run(kernel)),
+        Err(reason) => {
+            tracing::error!(reason, "the settings were not taken");
+            process::ExitCode::from(EXIT_SETTINGS)
+        }
+    }
+}
+
+fn filter() -> tracing_subscriber::EnvFilter {
+    tracing_subscriber::EnvFilter::try_from_default_env()
+        .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"))
+}
+
+fn read<T: de::DeserializeOwned>(path: &path::Path) -> Result<T, String> {
+    let text = fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
+    settings::from_text(&text).map_err(|error| format!("{}: {error}", path.display()))
+}
+
+/// Runs until asked to stop, then stops gracefully.
+async fn run(mut kernel: kernel::Kernel) -> process::ExitCode {
+    if let Err(error) = kernel.start().await {
+        tracing::error!(reason = error.to_string(), "start failed");
+        return process::ExitCode::FAILURE;
+    }
+    tracing::info!("started");
+    let mut terminate = match unix::signal(unix::SignalKind::terminate()) {
+        Ok(signal) => signal,
+        Err(error) => {
+            tracing::error!(reason = error.to_string(), "cannot listen for signals");
+            return process::ExitCode::FAILURE;
+        }
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+    kernel.stop().await;
+    process::ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/entry/src/http.rs
@@ -0,0 +1,229 @@
+//! The caller API.
+
+use std::io;
+use std::net;
+use std::time;
+
+use actix_web::http;
+use actix_web::web;
+use azuregap_core::code;
+use azuregap_core::intent;
+use azuregap_core::refusal;
+use azuregap_wire::run;
+use bytes::Bytes;
+use futures::stream;
+use serde::Serialize;
+use tokio::sync::mpsc;
+
+use crate::dispatch;
+use crate::identify;
+use crate::link;
+use crate::reply;
+
+/// Largest body read from a caller whatever the route allows, in bytes.
+const MAX_BODY: usize = 16 * 1024 * 1024;
+
+/// Pieces of an answer that wait for a slow caller.
+const PIECES: usize = 64;
+
+/// Time a stopping entry gives running answers.
+const SHUTDOWN_SECONDS: u64 = 600;
+
+/// What the handlers of one worker share.
+#[derive(Clone, Debug)]
+struct Worker {
+    shared: dispatch::Shared,
+    clients: link::Clients,
+    max_stale: time::Duration,
+}
+
+/// Starts the server at `listen` with `workers` threads.
+///
+/// # Errors
+///
+/// When the address cannot be listened on.
+pub fn serve(
+    shared: dispatch::Shared,
+    listen: net::SocketAddr,
+    workers: usize,
+    max_stale: time::Duration,
+) -> io::Result<actix_web::dev::Server> {
+    let server = actix_web::HttpServer::new(move || {
+        let clients = link::Clients::default();
+        let worker = Worker { shared: shared.clone(), clients, max_stale };
+        actix_web::App::new()
+            .app_data(web::Data::new(worker))
+            .app_data(web::PayloadConfig::new(MAX_BODY))
+            .route("/healthz", web::get().to(actix_web::HttpResponse::Ok))
+            .route("/readyz", web::get().to(ready))
+            .route("/v1/models", web::get().to(models))
+            .default_service(web::to(call))
+    });
+    let server = server.workers(workers).shutdown_timeout(SHUTDOWN_SECONDS).disable_signals();
+    Ok(server.bind(listen)?.run())
+}
+
+async fn ready(worker: web::Data<Worker>) -> actix_web::HttpResponse {
+    if worker.shared.configuration.load().version == 0 {
+        return actix_web::HttpResponse::ServiceUnavailable().body("no configuration yet");
+    }
+    actix_web::HttpResponse::Ok().finish()
+}
+
+/// The list of models, in the usual shape.
+#[derive(Debug, Serialize)]
+struct ModelList {
+    object: &'static str,
+    data: Vec<ModelEntry>,
+}
+
+#[derive(Debug, Serialize)]
+struct ModelEntry {
+    id: String,
+    object: &'static str,
+    owned_by: &'static str,
+}
+
+async fn models(
+    request: actix_web::HttpRequest,
+    worker: web::Data<Worker>,
+) -> actix_web::HttpResponse {
+    let configuration = worker.shared.configuration.load();
+    let key = request.headers().get(http::header::AUTHORIZATION);
+    let key = key.and_then(|value| value.to_str().ok());
+    if let Err(refusal) = identify::find_key(&configuration, key) {
+        return reply::refuse(&refusal, rand::random());
+    }
+    let models =
+        configuration.intent.pools.iter().filter(|pool| pool.kind == intent::PoolKind::Model);
+    let entry = |pool: &intent::Pool| ModelEntry {
+        id: pool.name.clone(),
+        object: "model",
+        owned_by: "azuregap",
+    };
+    let list = ModelList { object: "list", data: models.map(entry).collect() };
+    actix_web::HttpResponse::Ok().json(list)
+}
+
+async fn call(
+    request: actix_web::HttpRequest,
+    body: Result<Bytes, actix_web::Error>,
+    worker: web::Data<Worker>,
+) -> actix_web::HttpResponse {
+    let body = match body {
+        Ok(body) => body,
+        Err(error) => {
+            let refusal = refusal::Refusal::not_run(code::Code::BodyTooLarge, error.to_string());
+            return reply::refuse(&refusal, rand::random());
+        }
+    };
+    let incoming = incoming(&request, body);
+    let configuration = worker.shared.configuration.load();
+    let now = tokio::time::Instant::now();
+    let job = identify::identify(&configuration, &incoming, now)
+        .and_then(|job| if job.key.is_some() { fresh(&worker, job) } else { Ok(job) });
+    let job = match job {
+        Ok(job) => job,
+        Err(refusal) => return refused(&refusal, rand::random()),
+    };
+    let id = job.id;
+    let (out, events) = mpsc::channel(PIECES);
+    let job = dispatch::Dispatch::new(worker.shared.clone(), worker.clients.clone(), job, out);
+    actix_rt::spawn(job.run());
+    respond(events, id).await
+}
+
+/// With a configuration that may be outdated, a key may have been withdrawn.
+fn fresh(worker: &Worker, job: crate::job::Job) -> Result<crate::job::Job, refusal::Refusal> {
+    let age = worker.shared.configuration.age();
+    if age <= worker.max_stale {
+        return Ok(job);
+    }
+    let text = format!("the configuration was last confirmed {} s ago", age.as_secs());
+    Err(refusal::Refusal::not_run(code::Code::ConfigurationStale, text)
+        .retry_after(worker.max_stale))
+}
+
+fn refused(refusal: &refusal::Refusal, id: u128) -> actix_web::HttpResponse {
+    tracing::info!(
+        request = format!("{id:032x}"),
+        decision = "refused",
+        code = refusal.code.number(),
+        not_run = refusal.not_run,
+        why = refusal.message,
+        "routing decision"
+    );
+    reply::refuse(refusal, id)
+}
+
+fn incoming(request: &actix_web::HttpRequest, body: Bytes) -> identify::Incoming {
+    let headers = request.headers().iter().filter_map(|(name, value)| {
+        let value = value.to_str().ok()?.to_owned();
+        Some(run::Header { name: name.as_str().to_owned(), value })
+    });
+    let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
+    identify::Incoming {
+        method: request.method().to_string(),
+        path: request.path().to_owned(),
+        target: target.to_owned(),
+        headers: headers.collect(),
+        body,
+    }
+}
+
+/// Waits for the start of the answer and passes the rest on as it comes.
+async fn respond(mut events: mpsc::Receiver<dispatch::Event>, id: u128) -> actix_web::HttpResponse {
+    match events.recv().await {
+        Some(dispatch::Event::Whole { status, headers, body }) => {
+            start(status, &headers, id).body(body)
+        }
+        Some(dispatch::Event::Head { status, headers }) => {
+            start(status, &headers, id).streaming(pieces(events, id))
+        }
+        Some(dispatch::Event::Failed(refusal)) => refused(&refusal, id),
+        Some(dispatch::Event::Data(_) | dispatch::Event::End) | None => {
+            let text = "the answer has no start";
+            refused(&refusal::Refusal::may_have_run(code::Code::Internal, text), id)
+        }
+    }
+}
+
+fn start(status: u16, headers: &[run::Header], id: u128) -> actix_web::HttpResponseBuilder {
+    let status = http::StatusCode::from_u16(status).unwrap_or(http::StatusCode::BAD_GATEWAY);
+    let mut response = actix_web::HttpResponse::build(status);
+    for header in headers {
+        response.append_header((header.name.as_str(), header.value.as_str()));
+    }
+    response.insert_header((reply::ID_HEADER, format!("{id:032x}")));
+    response
+}
+
+/// The pieces of a streamed answer. A failure is told as an event named `error`, and then the
+/// connection is cut, so that no caller takes the answer for a whole one.
+fn pieces(
+    events: mpsc::Receiver<dispatch::Event>,
+    id: u128,
+) -> impl stream::Stream<Item = Result<Bytes, io::Error>> {
+    stream::unfold((events, None), move |(mut events, failed)| async move {
+        if let Some(error) = failed {
+            return Some((Err(error), (events, None)));
+        }
+        match events.recv().await? {
+            dispatch::Event::Data(bytes) => Some((Ok(bytes), (events, None))),
+            dispatch::Event::Failed(refusal) => {
+                let body = serde_json::to_string(&reply::Body::new(&refusal, id)).ok()?;
+                tracing::info!(
+                    request = format!("{id:032x}"),
+                    decision = "cut",
+                    code = refusal.code.number(),
+                    why = refusal.message,
+                    "routing decision"
+                );
+                let text = format!("event: error\ndata: {body}\n\n");
+                let error = io::Error::other(refusal);
+                Some((Ok(Bytes::from(text)), (events, Some(error))))
+            }
+            _ => None,
+        }
+    })
+}
