feat(cli): check, plan, confirm, plans, intent, keys, status, usage and load

Cause: people had no way to check files or to reach the operators' API. Deployment::check also compares the kind of an agent with its pool.

--- /dev/null
+++ b/crates/cli/src/commands/keys.rs
@@ -0,0 +1,71 @@
+//! Keys of teams: given, withdrawn and listed.
+
+use azuregap_core::key;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::api;
+use crate::args;
+use crate::error;
+use crate::exit;
+use crate::render;
+
+/// Random bytes of a new key.
+const KEY_BYTES: usize = 32;
+
+pub(super) async fn run(command: &args::KeysCommand, json: bool) -> error::CliResult<exit::Exit> {
+    match command {
+        args::KeysCommand::Give { team, operator } => give(team, operator, json).await,
+        args::KeysCommand::Withdraw { digest, operator } => {
+            let path = format!("/v1/keys/{}", written(digest));
+            let answer = api::Api::new(operator)?.delete(&path).await?;
+            render::print(&answer, json);
+            Ok(exit::Exit::Done)
+        }
+        args::KeysCommand::List { operator } => list(operator, json).await,
+    }
+}
+
+/// The key is printed only once the entry has taken its digest.
+async fn give(team: &str, operator: &args::Operator, json: bool) -> error::CliResult<exit::Exit> {
+    let api = api::Api::new(operator)?;
+    let key = new_key();
+    let digest = written(&key::Digest::of(&key));
+    let body = json!({ "team": team, "digest": digest });
+    let outcome = api.post("/v1/keys", Some(&body)).await;
+    if let (false, Err(error::CliError::Unreachable(..))) = (json, &outcome) {
+        eprintln!(
+            "The key may have been given. It is lost; withdraw it: azuregap keys withdraw {digest}"
+        );
+    }
+    let mut answer = outcome?;
+    answer["team"] = team.into();
+    answer["digest"] = digest.into();
+    answer["key"] = key.into();
+    render::print(&answer, json);
+    if !json {
+        println!("\nThe key is shown this once; azuregap keeps only its digest.");
+    }
+    Ok(exit::Exit::Done)
+}
+
+async fn list(operator: &args::Operator, json: bool) -> error::CliResult<exit::Exit> {
+    let answer = api::Api::new(operator)?.get("/v1/intent").await?;
+    let keys = answer.pointer("/intent/keys").cloned().unwrap_or_else(|| json!([]));
+    render::print(&json!({ "version": answer["version"], "keys": keys }), json);
+    Ok(exit::Exit::Done)
+}
+
+fn new_key() -> String {
+    let bytes: [u8; KEY_BYTES] = rand::random();
+    let digits: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+    format!("ag-{digits}")
+}
+
+/// The digest as 64 hexadecimal digits.
+fn written(digest: &key::Digest) -> String {
+    match json!(digest) {
+        Value::String(digits) => digits,
+        other => other.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/support/mod.rs
@@ -0,0 +1,170 @@
+//! A small fake entry for the tests, and a way to run the command line.
+
+use std::process;
+use std::sync;
+use std::thread;
+
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::web;
+use serde_json::Value;
+use serde_json::json;
+
+/// Key of the operator that the fake knows.
+pub(crate) const OPERATOR_KEY: &str = "operator-key-of-the-test";
+
+/// What a finished command said.
+pub(crate) struct Said {
+    pub(crate) exit: Option<i32>,
+    pub(crate) out: String,
+    pub(crate) err: String,
+}
+
+/// Runs the command line with `args` and the operator key in the environment.
+pub(crate) fn run(args: &[&str]) -> Said {
+    run_with(args, &[("AZUREGAP_OPERATOR_KEY", OPERATOR_KEY), ("AZUREGAP_KEY", "team-key")])
+}
+
+/// Runs the command line with `args` and nothing but `variables` in the environment.
+pub(crate) fn run_with(args: &[&str], variables: &[(&str, &str)]) -> Said {
+    let mut command = process::Command::new(env!("CARGO_BIN_EXE_azuregap"));
+    command.args(args).env_clear().envs(variables.iter().copied());
+    command.current_dir(concat!(env!("CARGO_MANIFEST_DIR"), "/../.."));
+    let output = command.output().unwrap();
+    let text = |bytes: Vec<u8>| String::from_utf8(bytes).unwrap();
+    Said { exit: output.status.code(), out: text(output.stdout), err: text(output.stderr) }
+}
+
+/// One request that the fake entry got.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Got {
+    pub(crate) call: String,
+    pub(crate) body: Value,
+}
+
+type Log = sync::Arc<sync::Mutex<Vec<Got>>>;
+
+/// A fake entry on loopback; it ends with the test.
+pub(crate) struct Fake {
+    pub(crate) url: String,
+    log: Log,
+    handle: actix_web::dev::ServerHandle,
+}
+
+impl Fake {
+    pub(crate) fn start() -> Self {
+        let log = Log::default();
+        let (started, wait) = sync::mpsc::channel();
+        let shared = log.clone();
+        thread::spawn(move || {
+            actix_web::rt::System::new().block_on(async move {
+                let server = actix_web::HttpServer::new(move || {
+                    let shared = web::Data::new(shared.clone());
+                    actix_web::App::new().app_data(shared).default_service(web::to(answer))
+                });
+                let server = server.workers(1).disable_signals().bind(("127.0.0.1", 0)).unwrap();
+                let address = server.addrs()[0];
+                let server = server.run();
+                started.send((address, server.handle())).unwrap();
+                server.await.unwrap();
+            });
+        });
+        let (address, handle) = wait.recv().unwrap();
+        Self { url: format!("http://{address}"), log, handle }
+    }
+
+    /// The requests so far.
+    pub(crate) fn got(&self) -> Vec<Got> {
+        self.log.lock().unwrap().clone()
+    }
+}
+
+impl Drop for Fake {
+    fn drop(&mut self) {
+        drop(self.handle.stop(false));
+    }
+}
+
+async fn answer(request: HttpRequest, body: web::Bytes, log: web::Data<Log>) -> HttpResponse {
+    let call = format!("{} {}", request.method(), request.path());
+    let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
+    log.lock().unwrap().push(Got { call: call.clone(), body });
+    let key = request.headers().get("authorization").map(|value| value.as_bytes());
+    let header = |name: &str| Some(request.headers().get(name)?.to_str().ok()?.to_owned());
+    match request.path() {
+        "/v1/chat/completions" => completion(&header("x-azuregap-class").unwrap_or_default()),
+        "/notes" => HttpResponse::Ok().body("notes"),
+        _ if key != Some(format!("Bearer {OPERATOR_KEY}").as_bytes()) => {
+            refuse(401, 4007, "no such operator")
+        }
+        _ => operate(&call),
+    }
+}
+
+fn operate(call: &str) -> HttpResponse {
+    match call {
+        "POST /v1/plans" => HttpResponse::Created().json(plan("open")),
+        "GET /v1/plans/p-7" => HttpResponse::Ok().json(plan("confirmed")),
+        "GET /v1/plans" => HttpResponse::Ok().json(json!({ "plans": [
+            { "id": "p-7", "base": 4, "by": "desk-lead", "state": "open" },
+            { "id": "p-8", "base": 4, "by": "desk-deputy", "state": "expired" },
+        ]})),
+        "POST /v1/plans/p-7/confirm" => HttpResponse::Ok().json(json!({"plan": "p-7", "version": 5})),
+        "POST /v1/plans/p-8/confirm" => refuse(410, 4003, "plan p-8 expired"),
+        "POST /v1/plans/p-9/confirm" => HttpResponse::Conflict().json(json!({
+            "code": 4002, "message": "version 5 by desk-deputy was accepted since",
+            "changed": ["teams[0].weight"],
+        })),
+        "GET /v1/intent" => HttpResponse::Ok().json(json!({
+            "version": 5, "by": "desk-lead",
+            "intent": { "keys": [{ "digest": "ab".repeat(32), "team": "kelp-robotics", "withdrawn": false }] },
+        })),
+        "POST /v1/keys" => HttpResponse::Created().json(json!({ "version": 6 })),
+        "GET /v1/status" => HttpResponse::Ok().json(json!({
+            "node": "entry-1", "version": 6, "lease": { "holder": "entry-2", "fence": 3 },
+            "agents": [{ "node": "agent-1", "zone": "perth-north", "leaving": false }],
+        })),
+        "GET /v1/usage" => HttpResponse::Ok().json(json!([{ "window": 41, "state": "reported" }])),
+        "GET /v1/usage/41" => HttpResponse::Ok().json(json!({
+            "window": 41, "teams": [{ "team": "kelp-robotics", "requests": 3, "output": 96 }],
+        })),
+        call if call.starts_with("DELETE /v1/keys/") => {
+            HttpResponse::Ok().json(json!({ "version": 7 }))
+        }
+        _ => refuse(404, 4004, "no such plan"),
+    }
+}
+
+fn plan(state: &str) -> Value {
+    json!({
+        "id": "p-7", "base": 4, "by": "desk-lead", "state": state,
+        "steps": [
+            { "action": "start", "backend": "advisor-model-10", "pool": "advisor-model",
+              "zone": "perth-south", "reason": "demand", "cost": 3_600_000 },
+            { "action": "refuse", "pool": "billing-app", "zone": "perth-east",
+              "reason": "over spend", "cost": 0 },
+        ],
+        "cost": { "per_hour": 3_600_000, "zones": [
+            { "zone": "perth-south", "cost": 3_600_000, "spend": 18_000_000 },
+        ]},
+        "attainment": [{ "class": "summary", "share": 0.99 }],
+        "expires": "2026-01-01T00:15:00Z",
+    })
+}
+
+fn refuse(status: u16, code: u16, message: &str) -> HttpResponse {
+    let status = actix_web::http::StatusCode::from_u16(status).unwrap();
+    HttpResponse::build(status).json(json!({ "code": code, "message": message }))
+}
+
+/// Each class of the load meets another fate.
+fn completion(class: &str) -> HttpResponse {
+    let event = |text: &str| format!("data: {{\"text\":\"{text}\"}}\n\n");
+    match class {
+        "whole" => HttpResponse::Ok().body(format!("{}{}data: [DONE]\n\n", event("a"), event("b"))),
+        "cut" => HttpResponse::Ok().body(event("a")),
+        "failed" => HttpResponse::Ok()
+            .body(format!("{}data: {{\"error\":{{\"code\":3003}}}}\n\n", event("a"))),
+        _ => refuse(503, 2002, "queue full"),
+    }
+}
--- a/crates/core/src/settings/check/deployment.rs
+++ b/crates/core/src/settings/check/deployment.rs
@@ -86,10 +86,22 @@
             let pool = intent.pool(&agent.pool);
             findings.known(pool.is_some(), format_args!("{name}:pool"), "pool");
             if let Some(pool) = pool {
-                let expected = format!("{}, as the pool declares", pool.slots);
-                let path = format!("{name}:slots");
-                findings.agree(pool.slots == agent.slots, path, expected);
+                check_pool(name, agent, pool, findings);
             }
         }
     }
 }
+
+/// An agent and the pool it serves tell the same of the backend server.
+fn check_pool(
+    name: &str,
+    agent: &AgentSettings,
+    pool: &intent::Pool,
+    findings: &mut findings::Findings,
+) {
+    let expected = format!("{}, as the pool declares", pool.slots);
+    findings.agree(pool.slots == agent.slots, format_args!("{name}:slots"), expected);
+    let model = pool.kind == intent::PoolKind::Model;
+    let expected = format!("{model}, as the kind of the pool declares");
+    findings.agree(model == agent.model, format_args!("{name}:model"), expected);
+}
--- a/crates/core/tests/settings.rs
+++ b/crates/core/tests/settings.rs
@@ -132,6 +132,7 @@
     let mut second = agent.clone();
     second.pool = "scenario-llm".to_owned();
     second.slots += 1;
+    second.model = false;
     deployment.agents.push(("second.json".to_owned(), second));
     let faults: Vec<_> = deployment.check().iter().map(line).collect();
     let told = faults.join("\n");
