feat(platform): a client that never takes a cut answer for a whole one

Cause: the HTTP client library ends a body without an error when the connection closes before the last chunk; the engine's cut answer came back as status 200 with an empty body. Ruled out: checking lengths after the fact, which a chunked body does not have. Change: strict::client makes the end of a connection an error to whoever still reads; it follows no redirects, which would send a call twice. The platform clients use it.

--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -11,6 +11,7 @@
 
 use crate::error;
 use crate::http;
+use crate::strict;
 
 type Carry<Q, R> = rc::Rc<dyn Fn(Q) -> future::LocalBoxFuture<'static, error::PlatformResult<R>>>;
 
@@ -47,7 +48,7 @@
         Q: Serialize,
         R: de::DeserializeOwned,
     {
-        let client = awc::Client::default();
+        let client = strict::client();
         Self::new(move |call| {
             let (client, url) = (client.clone(), url.clone());
             async move { http::post(&client, &url, &call, timeout).await }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod http;
 pub mod objects;
 pub mod orders;
+pub mod strict;
 pub mod table;
 pub mod usage;
 pub mod vms;
--- a/crates/standins/tests/engine.rs
+++ b/crates/standins/tests/engine.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use azuregap_platform::strict;
 use azuregap_standins::engine;
 use bytes::Bytes;
 use googletest::prelude::*;
@@ -28,7 +29,7 @@
     headers: &[(&str, &str)],
     body: serde_json::Value,
 ) -> (u16, Option<Bytes>) {
-    let mut request = awc::Client::default().post(url);
+    let mut request = strict::client().post(url);
     for (name, value) in headers {
         request = request.insert_header((*name, *value));
     }
@@ -62,6 +63,27 @@
     Ok(())
 }
 
+#[gtest]
+#[actix_rt::test]
+async fn a_cut_or_crashed_answer_never_looks_whole() -> Result<()> {
+    let engine = engine::Engine::start(engine::Settings::instant());
+    let (server, address) = engine.serve(ANY)?;
+    let url = format!("http://{address}/v1/chat/completions");
+    engine.set_faults(engine::EngineFaults::new().cut_at_token(2));
+    verify_that!(post(&url, &[], body(5, true)).await, eq(&(200, None)))?;
+    verify_that!(post(&url, &[], body(5, false)).await.1, none())?;
+    engine.set_faults(engine::EngineFaults::new().crash(true));
+    verify_that!(post(&url, &[], body(5, true)).await.1, none())?;
+    engine.set_faults(engine::EngineFaults::new().error(1));
+    verify_that!(post(&url, &[], body(5, true)).await.0, eq(500))?;
+    verify_that!(post(&url, &[], body(5, true)).await.1, eq(&Some(answer(5).stream())))?;
+    let counters = engine.counters();
+    verify_that!((counters.started, counters.finished, counters.lost), eq((3, 1, 2)))?;
+    verify_that!(counters.wasted, eq(4))?;
+    server.stop(false).await;
+    Ok(())
+}
+
 #[gtest]
 #[actix_rt::test]
 async fn a_caller_that_goes_away_frees_its_slot() -> Result<()> {
@@ -69,7 +91,7 @@
     let (server, address) = engine.serve(ANY)?;
     let url = format!("http://{address}/v1/chat/completions");
     for (stream, cancelled) in [(true, 1), (false, 2)] {
-        let client = awc::Client::default();
+        let client = strict::client();
         let sending = client.post(&url).send_json(&body(100_000, stream));
         let short = time::Duration::from_millis(200);
         let outcome = tokio::time::timeout(short, async {
