fix(wire): no control client or server waits for itself when it is dropped

Cause: the callback of an nng operation holds a handle of its own; when the asker dropped the last other handle first, the callback dropped the Aio inside itself and waited for its own end. An entry that forgot a peer hung for ever (seen with a debugger in nng_aio_stop under the callback). A closed server's callback also received again at once, for ever. Ruled out: the socket's connections (a client that never connected closes at once). Change: close the context or socket first, cancel, wait for the callback, then drop; a closed socket is not received from again. The agent answers greetings. Conclusion: control clients can come and go with their peers.

--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The services of an agent, put together.
 
+use azuregap_control::mailbox;
 use azuregap_control::process;
 use azuregap_control::snapshot;
 use azuregap_core::settings;
@@ -30,12 +31,28 @@
     };
     let process = process::Process::new(&settings.node, &settings.zone, settings.control, role);
     kernel::Kernel::new()
-        .service(azuregap_control::mailbox::service(process.clone()))
+        .service(mailbox::service(process.clone()))
+        .service(greeting_service(process.clone()))
         .service(azuregap_control::configuration::service(process.clone(), &settings.platform))
         .service(desk_service(settings.clone(), process.clone()))
         .service(runs_service(settings.clone(), process))
 }
 
+/// Answers greetings, so that entries find this agent.
+fn greeting_service(process: process::Process) -> service::Service {
+    let start = move |registry: azuregap_kernel::registry::Registry| async move {
+        let mailbox = registry.find::<mailbox::Mailbox>(mailbox::Mailbox::NAME)?;
+        mailbox.on(move |message| match &message.body {
+            control::Body::Hello(_) => {
+                Some(control::Body::Greeted { peer: process.peer.clone(), known: Vec::new() })
+            }
+            _ => None,
+        });
+        Ok(())
+    };
+    service::Service::new("greeting").needs([mailbox::Mailbox::NAME]).start(start)
+}
+
 fn desk_service(settings: settings::AgentSettings, process: process::Process) -> service::Service {
     let start = move |registry: azuregap_kernel::registry::Registry| async move {
         let configuration = registry.find::<snapshot::Handle>(snapshot::Handle::NAME)?;
--- a/crates/wire/src/socket.rs
+++ b/crates/wire/src/socket.rs
@@ -71,6 +71,8 @@
                     };
                     let _ = own.send(&aio, codec::encode(&reply).as_slice());
                 }
+                nng::AioResult::Send(Err((_, error))) | nng::AioResult::Recv(Err(error))
+                    if is_final(error) => {}
                 nng::AioResult::Send(_) | nng::AioResult::Recv(Err(_)) => {
                     let _ = own.recv(&aio);
                 }
@@ -88,13 +90,43 @@
 
     /// Stops listening.
     pub fn close(&self) {
-        for worker in &self.workers {
-            worker.cancel();
-        }
         self.socket.close();
+        self.workers.iter().for_each(settle);
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.close();
     }
 }
 
+/// Ends what `aio` does and waits for its callback. An `Aio` whose last handle is dropped inside
+/// its own callback waits for itself for ever, so every one is settled before it is dropped. The
+/// socket or context must have been closed first, so that the callback starts nothing new.
+fn settle(aio: &nng::Aio) {
+    aio.cancel();
+    aio.wait();
+}
+
+/// One request under way, settled however it ends.
+struct Exchange {
+    context: nng::Context,
+    aio: nng::Aio,
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        self.context.close();
+        settle(&self.aio);
+    }
+}
+
+/// Whether the socket was closed, so that another receive would fail at once, for ever.
+const fn is_final(error: nng::Error) -> bool {
+    matches!(error, nng::Error::Closed | nng::Error::Canceled)
+}
+
 /// Decodes a message and checks its protocol version.
 fn read_message(bytes: &[u8]) -> Result<control::Message, (code::Code, String)> {
     let message: control::Message =
@@ -154,11 +186,12 @@
             _ => drop(done.lock().ok().and_then(|mut slot| slot.take())),
         })
         .map_err(|_| silent())?;
-        aio.set_timeout(Some(timeout)).map_err(|_| silent())?;
-        context.send(&aio, codec::encode(message).as_slice()).map_err(|_| silent())?;
+        let exchange = Exchange { context, aio };
+        exchange.aio.set_timeout(Some(timeout)).map_err(|_| silent())?;
+        let bytes = codec::encode(message);
+        exchange.context.send(&exchange.aio, bytes.as_slice()).map_err(|_| silent())?;
         let bytes = tokio::time::timeout(timeout, reply).await;
-        aio.cancel();
-        context.close();
+        drop(exchange);
         let bytes = bytes.map_err(|_| silent())?.map_err(|_| silent())?;
         Ok(codec::decode(&bytes)?)
     }
--- a/crates/wire/tests/socket.rs
+++ b/crates/wire/tests/socket.rs
@@ -56,3 +56,41 @@
     let reply = client.ask(&message(PROTOCOL, control::Body::DrainState), short).await;
     verify_that!(matches!(reply, Err(socket::SocketError::Silent(_))), eq(true))
 }
+
+#[gtest]
+#[tokio::test]
+async fn clients_are_dropped_without_blocking() -> Result<()> {
+    let (server, address) = serve();
+    for _ in 0..20 {
+        let client = socket::Client::dial(&address)?;
+        client.ask(&message(PROTOCOL, control::Body::DrainState), WAIT).await?;
+        drop(client);
+    }
+    server.close();
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_client_is_dropped_while_nobody_listens() -> Result<()> {
+    for _ in 0..5 {
+        let client = socket::Client::dial("127.0.0.1:9")?;
+        let short = time::Duration::from_millis(20);
+        let _ = client.ask(&message(PROTOCOL, control::Body::DrainState), short).await;
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn asking_is_given_up_midway_without_blocking() -> Result<()> {
+    let (server, address) = serve();
+    let client = socket::Client::dial(&address)?;
+    for _ in 0..20 {
+        let request = message(PROTOCOL, control::Body::DrainState);
+        let _ =
+            tokio::time::timeout(time::Duration::from_micros(50), client.ask(&request, WAIT)).await;
+    }
+    server.close();
+    Ok(())
+}
