--- a/crates/coordination/tests/lease.rs
+++ b/crates/coordination/tests/lease.rs
@@ -154,3 +154,82 @@
     next.handle(lease::Event::Wrote(store::Outcome::Applied(4)), at + 310 * MS);
     expect_that!(next.may_act(at + 310 * MS), some(eq(2)));
 }
+
+/// A table service in virtual time, five milliseconds away in either direction.
+struct Table {
+    row: store::Stored<lease::LeaseRow>,
+}
+
+impl Table {
+    /// Carries out one action of `lease`; when it wants to be woken.
+    fn serve(&mut self, lease: &mut lease::Lease, now: &mut time::Instant) -> time::Instant {
+        let mut event = lease::Event::Tick;
+        loop {
+            let action = lease.handle(event, *now);
+            *now += 10 * MS;
+            event = match action {
+                lease::Action::Read => lease::Event::Read(self.row.clone()),
+                lease::Action::Write { version, row } if version == self.row.version => {
+                    self.row = store::Stored::new(version + 1, row);
+                    lease::Event::Wrote(store::Outcome::Applied(version + 1))
+                }
+                lease::Action::Write { .. } => lease::Event::Wrote(store::Outcome::Conflict),
+                lease::Action::Wait(until) => return until,
+                lease::Action::Pending | lease::Action::Resigned => return *now,
+            };
+        }
+    }
+}
+
+/// Time from the crash of a holder, `offset` after its first renewal, until the other may act.
+fn takeover(offset: Duration, mut resign: bool) -> Duration {
+    let start = time::Instant::now();
+    let mut table = Table { row: store::Stored::absent() };
+    let mut holder = lease::Lease::new("a", 1, lease::Terms::default());
+    let mut other = lease::Lease::new("b", 2, lease::Terms::default());
+    let (mut holder_next, mut other_next) = (start, start + 1 * MS);
+    let crash = start + Duration::from_secs(6) + offset;
+    while holder_next.min(other_next) < crash {
+        if holder_next <= other_next {
+            let mut now = holder_next;
+            holder_next = table.serve(&mut holder, &mut now);
+        } else {
+            let mut now = other_next;
+            other_next = table.serve(&mut other, &mut now);
+        }
+    }
+    if resign {
+        holder.handle(lease::Event::Resign, crash);
+    }
+    holder_next = crash + lease::Terms::default().send_deadline;
+    loop {
+        if resign && holder_next <= other_next {
+            let mut now = holder_next;
+            table.serve(&mut holder, &mut now);
+            resign = false;
+        }
+        let mut now = other_next;
+        other_next = table.serve(&mut other, &mut now);
+        let Some(until) = other.acts_until() else { continue };
+        while other.may_act(now).is_none() {
+            now += 1 * MS;
+            assert!(now < until, "the successor never may act");
+        }
+        return now - crash;
+    }
+}
+
+/// The bound is a term, a margin, a send deadline and two looks, plus four calls of 10 ms.
+#[gtest]
+fn takeover_time_is_bounded() {
+    let terms = lease::Terms::default();
+    let mut crashed: Vec<_> = (0..100).map(|i| takeover(i * 31 * MS, false)).collect();
+    let mut resigned: Vec<_> = (0..100).map(|i| takeover(i * 31 * MS, true)).collect();
+    crashed.sort();
+    resigned.sort();
+    let bound = terms.term + terms.margin + terms.send_deadline + terms.interval * 2 + 40 * MS;
+    expect_that!(crashed.last(), some(le(&bound)));
+    expect_that!(resigned.last(), some(le(&(terms.send_deadline + terms.interval + 40 * MS))));
+    let figures = |times: &[Duration]| [times[0], times[50], times[99]];
+    insta::assert_debug_snapshot!([figures(&crashed), figures(&resigned)]);
+}
