--- a/crates/coordination/tests/claim_model/main.rs
+++ b/crates/coordination/tests/claim_model/main.rs
@@ -242,7 +242,7 @@
         let id = self.requests[index].id;
         // Another agent is tried after every other refusal.
         let other = usize::from(target.agent == "0");
-        let next = (self.started % 2 == 0).then(|| self.target(other));
+        let next = self.started.is_multiple_of(2).then(|| self.target(other));
         match fate {
             Fate::Refused => Some(claim::Event::NotRun(next)),
             Fate::LostBefore => Some(claim::Event::Lost),
