feat(coordination): relay tree per zone, pushed news and versions that ride along

Cause: thousands of processes cannot each read the table service, yet a change must be in force everywhere within seconds. Ruled out: pull alone (1.7 s at 1,024), pushed proofs (their age cannot be bounded without clocks).

--- /dev/null
+++ b/crates/coordination/src/dissemination/event.rs
@@ -0,0 +1,23 @@
+//! What the spreading of versions is told.
+
+use crate::ids;
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// A message of any kind showed the version that its sender has.
+    Heard {
+        /// The sender.
+        from: ids::NodeId,
+        /// The sender's version.
+        version: ids::Version,
+    },
+    /// A question or read was answered; feed [`Event::Took`] first if it brought a newer version.
+    Answered,
+    /// A question or read was not answered.
+    Failed,
+    /// This version is in force here now, wherever it came from.
+    Took(ids::Version),
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -39,6 +39,8 @@
 
 pub mod claim;
 pub mod configuration;
+pub mod dissemination;
 pub mod ids;
 pub mod lease;
+pub mod rendezvous;
 pub mod store;
