--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -42,5 +42,6 @@
 pub mod dissemination;
 pub mod ids;
 pub mod lease;
+pub mod membership;
 pub mod rendezvous;
 pub mod store;
