--- a/crates/coordination/src/configuration/pace.rs
+++ b/crates/coordination/src/configuration/pace.rs
@@ -1,4 +1,4 @@
-//! When to read next.
+//! When to call the table service next.
 
 use std::time;
 
@@ -8,7 +8,7 @@
 /// Most doublings of the interval after failures.
 const MAX_DOUBLINGS: u32 = 4;
 
-/// Spreads the reads of many processes: each interval is between half and all of its length,
+/// Spreads the calls of many processes: each interval is between half and all of its length,
 /// doubled with every failure in a row. The fraction is derived from the process's own seed, so
 /// that processes differ and a run can be repeated.
 #[derive(Clone, Debug)]
@@ -26,13 +26,13 @@
         Self { interval, seed, count: 0, failures: 0 }
     }
 
-    /// When to read after a read that succeeded.
+    /// When to call again after a call that succeeded.
     pub fn succeeded(&mut self, now: Instant) -> Instant {
         self.failures = 0;
         now + self.spread(self.interval)
     }
 
-    /// When to read after a read that failed.
+    /// When to call again after a call that failed.
     pub fn failed(&mut self, now: Instant) -> Instant {
         self.failures = (self.failures + 1).min(MAX_DOUBLINGS);
         now + self.spread(self.interval * 2u32.pow(self.failures))
--- /dev/null
+++ b/crates/coordination/src/ledger/closer_event.rs
@@ -0,0 +1,26 @@
+//! What the closing of a window is told.
+
+use crate::ledger;
+use crate::store;
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CloserEvent {
+    /// Begin, or begin again after a pause or a change of the lease holder.
+    Start,
+    /// The row that was read.
+    Window(store::Stored<ledger::WindowRow>),
+    /// The outcome of the write.
+    Wrote(store::Outcome),
+    /// Batches of the window that is scanned.
+    Batches {
+        /// Some of them.
+        rows: Vec<ledger::BatchRow>,
+        /// Whether these are the last.
+        last: bool,
+    },
+    /// The report was acknowledged.
+    Sent,
+    /// A read, scan or send gave no result.
+    Failed,
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod dissemination;
 pub mod ids;
 pub mod lease;
+pub mod ledger;
 pub mod membership;
 pub mod rendezvous;
 pub mod store;
