feat(control): lease keeper, orders, plans, intent API, placement and usage reports

Cause: the daemon needs every control service to build its kernel. Change: holder (lease row, guarded transactions and sends that look at the lease before each step of a call), order rows before sends, plans confirmed in one transaction with the configuration row, keys merged so that no plan revives a withdrawn one, graceful stops by DrainState, windows closed by a marker row before they are added up.

--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -1,10 +1,18 @@
-//! Keeps the configuration in force at this process.
+//! Keeps the configuration in force at this process, and accepts changes of it.
 
+mod doubt;
+mod merge;
 mod row;
 mod service;
 mod source;
 
+pub use doubt::Change;
+pub use doubt::Doubt;
+pub use merge::changes;
+pub use merge::merge;
 pub use row::CURRENT;
 pub use row::ConfigurationRow;
+pub use row::Declared;
 pub use service::service;
 pub use source::Source;
+pub use source::Stored;
--- /dev/null
+++ b/crates/control/src/configuration/doubt.rs
@@ -0,0 +1,67 @@
+//! Changes of this process whose outcome it does not know.
+
+use std::sync;
+use std::sync::atomic;
+
+use tokio::time::Instant;
+
+/// Changes of this process whose outcome it does not know; clones share them.
+///
+/// While there is one, the process must not tell others that nothing newer was accepted.
+#[derive(Clone, Debug, Default)]
+pub struct Doubt {
+    under_way: sync::Arc<atomic::AtomicUsize>,
+    since: sync::Arc<sync::Mutex<Option<Instant>>>,
+}
+
+/// A change under way; dropping it leaves the outcome in doubt unless [`Change::settle`] was
+/// called.
+#[derive(Debug)]
+pub struct Change {
+    doubt: Doubt,
+    settled: bool,
+}
+
+impl Doubt {
+    /// Begins a change.
+    #[must_use]
+    pub fn begin(&self) -> Change {
+        self.under_way.fetch_add(1, atomic::Ordering::SeqCst);
+        Change { doubt: self.clone(), settled: false }
+    }
+
+    /// Whether the outcome of a change is not known.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.under_way.load(atomic::Ordering::SeqCst) > 0 || self.lock().is_some()
+    }
+
+    /// The configuration was read; the read was sent at `sent`. It tells the outcome of every
+    /// change that was given up before.
+    pub fn read(&self, sent: Instant) {
+        let mut since = self.lock();
+        if since.is_some_and(|since| since < sent) {
+            *since = None;
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, Option<Instant>> {
+        self.since.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+impl Change {
+    /// The outcome is known.
+    pub fn settle(mut self) {
+        self.settled = true;
+    }
+}
+
+impl Drop for Change {
+    fn drop(&mut self) {
+        if !self.settled {
+            *self.doubt.lock() = Some(Instant::now());
+        }
+        self.doubt.under_way.fetch_sub(1, atomic::Ordering::SeqCst);
+    }
+}
--- a/crates/control/src/configuration/service.rs
+++ b/crates/control/src/configuration/service.rs
@@ -29,7 +29,7 @@
         .start(move |registry| async move {
             let mailbox = registry.find::<mailbox::Mailbox>(mailbox::Mailbox::NAME)?;
             let table = table::Table::http(&platform.table, platform.timeout);
-            let source = source::Source::new(table, mailbox.snapshot());
+            let source = source::Source::new(table, mailbox.snapshot(), mailbox.doubt());
             registry.offer(snapshot::Handle::NAME, mailbox.snapshot());
             tasks.spawn(read_on(source));
             Ok(())
--- a/crates/control/src/configuration/source.rs
+++ b/crates/control/src/configuration/source.rs
@@ -1,24 +1,47 @@
-//! Reading the newest configuration from the table service.
+//! The newest configuration in the table service.
 
 use azuregap_platform::error;
 use azuregap_platform::table;
 use tokio::time;
 
+use super::doubt;
 use super::row;
 use crate::snapshot;
 
-/// Reads the configuration row into a snapshot handle.
+/// Reads the configuration row, and puts what it reads in force.
 #[derive(Clone, Debug)]
 pub struct Source {
     table: table::Table,
     snapshot: snapshot::Handle,
+    doubt: doubt::Doubt,
+}
+
+/// The configuration row with the version of the row.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Stored {
+    /// Version of the row in the table; 0 when there is none.
+    pub row: u64,
+    /// The value.
+    pub value: row::ConfigurationRow,
 }
 
 impl Source {
     /// Reads from `table` into `snapshot`.
     #[must_use]
-    pub const fn new(table: table::Table, snapshot: snapshot::Handle) -> Self {
-        Self { table, snapshot }
+    pub const fn new(table: table::Table, snapshot: snapshot::Handle, doubt: doubt::Doubt) -> Self {
+        Self { table, snapshot, doubt }
+    }
+
+    /// The table.
+    #[must_use]
+    pub const fn table(&self) -> &table::Table {
+        &self.table
+    }
+
+    /// Begins a change of the row.
+    #[must_use]
+    pub fn begin(&self) -> doubt::Change {
+        self.doubt.begin()
     }
 
     /// Reads the row once; what it holds was the newest when the read was sent.
@@ -26,17 +49,34 @@
     /// # Errors
     ///
     /// [`error::PlatformError`] when the table gave no configuration that can be read.
-    pub async fn read(&self) -> error::PlatformResult<()> {
+    pub async fn read(&self) -> error::PlatformResult<Stored> {
         let sent = time::Instant::now();
-        if let Some(row) = self.table.read(row::CURRENT).await? {
-            let row: row::ConfigurationRow =
-                serde_json::from_value(row.value).map_err(unreadable)?;
-            let snapshot = row.snapshot().map_err(unreadable)?;
-            if self.snapshot.advance(snapshot) {
-                tracing::info!(version = row.version, by = row.by, "configuration in force");
+        let stored = match self.table.read(row::CURRENT).await? {
+            None => Stored::default(),
+            Some(row) => {
+                let value = serde_json::from_value(row.value).map_err(unreadable)?;
+                Stored { row: row.version, value }
             }
+        };
+        if stored.value.version > 0 {
+            self.put_in_force(&stored.value)?;
         }
+        self.doubt.read(sent);
         self.snapshot.prove_fresh(sent);
+        Ok(stored)
+    }
+
+    /// Puts an accepted row in force at this process.
+    ///
+    /// # Errors
+    ///
+    /// [`error::PlatformError::Refused`] when its text is no intent.
+    pub fn put_in_force(&self, row: &row::ConfigurationRow) -> error::PlatformResult<()> {
+        if row.version > self.snapshot.load().version {
+            let snapshot = row.snapshot().map_err(unreadable)?;
+            self.snapshot.advance(snapshot);
+            tracing::info!(version = row.version, by = row.by, "configuration in force");
+        }
         Ok(())
     }
 }
--- /dev/null
+++ b/crates/control/src/holder.rs
@@ -0,0 +1,14 @@
+//! Which entry is in charge: a lease row in the table service, kept by every entry.
+//!
+//! What only the process in charge may do goes through [`Holder`]: a row is written in a
+//! transaction that checks the lease row ([`Holder::commit`]), and an effect outside the table
+//! service is carried by [`Holder::send`], which looks at the lease before each step of the call
+//! and gives the call a short deadline.
+
+mod handle;
+mod keep;
+mod service;
+
+pub use handle::Holder;
+pub use keep::keep;
+pub use service::service;
--- /dev/null
+++ b/crates/control/src/intent_api.rs
@@ -0,0 +1,19 @@
+//! The HTTP interface for operators: plans, the intent in force, keys, status and usage.
+//!
+//! Every call carries `Authorization: Bearer KEY` with an operator key; only digests of these
+//! keys are in the settings. An error is JSON with `code` (the numbered code), `message`, and
+//! what belongs to the code: `faults`, or `version`, `by` and `changes` of a conflict.
+
+mod answer;
+mod caller;
+mod routes;
+mod service;
+mod state;
+mod views;
+
+pub use service::service;
+pub use views::AgentView;
+pub use views::IntentView;
+pub use views::KeyGiven;
+pub use views::Status;
+pub use views::VersionView;
--- /dev/null
+++ b/crates/control/src/intent_api/routes.rs
@@ -0,0 +1,174 @@
+//! Handlers of the intent API: each reads its input, calls one function and answers.
+
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::http;
+use actix_web::web;
+use azuregap_core::code;
+use azuregap_core::intent;
+use azuregap_core::key;
+use azuregap_core::settings;
+use serde::de;
+
+use super::answer;
+use super::caller;
+use super::state;
+use super::views;
+use crate::failure;
+use crate::keys;
+use crate::reports;
+
+type Shared = web::Data<state::State>;
+
+/// Adds the routes.
+pub(super) fn routes(config: &mut web::ServiceConfig) {
+    config
+        .route("/v1/plans", web::post().to(make_plan))
+        .route("/v1/plans", web::get().to(list_plans))
+        .route("/v1/plans/{id}", web::get().to(find_plan))
+        .route("/v1/plans/{id}/confirm", web::post().to(confirm_plan))
+        .route("/v1/intent", web::get().to(read_intent))
+        .route("/v1/keys", web::post().to(give_key))
+        .route("/v1/keys/{digest}", web::delete().to(withdraw_key))
+        .route("/v1/status", web::get().to(status))
+        .route("/v1/usage", web::get().to(list_usage))
+        .route("/v1/usage/{window}", web::get().to(find_usage));
+}
+
+fn operator(request: &HttpRequest, state: &state::State) -> Result<String, failure::Failure> {
+    caller::operator(request, &state.handles.settings.operator_keys)
+}
+
+/// Reads a JSON body, naming the path of the first field at fault.
+fn read<T: de::DeserializeOwned>(body: &[u8]) -> Result<T, failure::Failure> {
+    let text = std::str::from_utf8(body).map_err(|error| {
+        let fault = intent::Fault::new(".", code::Code::JsonInvalid, error.to_string());
+        failure::Failure::Invalid(vec![fault])
+    })?;
+    settings::from_text(text).map_err(|error| match error {
+        settings::LoadError::Invalid(fault) => failure::Failure::Invalid(vec![fault]),
+    })
+}
+
+async fn make_plan(request: HttpRequest, state: Shared, body: web::Bytes) -> HttpResponse {
+    let make = async {
+        let by = operator(&request, &state)?;
+        let declared: intent::Intent = read(&body)?;
+        let backends = state.backends().await?;
+        let demand = state.handles.board.demand(&declared);
+        let id = uuid::Uuid::new_v4().simple().to_string();
+        state.desk.make(&by, id, &declared, &backends, &demand).await
+    };
+    answer::answer(http::StatusCode::CREATED, make.await)
+}
+
+async fn list_plans(request: HttpRequest, state: Shared) -> HttpResponse {
+    let list = async {
+        operator(&request, &state)?;
+        state.desk.list().await
+    };
+    answer::answer(http::StatusCode::OK, list.await)
+}
+
+async fn find_plan(request: HttpRequest, state: Shared, id: web::Path<String>) -> HttpResponse {
+    let find = async {
+        operator(&request, &state)?;
+        state.desk.find(&id).await
+    };
+    answer::answer(http::StatusCode::OK, find.await)
+}
+
+async fn confirm_plan(request: HttpRequest, state: Shared, id: web::Path<String>) -> HttpResponse {
+    let confirm = async {
+        let by = operator(&request, &state)?;
+        state.desk.confirm(&by, &id).await
+    };
+    answer::answer(http::StatusCode::OK, confirm.await)
+}
+
+async fn read_intent(request: HttpRequest, state: Shared) -> HttpResponse {
+    let read = async {
+        operator(&request, &state)?;
+        let stored = state.source.read().await.map_err(failure::Failure::unread)?;
+        let unreadable =
+            |error: settings::LoadError| failure::Failure::Unavailable(error.to_string());
+        let intent = stored.value.intent().map_err(unreadable)?;
+        Ok(views::IntentView { version: stored.value.version, by: stored.value.by, intent })
+    };
+    answer::answer(http::StatusCode::OK, read.await)
+}
+
+async fn give_key(request: HttpRequest, state: Shared, body: web::Bytes) -> HttpResponse {
+    let give = async {
+        let by = operator(&request, &state)?;
+        let given: views::KeyGiven = read(&body)?;
+        let version = keys::give(&state.source, &by, &given.team, given.digest).await?;
+        Ok(views::VersionView { version })
+    };
+    answer::answer(http::StatusCode::CREATED, give.await)
+}
+
+async fn withdraw_key(
+    request: HttpRequest,
+    state: Shared,
+    digest: web::Path<String>,
+) -> HttpResponse {
+    let withdraw = async {
+        let by = operator(&request, &state)?;
+        let digest: key::Digest = read(format!("\"{digest}\"").as_bytes())?;
+        let version = keys::withdraw(&state.source, &by, digest).await?;
+        Ok(views::VersionView { version })
+    };
+    answer::answer(http::StatusCode::OK, withdraw.await)
+}
+
+async fn status(request: HttpRequest, state: Shared) -> HttpResponse {
+    let status = operator(&request, &state).map(|_| describe(&state.handles));
+    answer::answer(http::StatusCode::OK, status)
+}
+
+fn describe(handles: &state::Handles) -> views::Status {
+    let snapshot = handles.mailbox.snapshot();
+    let peer = &handles.mailbox.process().peer;
+    let agents = handles.directory.load();
+    let agents = agents.iter().map(|agent| views::AgentView {
+        node: agent.node.clone(),
+        incarnation: agent.incarnation,
+        backend: agent.backend.clone(),
+        pool: agent.pool.clone(),
+        zone: agent.zone.clone(),
+        leaving: agent.leaving,
+    });
+    views::Status {
+        node: peer.node.clone(),
+        zone: peer.zone.clone(),
+        version: snapshot.load().version,
+        age_ms: u64::try_from(snapshot.age().as_millis()).ok(),
+        holder: handles.holder.holder(),
+        fence: handles.holder.may_act(),
+        agents: agents.collect(),
+    }
+}
+
+async fn list_usage(request: HttpRequest, state: Shared) -> HttpResponse {
+    let list = async {
+        operator(&request, &state)?;
+        reports::list(state.source.table()).await.map_err(failure::Failure::unread)
+    };
+    answer::answer(http::StatusCode::OK, list.await)
+}
+
+async fn find_usage(
+    request: HttpRequest,
+    state: Shared,
+    window: web::Path<String>,
+) -> HttpResponse {
+    let find = async {
+        operator(&request, &state)?;
+        let unknown = || failure::Failure::NameUnknown(format!("window {window}"));
+        let number = window.parse().map_err(|_| unknown())?;
+        let found = reports::find(state.source.table(), number).await;
+        found.map_err(failure::Failure::unread)?.ok_or_else(unknown)
+    };
+    answer::answer(http::StatusCode::OK, find.await)
+}
--- /dev/null
+++ b/crates/control/src/intent_api/state.rs
@@ -0,0 +1,62 @@
+//! What the handlers of the intent API share on one thread.
+
+use azuregap_core::settings;
+use azuregap_platform::error;
+use azuregap_platform::table;
+use azuregap_policy::plan;
+
+use crate::configuration;
+use crate::directory;
+use crate::failure;
+use crate::holder;
+use crate::mailbox;
+use crate::orders;
+use crate::placement;
+use crate::plans;
+use crate::wall;
+
+/// Handles that are shared between threads.
+#[derive(Clone, Debug)]
+pub(super) struct Handles {
+    pub(super) settings: settings::EntrySettings,
+    pub(super) mailbox: mailbox::Mailbox,
+    pub(super) directory: directory::Directory,
+    pub(super) holder: holder::Holder,
+    pub(super) board: placement::Board,
+}
+
+/// What the handlers share on one thread.
+#[derive(Debug)]
+pub(super) struct State {
+    pub(super) handles: Handles,
+    pub(super) source: configuration::Source,
+    pub(super) desk: plans::Desk,
+}
+
+/// Orders read at most for a plan.
+const ORDERS: usize = 10_000;
+
+impl State {
+    pub(super) fn new(handles: Handles) -> Self {
+        let platform = &handles.settings.platform;
+        let table = table::Table::http(&platform.table, platform.timeout);
+        let mailbox = &handles.mailbox;
+        let source = configuration::Source::new(table, mailbox.snapshot(), mailbox.doubt());
+        let desk = plans::Desk::new(source.clone(), wall::Wall::system());
+        Self { handles, source, desk }
+    }
+
+    /// The backend servers that a plan counts with.
+    pub(super) async fn backends(&self) -> Result<Vec<plan::Backend>, failure::Failure> {
+        let rows = self.source.table().scan(orders::ORDERS, "", ORDERS).await;
+        let rows = rows.map_err(failure::Failure::unread)?;
+        let rows: Result<Vec<_>, _> =
+            rows.into_iter().map(|row| serde_json::from_value(row.value)).collect();
+        let rows = rows.map_err(|error| {
+            failure::Failure::unread(error::PlatformError::Refused(error.to_string()))
+        })?;
+        let vms = self.handles.mailbox.peers().as_ref().clone();
+        let list = azuregap_platform::vms::VmList { vms };
+        Ok(orders::inventory(&list, &rows, &self.handles.mailbox.snapshot().load().intent))
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -16,9 +16,18 @@
 
 pub mod configuration;
 pub mod directory;
+pub mod failure;
+pub mod holder;
+pub mod intent_api;
+pub mod keys;
 pub mod mailbox;
 pub mod membership;
+pub mod orders;
+pub mod placement;
+pub mod plans;
 pub mod process;
+pub mod reports;
 pub mod snapshot;
 pub mod tasks;
 pub mod usage;
+pub mod wall;
--- a/crates/control/src/mailbox.rs
+++ b/crates/control/src/mailbox.rs
@@ -8,14 +8,17 @@
 use std::sync;
 use std::time;
 
+use arc_swap::ArcSwap;
 use azuregap_core::code;
 use azuregap_core::ids;
 use azuregap_kernel::error;
 use azuregap_kernel::service;
+use azuregap_platform::vms;
 use azuregap_wire::control;
 use azuregap_wire::socket;
 use tokio::sync::watch;
 
+use crate::configuration;
 use crate::process;
 use crate::snapshot;
 
@@ -38,6 +41,8 @@
     handlers: sync::RwLock<Vec<Handler>>,
     clients: sync::Mutex<collections::HashMap<String, socket::Client>>,
     snapshot: snapshot::Handle,
+    doubt: configuration::Doubt,
+    peers: sync::Arc<ArcSwap<Vec<vms::Vm>>>,
     heard: watch::Sender<Heard>,
 }
 
@@ -65,6 +70,8 @@
             handlers: sync::RwLock::default(),
             clients: sync::Mutex::default(),
             snapshot: snapshot::Handle::default(),
+            doubt: configuration::Doubt::default(),
+            peers: sync::Arc::default(),
             heard: watch::Sender::default(),
         };
         Self { inner: sync::Arc::new(inner) }
@@ -137,6 +144,23 @@
         self.inner.snapshot.clone()
     }
 
+    /// Changes of the configuration whose outcome this process does not know.
+    #[must_use]
+    pub fn doubt(&self) -> configuration::Doubt {
+        self.inner.doubt.clone()
+    }
+
+    /// The VMs that were listed last.
+    #[must_use]
+    pub fn peers(&self) -> sync::Arc<Vec<vms::Vm>> {
+        self.inner.peers.load_full()
+    }
+
+    /// Replaces the VMs that are listed.
+    pub fn set_peers(&self, vms: Vec<vms::Vm>) {
+        self.inner.peers.store(sync::Arc::new(vms));
+    }
+
     /// What this process tells of itself.
     #[must_use]
     pub fn process(&self) -> &process::Process {
--- a/crates/control/src/membership/service.rs
+++ b/crates/control/src/membership/service.rs
@@ -62,6 +62,7 @@
         match vms.list().await {
             Ok(newer) => {
                 roster.borrow_mut().list(&newer);
+                mailbox.set_peers(newer.vms.clone());
                 list = newer;
             }
             Err(error) => tracing::warn!(%error, "VM list not read; the last one is kept"),
--- /dev/null
+++ b/crates/control/src/orders/inventory.rs
@@ -0,0 +1,42 @@
+//! Which backend servers there are or may be.
+
+use azuregap_core::intent;
+use azuregap_platform::vms;
+use azuregap_policy::plan;
+
+use super::row;
+
+/// The backend servers of the VM list and those that were ordered and are not listed yet. An
+/// order whose answer is lost counts like one that was carried out.
+#[must_use]
+pub fn inventory(
+    list: &vms::VmList,
+    orders: &[row::OrderRow],
+    intent: &intent::Intent,
+) -> Vec<plan::Backend> {
+    let stops = |backend: &str| {
+        orders.iter().any(|row| row.backend == backend && row.action == row::OrderAction::Stop)
+    };
+    let leaves = |name: &str| intent.is_leaving(name) || stops(name);
+    let state = |leaves, otherwise| if leaves { plan::BackendState::Leaving } else { otherwise };
+    let listed = list.vms.iter().filter_map(|vm| match &vm.kind {
+        vms::VmKind::Entry => None,
+        vms::VmKind::Backend { pool } => Some(plan::Backend {
+            name: vm.name.clone(),
+            pool: pool.clone(),
+            zone: vm.zone.clone(),
+            state: state(vm.leaving || leaves(&vm.name), plan::BackendState::Running),
+        }),
+    });
+    let is_listed = |name: &str| list.vms.iter().any(|vm| vm.name == name);
+    let ordered = orders.iter().filter_map(|row| match &row.action {
+        row::OrderAction::Start { pool } if !is_listed(&row.backend) => Some(plan::Backend {
+            name: row.backend.clone(),
+            pool: pool.clone(),
+            zone: row.zone.clone(),
+            state: state(leaves(&row.backend), plan::BackendState::Pending),
+        }),
+        _ => None,
+    });
+    listed.chain(ordered).collect()
+}
--- /dev/null
+++ b/crates/control/src/placement.rs
@@ -0,0 +1,22 @@
+//! The process in charge brings the backend servers in line with the configuration.
+//!
+//! Every round it reads the configuration, the orders and the VM list, asks the planner, and
+//! writes and sends what is ready. A backend server that is not needed is marked leaving in the
+//! configuration first; it is stopped when its agent knows that and reports no work and no usage
+//! left to write.
+
+mod absence;
+mod ask;
+mod board;
+mod drain;
+mod leaving;
+mod round;
+mod service;
+
+pub use ask::Answer;
+pub use ask::Ask;
+pub use board::Board;
+pub use drain::Drain;
+pub use drain::DrainState;
+pub use round::Placement;
+pub use service::service;
--- /dev/null
+++ b/crates/control/src/placement/leaving.rs
@@ -0,0 +1,79 @@
+//! Marking backend servers as leaving in the configuration.
+
+use azuregap_core::ids;
+use azuregap_core::intent;
+use azuregap_platform::error;
+use azuregap_platform::table;
+
+use crate::configuration;
+use crate::holder;
+use crate::keys;
+
+/// Who is named as the author of the change.
+const AUTHOR: &str = "placement";
+
+/// Marks `backends` as leaving.
+pub(super) async fn add(
+    source: &configuration::Source,
+    holder: &holder::Holder,
+    fence: ids::Fence,
+    backends: &[ids::BackendId],
+) -> error::PlatformResult<()> {
+    change(source, holder, fence, |intent| {
+        for backend in backends {
+            if !intent.is_leaving(backend) {
+                intent.leaving.push(backend.clone());
+            }
+        }
+    })
+    .await
+}
+
+/// Takes a backend server that is gone off the list.
+pub(super) async fn remove(
+    source: &configuration::Source,
+    holder: &holder::Holder,
+    fence: ids::Fence,
+    backend: &ids::BackendId,
+) -> error::PlatformResult<()> {
+    change(source, holder, fence, |intent| intent.leaving.retain(|name| name != backend)).await
+}
+
+/// Writes the edited intent under the lease. Another change that came first is left alone: the
+/// next round decides anew.
+async fn change(
+    source: &configuration::Source,
+    holder: &holder::Holder,
+    fence: ids::Fence,
+    edit: impl Fn(&mut intent::Intent),
+) -> error::PlatformResult<()> {
+    let change = source.begin();
+    let stored = source.read().await?;
+    let unreadable = |error: azuregap_core::settings::LoadError| {
+        error::PlatformError::Refused(error.to_string())
+    };
+    let before = stored.value.intent().map_err(unreadable)?;
+    let mut after = before.clone();
+    edit(&mut after);
+    if after == before {
+        change.settle();
+        return Ok(());
+    }
+    let row = configuration::ConfigurationRow {
+        version: stored.value.version + 1,
+        by: AUTHOR.to_owned(),
+        text: keys::text(&after)?,
+        declared: stored.value.declared,
+    };
+    let transaction = table::Transaction::new()
+        .check(configuration::CURRENT, stored.row)
+        .put(configuration::CURRENT, keys::value(&row)?);
+    let result = holder.commit(source.table(), fence, transaction).await;
+    if !matches!(result, Err(error::PlatformError::Unknown(_))) {
+        change.settle();
+    }
+    if let table::Commit::Applied(_) = result? {
+        source.put_in_force(&row)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/control/src/plans/desk.rs
@@ -0,0 +1,135 @@
+//! Makes and finds plans.
+
+use azuregap_core::ids;
+use azuregap_core::intent;
+use azuregap_platform::error;
+use azuregap_platform::table;
+use azuregap_policy::plan;
+
+use super::row;
+use super::view;
+use crate::configuration;
+use crate::failure;
+use crate::keys;
+use crate::wall;
+
+/// Plans listed at most.
+const LISTED: usize = 1_000;
+
+/// Makes, finds and confirms plans.
+#[derive(Clone, Debug)]
+pub struct Desk {
+    pub(super) source: configuration::Source,
+    pub(super) wall: wall::Wall,
+}
+
+impl Desk {
+    /// A desk on the table of `source`.
+    #[must_use]
+    pub const fn new(source: configuration::Source, wall: wall::Wall) -> Self {
+        Self { source, wall }
+    }
+
+    /// Makes a plan for `declared` under a fresh `id`; nothing is changed by it.
+    ///
+    /// # Errors
+    ///
+    /// [`failure::Failure`] when the intent has faults or the table service gave no result.
+    pub async fn make(
+        &self,
+        by: &str,
+        id: ids::PlanId,
+        declared: &intent::Intent,
+        backends: &[plan::Backend],
+        demand: &[plan::Demand],
+    ) -> Result<view::PlanView, failure::Failure> {
+        let stored = self.source.read().await.map_err(failure::Failure::unread)?;
+        let current = stored.value.intent().map_err(unreadable)?;
+        let merged = configuration::merge(declared, &current);
+        let faults = merged.check();
+        if !faults.is_empty() {
+            return Err(failure::Failure::Invalid(faults));
+        }
+        let inputs = plan::Inputs::new(&merged).backends(backends).demand(demand);
+        let row = row::PlanRow {
+            id,
+            base: stored.value.version,
+            by: by.to_owned(),
+            text: keys::text(declared).map_err(failure::Failure::unread)?,
+            changes: configuration::changes(&current, &merged),
+            plan: plan::plan(&inputs),
+            expires: self.wall.seconds() + row::LIFE.as_secs(),
+            state: row::PlanState::Open,
+        };
+        self.insert(&row).await.map_err(failure::Failure::unread)?;
+        log(&row, backends.len());
+        Ok(view::PlanView::new(row, self.wall.seconds()))
+    }
+
+    /// Finds a plan.
+    ///
+    /// # Errors
+    ///
+    /// [`failure::Failure`] when there is none or the table service gave no result.
+    pub async fn find(&self, id: &str) -> Result<view::PlanView, failure::Failure> {
+        let (_, row) = self.read(id).await?;
+        Ok(view::PlanView::new(row, self.wall.seconds()))
+    }
+
+    /// Every plan that is kept.
+    ///
+    /// # Errors
+    ///
+    /// [`failure::Failure`] when the table service gave no result.
+    pub async fn list(&self) -> Result<Vec<view::PlanView>, failure::Failure> {
+        let rows = self.source.table().scan(row::PLANS, "", LISTED).await;
+        let rows = rows.map_err(failure::Failure::unread)?;
+        let rows = rows.into_iter().filter_map(|row| serde_json::from_value(row.value).ok());
+        let now = self.wall.seconds();
+        Ok(rows.map(|row| view::PlanView::new(row, now)).collect())
+    }
+
+    /// The row of a plan with its version in the table.
+    pub(super) async fn read(&self, id: &str) -> Result<(u64, row::PlanRow), failure::Failure> {
+        let found = self.source.table().read(row::plan(id)).await;
+        let found = found.map_err(failure::Failure::unread)?;
+        let found = found.ok_or_else(|| failure::Failure::PlanUnknown(id.to_owned()))?;
+        let row = serde_json::from_value(found.value).map_err(unreadable)?;
+        Ok((found.version, row))
+    }
+
+    /// Inserts the row; a lost answer is resolved by inserting it again.
+    async fn insert(&self, row: &row::PlanRow) -> error::PlatformResult<()> {
+        let key = row::plan(&row.id);
+        let transaction =
+            table::Transaction::new().check(key.clone(), 0).put(key, keys::value(row)?);
+        let first = self.source.table().commit(transaction.clone()).await;
+        if let Err(error::PlatformError::Unknown(_)) = first {
+            return self.source.table().commit(transaction).await.map(drop);
+        }
+        first.map(drop)
+    }
+}
+
+pub(super) fn unreadable(reason: impl ToString) -> failure::Failure {
+    failure::Failure::Unavailable(reason.to_string())
+}
+
+/// One line for the decision.
+fn log(row: &row::PlanRow, backends: usize) {
+    let count = |action| row.plan.steps.iter().filter(|step| step.action == action).count();
+    tracing::info!(
+        decision = "plan",
+        code = 0,
+        plan = row.id,
+        by = row.by,
+        base = row.base,
+        backends,
+        starts = count(plan::Action::Start),
+        stops = count(plan::Action::Stop),
+        moves = count(plan::Action::Move),
+        refusals = count(plan::Action::Refuse),
+        cost = row.plan.cost.per_hour,
+        "placement"
+    );
+}
--- /dev/null
+++ b/crates/control/src/reports.rs
@@ -0,0 +1,26 @@
+//! Closing usage windows and reporting them.
+//!
+//! The process in charge closes a window once every process that writes batches has said that it
+//! is complete, or after a bounded wait. It first writes a row after which no batch can be added
+//! to the window, then adds the batches up, freezes the report as text in a row, and sends
+//! exactly that text until the intake acknowledges it. Records that become durable later are
+//! billed in a later window, marked late. A request that appears twice is billed once.
+
+mod closer;
+mod cursor;
+mod report;
+mod row;
+mod service;
+mod tally;
+
+pub use closer::Closer;
+pub use cursor::CURSOR;
+pub use cursor::Cursor;
+pub use report::Report;
+pub use report::TeamUsage;
+pub use row::ReportRow;
+pub use row::ReportView;
+pub use row::find;
+pub use row::list;
+pub use service::service;
+pub use tally::tally;
--- /dev/null
+++ b/crates/control/src/reports/service.rs
@@ -0,0 +1,49 @@
+//! The service "reports".
+
+use std::time;
+
+use azuregap_core::settings;
+use azuregap_kernel::service;
+use azuregap_platform::table;
+use azuregap_platform::usage as intake;
+
+use super::closer;
+use crate::holder;
+use crate::tasks;
+use crate::usage;
+
+/// Name of the service.
+const NAME: &str = "reports";
+
+/// Time between two rounds.
+const ROUND: time::Duration = time::Duration::from_secs(1);
+
+/// The service "reports" of an entry: closes windows of length `window` and reports them while
+/// the entry is in charge.
+#[must_use]
+pub fn service(platform: &settings::PlatformSettings, window: time::Duration) -> service::Service {
+    let platform = platform.clone();
+    let tasks = tasks::Tasks::default();
+    let running = tasks.clone();
+    service::Service::new(NAME)
+        .needs([holder::Holder::NAME])
+        .start(move |registry| async move {
+            let holder = registry.find::<holder::Holder>(holder::Holder::NAME)?;
+            let table = table::Table::http(&platform.table, platform.timeout);
+            let intake = intake::UsageIntake::http(&platform.usage, platform.timeout);
+            let windows = usage::Windows::system(window);
+            let holder = holder.as_ref().clone();
+            tasks.spawn(act(closer::Closer::new(holder, table, intake, windows)));
+            Ok(())
+        })
+        .stop(move |_| async move { running.abort() })
+}
+
+async fn act(mut closer: closer::Closer) {
+    loop {
+        if let Err(error) = closer.round().await {
+            tracing::warn!(%error, "usage round not finished");
+        }
+        tokio::time::sleep(ROUND).await;
+    }
+}
--- a/crates/control/src/tasks.rs
+++ b/crates/control/src/tasks.rs
@@ -2,7 +2,9 @@
 
 use std::cell;
 use std::rc;
+use std::time;
 
+use futures::future;
 use tokio::task;
 
 /// Tasks of one service on the current thread; clones share them.
@@ -17,6 +19,15 @@
         self.handles.borrow_mut().push(task::spawn_local(task));
     }
 
+    /// Waits until every task has ended, at most for `timeout`.
+    pub async fn join(&self, timeout: time::Duration) {
+        let handles = std::mem::take(&mut *self.handles.borrow_mut());
+        let aborts: Vec<_> = handles.iter().map(task::JoinHandle::abort_handle).collect();
+        if tokio::time::timeout(timeout, future::join_all(handles)).await.is_err() {
+            aborts.iter().for_each(task::AbortHandle::abort);
+        }
+    }
+
     /// Ends every task at its next await.
     pub fn abort(&self) {
         for handle in self.handles.borrow_mut().drain(..) {
--- a/crates/control/src/usage/agent.rs
+++ b/crates/control/src/usage/agent.rs
@@ -6,7 +6,6 @@
 use azuregap_kernel::service;
 use azuregap_platform::table;
 use azuregap_wire::control;
-use tokio::time::Instant;
 
 use super::flush;
 use super::recorder;
@@ -71,9 +70,9 @@
     process: process::Process,
     windows: windows::Windows,
 ) {
-    let mut progress = flush::Progress::new(windows.number(Instant::now()));
+    let mut progress = flush::Progress::new(windows.now());
     loop {
-        let window = windows.number(Instant::now());
+        let window = windows.now();
         let written = match flush::flush(&recorder, &table, &process, &windows).await {
             Ok(()) => {
                 let complete = recorder.oldest().unwrap_or(window).min(window);
--- a/crates/control/src/usage/entry.rs
+++ b/crates/control/src/usage/entry.rs
@@ -93,9 +93,9 @@
     process: process::Process,
     windows: windows::Windows,
 ) {
-    let mut progress = flush::Progress::new(windows.number(Instant::now()));
+    let mut progress = flush::Progress::new(windows.now());
     loop {
-        let window = windows.number(Instant::now());
+        let window = windows.now();
         let written = match flush::flush(copies.orphans(), &table, &process, &windows).await {
             Ok(()) => {
                 let complete = copies.oldest().unwrap_or(window).min(window);
--- a/crates/control/src/usage/flush.rs
+++ b/crates/control/src/usage/flush.rs
@@ -4,7 +4,6 @@
 use azuregap_platform::table;
 use serde::Deserialize;
 use serde::Serialize;
-use tokio::time::Instant;
 
 use super::batch;
 use super::keys;
@@ -39,7 +38,7 @@
         match first.insert(table, process).await? {
             batch::Inserted::Durable => recorder.settle_first(),
             batch::Inserted::WindowClosed => {
-                let open = windows.number(Instant::now()).max(first.window + 1);
+                let open = windows.now().max(first.window + 1);
                 recorder.move_first(open);
             }
         }
--- a/crates/control/src/usage/windows.rs
+++ b/crates/control/src/usage/windows.rs
@@ -2,35 +2,35 @@
 
 use std::time;
 
-use tokio::time::Instant;
+use crate::wall;
 
-/// Tells the number of the usage window at an instant of the runtime's clock.
+/// Shortest window.
+const SHORTEST: time::Duration = time::Duration::from_secs(1);
+
+/// Tells the number of the usage window of now.
 #[derive(Clone, Copy, Debug)]
 pub struct Windows {
-    start: Instant,
-    epoch: time::Duration,
+    wall: wall::Wall,
     length: time::Duration,
 }
 
 impl Windows {
-    /// Windows of `length`, where the time since the Unix epoch was `epoch` at `start`.
+    /// Windows of `length` by `wall`.
     #[must_use]
-    pub fn new(start: Instant, epoch: time::Duration, length: time::Duration) -> Self {
-        Self { start, epoch, length: length.max(time::Duration::from_secs(1)) }
+    pub fn new(wall: wall::Wall, length: time::Duration) -> Self {
+        Self { wall, length: length.max(SHORTEST) }
     }
 
-    /// Windows of `length` by the system's clock of now.
+    /// Windows of `length` by the system's clock.
     #[must_use]
     pub fn system(length: time::Duration) -> Self {
-        let epoch = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
-        Self::new(Instant::now(), epoch, length)
+        Self::new(wall::Wall::system(), length)
     }
 
-    /// The window that `now` lies in, counted from the Unix epoch.
+    /// The window of now, counted from the Unix epoch.
     #[must_use]
-    pub fn number(&self, now: Instant) -> u64 {
-        let since = self.epoch + now.saturating_duration_since(self.start);
-        let number = since.as_nanos() / self.length.as_nanos();
+    pub fn now(&self) -> u64 {
+        let number = self.wall.now().as_nanos() / self.length.as_nanos();
         u64::try_from(number).unwrap_or(u64::MAX)
     }
 
