feat(control): few readers per zone, peers tell the rest, entries vouch during an outage

Cause: every process polled the table service, and a store outage would have aged every proof of freshness beyond max_stale. Change: two readers per zone by rendezvous hash with jitter and a read budget; others ask them; newer versions heard of are fetched and told to four peers; while the store is down the answers of all entries prove that nothing newer was accepted; a process with an unsettled change of its own does not answer. An agent that hears peers does not read the store.

--- a/crates/control/src/placement/ask.rs
+++ b/crates/control/src/ask.rs
@@ -1,18 +1,21 @@
-//! Asking agents.
+//! Asking other processes.
 
 use std::fmt;
 use std::rc;
+use std::time;
 
 use azuregap_wire::control;
 use futures::future;
 use futures::future::FutureExt as _;
 
-/// The answer of an agent, if there was one.
+use crate::mailbox;
+
+/// The answer of a process, if there was one.
 pub type Answer = Option<control::Message>;
 
 type Carry = dyn Fn(String, control::Body) -> future::LocalBoxFuture<'static, Answer>;
 
-/// Asks the agent at an address.
+/// Asks the process at an address.
 #[derive(Clone)]
 pub struct Ask {
     carry: rc::Rc<Carry>,
@@ -33,7 +36,16 @@
         Self { carry: rc::Rc::new(move |address, body| carry(address, body).boxed_local()) }
     }
 
-    /// Asks the agent at `address`; none when it did not answer.
+    /// Asks by `mailbox` and waits at most `timeout`.
+    #[must_use]
+    pub fn mailbox(mailbox: mailbox::Mailbox, timeout: time::Duration) -> Self {
+        Self::new(move |address: String, body| {
+            let mailbox = mailbox.clone();
+            async move { mailbox.ask(&address, body, timeout).await.ok() }
+        })
+    }
+
+    /// Asks the process at `address`; none when it did not answer.
     pub async fn ask(&self, address: &str, body: control::Body) -> Answer {
         (self.carry)(address.to_owned(), body).await
     }
--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -1,13 +1,17 @@
 //! Keeps the configuration in force at this process, and accepts changes of it.
 
+mod answers;
 mod doubt;
+mod follower;
 mod merge;
+mod readers;
 mod row;
 mod service;
 mod source;
 
 pub use doubt::Change;
 pub use doubt::Doubt;
+pub use follower::Follower;
 pub use merge::changes;
 pub use merge::merge;
 pub use row::CURRENT;
--- a/crates/control/src/configuration/service.rs
+++ b/crates/control/src/configuration/service.rs
@@ -6,14 +6,16 @@
 use azuregap_kernel::service;
 use azuregap_platform::table;
 
+use super::follower;
 use super::source;
+use crate::ask;
 use crate::mailbox;
 use crate::process;
 use crate::snapshot;
 use crate::tasks;
 
-/// Time between two reads of the table service.
-const READ_EVERY: time::Duration = time::Duration::from_millis(500);
+/// How long a peer may take to answer.
+const ASKING: time::Duration = time::Duration::from_millis(700);
 
 /// The service "configuration"; offers a [`snapshot::Handle`].
 #[must_use]
@@ -28,20 +30,13 @@
         .needs([mailbox::Mailbox::NAME])
         .start(move |registry| async move {
             let mailbox = registry.find::<mailbox::Mailbox>(mailbox::Mailbox::NAME)?;
+            let mailbox = mailbox.as_ref().clone();
             let table = table::Table::http(&platform.table, platform.timeout);
             let source = source::Source::new(table, mailbox.snapshot(), mailbox.doubt());
             registry.offer(snapshot::Handle::NAME, mailbox.snapshot());
-            tasks.spawn(read_on(source));
+            let ask = ask::Ask::mailbox(mailbox.clone(), ASKING);
+            tasks.spawn(follower::Follower::new(mailbox, source, ask).run());
             Ok(())
         })
         .stop(move |_| async move { running.abort() })
 }
-
-async fn read_on(source: source::Source) {
-    loop {
-        if let Err(error) = source.read().await {
-            tracing::warn!(%error, "configuration not read");
-        }
-        tokio::time::sleep(READ_EVERY).await;
-    }
-}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,6 +14,7 @@
 //! assert_eq!(handle.load().version, 2);
 //! ```
 
+pub mod ask;
 pub mod configuration;
 pub mod directory;
 pub mod failure;
--- a/crates/control/src/mailbox.rs
+++ b/crates/control/src/mailbox.rs
@@ -183,7 +183,9 @@
         Ok(client)
     }
 
-    fn message(&self, body: control::Body) -> control::Message {
+    /// A message from this process.
+    #[must_use]
+    pub fn message(&self, body: control::Body) -> control::Message {
         self.inner.process.message(self.inner.snapshot.load().version, body)
     }
 }
--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -6,15 +6,12 @@
 //! left to write.
 
 mod absence;
-mod ask;
 mod board;
 mod drain;
 mod leaving;
 mod round;
 mod service;
 
-pub use ask::Answer;
-pub use ask::Ask;
 pub use board::Board;
 pub use drain::Drain;
 pub use drain::DrainState;
--- a/crates/control/src/placement/round.rs
+++ b/crates/control/src/placement/round.rs
@@ -11,10 +11,11 @@
 use tokio::time::Instant;
 
 use super::absence;
-use super::ask;
+
 use super::board;
 use super::drain;
 use super::leaving;
+use crate::ask;
 use crate::configuration;
 use crate::holder;
 use crate::orders;
--- a/crates/control/src/placement/service.rs
+++ b/crates/control/src/placement/service.rs
@@ -11,9 +11,9 @@
 use azuregap_wire::control;
 use futures::future;
 
-use super::ask;
 use super::board;
 use super::round;
+use crate::ask;
 use crate::configuration;
 use crate::holder;
 use crate::mailbox;
@@ -62,11 +62,8 @@
     let source = configuration::Source::new(table, mailbox.snapshot(), mailbox.doubt());
     let vms = vms::Vms::http(&platform.vms, platform.timeout);
     let orders = platform_orders::Orders::http(&platform.orders, platform.timeout);
-    let (asker, sender) = (mailbox.clone(), mailbox.clone());
-    let ask = ask::Ask::new(move |address: String, body| {
-        let mailbox = asker.clone();
-        async move { mailbox.ask(&address, body, ASKING).await.ok() }
-    });
+    let ask = ask::Ask::mailbox(mailbox.clone(), ASKING);
+    let sender = mailbox.clone();
     let carriers = orders::Carriers::new(orders, move |backend, order| {
         let mailbox = sender.clone();
         async move { send(&mailbox, &backend, order).await }
--- a/crates/control/src/snapshot.rs
+++ b/crates/control/src/snapshot.rs
@@ -8,6 +8,7 @@
 use azuregap_core::ids;
 use azuregap_core::intent;
 use azuregap_core::key;
+use tokio::sync::watch;
 use tokio::time;
 
 /// One version of the configuration, indexed for the data path.
@@ -35,12 +36,17 @@
 pub struct Handle {
     current: sync::Arc<ArcSwap<Snapshot>>,
     fresh: sync::Arc<ArcSwapOption<time::Instant>>,
+    versions: sync::Arc<watch::Sender<ids::Version>>,
 }
 
 impl Default for Handle {
     fn default() -> Self {
         let empty = Snapshot::new(0, intent::Intent::default());
-        Self { current: sync::Arc::new(ArcSwap::from_pointee(empty)), fresh: sync::Arc::default() }
+        Self {
+            current: sync::Arc::new(ArcSwap::from_pointee(empty)),
+            fresh: sync::Arc::default(),
+            versions: sync::Arc::default(),
+        }
     }
 }
 
@@ -60,9 +66,20 @@
         let before = self.current.rcu(|current| {
             if snapshot.version > current.version { snapshot.clone() } else { current.clone() }
         });
+        self.versions.send_if_modified(|version| {
+            let newer = snapshot.version > *version;
+            *version = snapshot.version.max(*version);
+            newer
+        });
         snapshot.version > before.version
     }
 
+    /// Tells of each version that is put in force.
+    #[must_use]
+    pub fn versions(&self) -> watch::Receiver<ids::Version> {
+        self.versions.subscribe()
+    }
+
     /// Notes that at `instant` the version in force was known to be the newest.
     pub fn prove_fresh(&self, instant: time::Instant) {
         self.fresh.rcu(|fresh| match fresh {
--- a/crates/control/src/usage.rs
+++ b/crates/control/src/usage.rs
@@ -11,8 +11,11 @@
 mod flush;
 pub mod keys;
 mod recorder;
+mod settle;
 mod windows;
+mod write;
 
+pub use agent::answer;
 pub use agent::service;
 pub use batch::Batch;
 pub use batch::Inserted;
@@ -22,4 +25,6 @@
 pub use flush::Writer;
 pub use flush::flush;
 pub use recorder::Recorder;
+pub use settle::settle;
 pub use windows::Windows;
+pub use write::write;
--- a/crates/control/src/usage/agent.rs
+++ b/crates/control/src/usage/agent.rs
@@ -10,13 +10,11 @@
 use super::flush;
 use super::recorder;
 use super::windows;
+use super::write;
 use crate::mailbox;
 use crate::process;
 use crate::tasks;
 
-/// Time between two batches.
-pub(super) const FLUSH_EVERY: time::Duration = time::Duration::from_secs(1);
-
 /// The service "usage" of an agent; offers a [`recorder::Recorder`]. Windows have the length
 /// `window`. On stop it tries once more to write what is pending.
 #[must_use]
@@ -35,10 +33,13 @@
         .needs([mailbox::Mailbox::NAME])
         .start(move |registry| async move {
             let mailbox = registry.find::<mailbox::Mailbox>(mailbox::Mailbox::NAME)?;
-            answer_copies(&mailbox, recorder.clone());
+            answer(&mailbox, recorder.clone());
             registry.offer(recorder::Recorder::NAME, recorder.clone());
             let table = table::Table::http(&platform.table, platform.timeout);
-            tasks.spawn(write_on(recorder, table, process, windows::Windows::system(window)));
+            let windows = windows::Windows::system(window);
+            let held = recorder.clone();
+            let oldest = move || held.oldest();
+            tasks.spawn(write::write(recorder, oldest, table, process, windows));
             Ok(())
         })
         .stop(move |_| async move {
@@ -51,8 +52,8 @@
         })
 }
 
-/// An entry sends its copies and hears which of them are durable; an unknown one is recorded.
-fn answer_copies(mailbox: &mailbox::Mailbox, recorder: recorder::Recorder) {
+/// Answers entries that send their copies: which of them are durable. An unknown one is recorded.
+pub fn answer(mailbox: &mailbox::Mailbox, recorder: recorder::Recorder) {
     mailbox.on(move |message| match &message.body {
         control::Body::Usage(records) => {
             let durable = records.iter().filter(|record| recorder.is_durable(record.id));
@@ -63,26 +64,3 @@
         _ => None,
     });
 }
-
-async fn write_on(
-    recorder: recorder::Recorder,
-    table: table::Table,
-    process: process::Process,
-    windows: windows::Windows,
-) {
-    let mut progress = flush::Progress::new(windows.now());
-    loop {
-        let window = windows.now();
-        let written = match flush::flush(&recorder, &table, &process, &windows).await {
-            Ok(()) => {
-                let complete = recorder.oldest().unwrap_or(window).min(window);
-                progress.announce(&table, &process, complete).await
-            }
-            Err(error) => Err(error),
-        };
-        if let Err(error) = written {
-            tracing::warn!(%error, unflushed = recorder.unflushed(), "usage not written yet");
-        }
-        tokio::time::sleep(FLUSH_EVERY).await;
-    }
-}
--- /dev/null
+++ b/crates/control/src/usage/settle.rs
@@ -0,0 +1,45 @@
+//! Settles the copies of an entry with the agents.
+
+use azuregap_core::ids;
+use azuregap_wire::control;
+use futures::future;
+use tokio::time::Instant;
+
+use super::copies;
+use super::write;
+use crate::ask;
+use crate::directory;
+
+/// Copies that one message carries at most.
+const MESSAGE: usize = 2_000;
+
+/// Asks the agents in `directory` which records are durable, and takes over the copies of agents
+/// that are gone, until it is dropped.
+pub async fn settle(copies: copies::Copies, ask: ask::Ask, directory: directory::Directory) {
+    loop {
+        tokio::time::sleep(write::FLUSH_EVERY).await;
+        let agents = directory.load();
+        let find = |node: &str, incarnation: ids::Incarnation| {
+            agents.iter().find(|agent| agent.node == node && agent.incarnation == incarnation)
+        };
+        let asked = copies.by_source().into_iter().filter_map(|((node, incarnation), records)| {
+            let agent = find(&node, incarnation)?;
+            Some(ask_agent(&copies, &ask, &agent.control, records))
+        });
+        future::join_all(asked).await;
+        copies.adopt(|node, incarnation| find(node, incarnation).is_some(), Instant::now());
+    }
+}
+
+async fn ask_agent(
+    copies: &copies::Copies,
+    ask: &ask::Ask,
+    address: &str,
+    mut records: Vec<control::UsageRecord>,
+) {
+    records.truncate(MESSAGE);
+    let reply = ask.ask(address, control::Body::Usage(records)).await;
+    if let Some(control::Message { body: control::Body::UsageDurable { ids }, .. }) = reply {
+        copies.settle(&ids);
+    }
+}
