test(control): holder frozen, stores failing and answers lost over 1,000 seeded schedules

Cause: the promise of one process in charge needs proof under pauses and faults. Change: two entries and an agent in virtual time; holder frozen 0.5, 1 and 3 terms at 100 moments around its first orders and reports; 1,000 seeded schedules of freezes, outages, refusals, slow and lost answers.

--- a/crates/control/src/membership/service.rs
+++ b/crates/control/src/membership/service.rs
@@ -23,7 +23,8 @@
 /// How long a greeting may go unanswered.
 const GREETING: time::Duration = time::Duration::from_millis(700);
 
-/// The service "membership"; offers a [`directory::Directory`].
+/// The service "membership"; offers a [`directory::Directory`]. An entry greets the listed VMs; an
+/// agent only reads the list, to find its peers, and answers greetings.
 #[must_use]
 pub fn service(
     process: process::Process,
@@ -67,8 +68,10 @@
             }
             Err(error) => tracing::warn!(%error, "VM list not read; the last one is kept"),
         }
-        let greetings = list.vms.iter().map(|vm| greet(&mailbox, vm, &roster));
-        future::join_all(greetings).await;
+        if mailbox.process().peer.role == control::Role::Entry {
+            let greetings = list.vms.iter().map(|vm| greet(&mailbox, vm, &roster));
+            future::join_all(greetings).await;
+        }
         roster.borrow_mut().expire(Instant::now());
         publish(&roster.borrow(), &mailbox, &directory);
         tokio::time::sleep(ROUND).await;
--- /dev/null
+++ b/crates/control/tests/in_charge.rs
@@ -0,0 +1,288 @@
+//! One process in charge: orders and reports under pauses, outages and lost answers.
+
+mod support;
+
+use std::cell;
+use std::rc;
+use std::time;
+
+use azuregap_control::ask;
+use azuregap_control::configuration;
+use azuregap_control::holder;
+use azuregap_control::orders;
+use azuregap_control::placement;
+use azuregap_control::process;
+use azuregap_control::reports;
+use azuregap_control::snapshot;
+use azuregap_control::usage;
+use azuregap_coordination::lease;
+use azuregap_standins::faults;
+use azuregap_standins::platform;
+use azuregap_wire::control;
+use azuregap_wire::frame;
+use futures::future;
+use googletest::prelude::*;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use tokio::sync::watch;
+
+const WINDOW: time::Duration = time::Duration::from_secs(5);
+
+/// What one entry runs that only the process in charge may do.
+async fn run_entry(platform: platform::Platform, process: process::Process, step: time::Duration) {
+    let table = platform.table.client(support::TIMEOUT);
+    let holder = holder::Holder::new("control", &process, lease::Terms::default());
+    let (_resign, resigned) = watch::channel(false);
+    let placement = placement(&platform, &holder, &process);
+    let intake = platform.reports.client(support::TIMEOUT);
+    let closer =
+        reports::Closer::new(holder.clone(), table.clone(), intake, support::windows(WINDOW));
+    future::join3(
+        holder::keep(holder, table, resigned),
+        place(placement, step),
+        close(closer, step),
+    )
+    .await;
+}
+
+fn placement(
+    platform: &platform::Platform,
+    holder: &holder::Holder,
+    process: &process::Process,
+) -> placement::Placement {
+    let table = platform.table.client(support::TIMEOUT);
+    let snapshot = snapshot::Handle::default();
+    let source = configuration::Source::new(table, snapshot, configuration::Doubt::default());
+    let vms = platform.vms.client(support::TIMEOUT);
+    let orders = platform.orders.client(support::TIMEOUT);
+    let carriers = orders::Carriers::new(orders, |_, _| async { Ok(()) });
+    let answering = platform.clone();
+    let ask = ask::Ask::new(move |address, _| {
+        let answer = idle(&answering, &address);
+        async move { Some(answer) }
+    });
+    let (node, next) = (process.peer.node.clone(), rc::Rc::new(cell::Cell::new(0)));
+    let ids = move || {
+        next.set(next.get() + 1);
+        format!("{:06}{node}", next.get())
+    };
+    placement::Placement::new(holder.clone(), source, vms, ask, carriers)
+        .wall(support::wall())
+        .ids(ids)
+}
+
+/// An agent that knows the newest configuration and has nothing left to do.
+fn idle(platform: &platform::Platform, node: &str) -> control::Message {
+    let body = control::Body::Draining { load: frame::Load::default(), unflushed: 0 };
+    support::agent(node, 1).message(support::current(platform).version, body)
+}
+
+async fn place(mut placement: placement::Placement, step: time::Duration) {
+    loop {
+        let _ = placement.round().await;
+        tokio::time::sleep(step).await;
+    }
+}
+
+async fn close(mut closer: reports::Closer, step: time::Duration) {
+    loop {
+        let _ = closer.round().await;
+        tokio::time::sleep(step).await;
+    }
+}
+
+/// Usage that goes on all the time.
+async fn run_agent(platform: platform::Platform) {
+    let process = support::agent("agent", 1);
+    let recorder = usage::Recorder::default();
+    let windows = support::windows(WINDOW);
+    let table = platform.table.client(support::TIMEOUT);
+    let held = recorder.clone();
+    let writing =
+        usage::write(recorder.clone(), move || held.oldest(), table, process.clone(), windows);
+    let counting = async {
+        for id in 0.. {
+            recorder.record(support::record(id, &process, windows.now(), "acme", 7));
+            tokio::time::sleep(time::Duration::from_millis(700)).await;
+        }
+    };
+    future::join(writing, counting).await;
+}
+
+/// Checks what must hold at any time.
+fn check(platform: &platform::Platform, spend: usize, what: &str) -> googletest::Result<()> {
+    let orders = platform.orders.with(|state| (state.regressions(), state.running().len()));
+    let reports = platform.reports.with(|state| (state.regressions(), state.differing()));
+    verify_that!(orders.0, is_empty()).with_failure_message(|| what.to_owned())?;
+    verify_that!(orders.1, le(spend)).with_failure_message(|| what.to_owned())?;
+    verify_that!(reports.0, is_empty()).with_failure_message(|| what.to_owned())?;
+    verify_that!(reports.1, is_empty()).with_failure_message(|| what.to_owned())
+}
+
+/// Runs two entries for `span`; `events` changes faults as time goes by.
+async fn run(
+    platform: &platform::Platform,
+    span: time::Duration,
+    step: time::Duration,
+    events: impl AsyncFnOnce(&support::Freezer, &support::Freezer),
+) {
+    let (a, b) = (support::Freezer::new(), support::Freezer::new());
+    let first = a.run(run_entry(platform.clone(), support::entry("a", 1), step));
+    let second = b.run(run_entry(platform.clone(), support::entry("b", 2), step));
+    let all = future::join5(
+        first,
+        second,
+        run_agent(platform.clone()),
+        support::boot(platform, time::Duration::from_secs(2)),
+        events(&a, &b),
+    );
+    let _ = tokio::time::timeout(span, all).await;
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn two_entries_start_what_was_declared_once() -> googletest::Result<()> {
+    let platform = platform::Platform::new();
+    support::seed(&platform, &support::intent(3, 3));
+    let span = time::Duration::from_secs(40);
+    run(&platform, span, time::Duration::from_millis(200), async |_, _| {}).await;
+    check(&platform, 3, "no faults")?;
+    verify_that!(platform.orders.with(|state| state.running().len()), eq(3))?;
+    verify_that!(platform.orders.with(|state| state.log().len()), eq(3))?;
+    verify_that!(platform.reports.with(|state| state.log().len()), ge(4))
+}
+
+/// The holder is frozen at every moment around its first orders and reports.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_frozen_holder_never_acts_after_its_successor() -> googletest::Result<()> {
+    let slow = faults::Faults::new()
+        .delay(time::Duration::from_millis(7))
+        .answer_delay(time::Duration::from_millis(5));
+    let mut taken_over = 0;
+    for terms in [0.5, 1.0, 3.0] {
+        for at in (4_200..5_000).step_by(8) {
+            let platform = platform::Platform::new();
+            support::seed(&platform, &support::intent(2, 2));
+            platform.table.set_faults(slow.clone());
+            platform.orders.set_faults(slow.clone());
+            platform.reports.set_faults(slow.clone());
+            let freeze = lease::Terms::TERM.mul_f64(terms);
+            let span = time::Duration::from_secs(24);
+            run(&platform, span, time::Duration::from_millis(250), async |a, _| {
+                tokio::time::sleep(time::Duration::from_millis(at)).await;
+                a.freeze(freeze);
+            })
+            .await;
+            check(&platform, 2, &format!("frozen for {terms} terms at {at} ms"))?;
+            let running = platform.orders.with(|state| state.running().len());
+            verify_that!(running, eq(2)).with_failure_message(|| format!("{terms} at {at}"))?;
+            let fences = platform.reports.with(|state| state.log().last().map(|last| last.fence));
+            taken_over += u32::from(fences > Some(1));
+        }
+    }
+    verify_that!(taken_over, ge(50))
+}
+
+/// Draws faults of one service. Only the table holds calls back and carries them out later: what
+/// an order or report that the platform holds for longer than the send deadline does, is up to
+/// the platform's own check of fencing numbers.
+fn draw(rng: &mut impl rand::Rng, holds: bool) -> faults::Faults {
+    let delay = time::Duration::from_millis(rng.random_range(0..30));
+    let slow = faults::Faults::new().delay(delay).answer_delay(delay);
+    match rng.random_range(0..6) {
+        0 => slow.lose(rng.random_range(1..4)),
+        1 => slow.outage(true),
+        2 => slow.refuse(true),
+        3 => slow.freeze(holds),
+        4 => slow.answer_delay(time::Duration::from_millis(rng.random_range(100..3_000))),
+        _ => slow,
+    }
+}
+
+/// Freezes, outages, lost answers and slow services at random.
+async fn trouble(
+    platform: &platform::Platform,
+    seed: u64,
+    a: &support::Freezer,
+    b: &support::Freezer,
+) {
+    let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
+    for _ in 0..14 {
+        tokio::time::sleep(time::Duration::from_millis(rng.random_range(50..3_000))).await;
+        match rng.random_range(0..5) {
+            0 => a.freeze(time::Duration::from_millis(rng.random_range(100..9_000))),
+            1 => b.freeze(time::Duration::from_millis(rng.random_range(100..9_000))),
+            2 => platform.orders.set_faults(draw(&mut rng, false)),
+            3 => platform.reports.set_faults(draw(&mut rng, false)),
+            _ => platform.table.set_faults(draw(&mut rng, true)),
+        }
+    }
+    platform.table.set_faults(faults::Faults::new());
+    platform.orders.set_faults(faults::Faults::new());
+    platform.reports.set_faults(faults::Faults::new());
+}
+
+async fn schedules(seeds: std::ops::Range<u64>) -> googletest::Result<()> {
+    for seed in seeds {
+        let platform = platform::Platform::new();
+        support::seed(&platform, &support::intent(2, 2));
+        let span = time::Duration::from_secs(100);
+        run(&platform, span, time::Duration::from_millis(500), async |a, b| {
+            trouble(&platform, seed, a, b).await;
+        })
+        .await;
+        check(&platform, 2, &format!("seed {seed}"))?;
+        let running = platform.orders.with(|state| state.running().len());
+        verify_that!(running, eq(2)).with_failure_message(|| format!("seed {seed}"))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn schedules_of_trouble_keep_the_promises_1_of_8() -> googletest::Result<()> {
+    schedules(0..125).await
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn schedules_of_trouble_keep_the_promises_2_of_8() -> googletest::Result<()> {
+    schedules(125..250).await
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn schedules_of_trouble_keep_the_promises_3_of_8() -> googletest::Result<()> {
+    schedules(250..375).await
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn schedules_of_trouble_keep_the_promises_4_of_8() -> googletest::Result<()> {
+    schedules(375..500).await
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn schedules_of_trouble_keep_the_promises_5_of_8() -> googletest::Result<()> {
+    schedules(500..625).await
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn schedules_of_trouble_keep_the_promises_6_of_8() -> googletest::Result<()> {
+    schedules(625..750).await
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn schedules_of_trouble_keep_the_promises_7_of_8() -> googletest::Result<()> {
+    schedules(750..875).await
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn schedules_of_trouble_keep_the_promises_8_of_8() -> googletest::Result<()> {
+    schedules(875..1000).await
+}
