--- /dev/null
+++ b/crates/control/tests/plans.rs
@@ -0,0 +1,188 @@
+//! Plans, confirmations and keys, with operators that race and answers that are lost.
+
+mod support;
+
+use std::time;
+
+use azuregap_control::configuration;
+use azuregap_control::failure;
+use azuregap_control::keys;
+use azuregap_control::plans;
+use azuregap_control::snapshot;
+use azuregap_core::code;
+use azuregap_core::intent;
+use azuregap_core::key;
+use azuregap_standins::faults;
+use azuregap_standins::platform;
+use futures::future;
+use googletest::prelude::*;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+
+fn source(platform: &platform::Platform) -> configuration::Source {
+    let table = platform.table.client(support::TIMEOUT);
+    let (snapshot, doubt) = (snapshot::Handle::default(), configuration::Doubt::default());
+    configuration::Source::new(table, snapshot, doubt)
+}
+
+fn desk(platform: &platform::Platform) -> plans::Desk {
+    plans::Desk::new(source(platform), support::wall())
+}
+
+/// An intent that differs with `spend`.
+fn declared(spend: u64) -> intent::Intent {
+    support::intent(2, spend)
+}
+
+async fn make(
+    desk: &plans::Desk,
+    by: &str,
+    id: &str,
+    intent: &intent::Intent,
+) -> std::result::Result<plans::PlanView, failure::Failure> {
+    desk.make(by, id.to_owned(), intent, &[], &[]).await
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn nothing_changes_before_the_confirmation_and_twice_is_once() -> googletest::Result<()> {
+    let platform = platform::Platform::new();
+    support::seed(&platform, &declared(3));
+    let desk = desk(&platform);
+    let plan = make(&desk, "ann", "p1", &declared(5)).await?;
+    verify_that!(support::current(&platform).version, eq(1))?;
+    insta::assert_json_snapshot!(plan);
+    let first = desk.confirm("ann", "p1").await?;
+    let again = desk.confirm("bob", "p1").await?;
+    verify_that!(first.version, eq(2))?;
+    verify_that!(again, eq(&first))?;
+    verify_that!(support::current(&platform).version, eq(2))
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_plan_from_an_older_version_learns_who_changed_what() -> googletest::Result<()> {
+    let platform = platform::Platform::new();
+    support::seed(&platform, &declared(3));
+    let desk = desk(&platform);
+    make(&desk, "ann", "p1", &declared(5)).await?;
+    make(&desk, "bob", "p2", &declared(6)).await?;
+    desk.confirm("ann", "p1").await?;
+    let failure = desk.confirm("bob", "p2").await.unwrap_err();
+    verify_that!(failure.code(), eq(code::Code::PlanConflict))?;
+    let expected = failure::Conflict {
+        base: 1,
+        version: 2,
+        by: "ann".to_owned(),
+        changes: vec!["zones.north".to_owned()],
+    };
+    verify_that!(failure, eq(&failure::Failure::Conflict(expected)))
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_plan_expires() -> googletest::Result<()> {
+    let platform = platform::Platform::new();
+    support::seed(&platform, &declared(3));
+    let desk = desk(&platform);
+    make(&desk, "ann", "p1", &declared(5)).await?;
+    tokio::time::advance(plans::LIFE).await;
+    let failure = desk.confirm("ann", "p1").await.unwrap_err();
+    verify_that!(failure.code(), eq(code::Code::PlanExpired))?;
+    verify_that!(desk.find("p1").await?.state.as_str(), eq("expired"))?;
+    let unknown = desk.confirm("ann", "p2").await.unwrap_err();
+    verify_that!(unknown.code(), eq(code::Code::PlanUnknown))
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn no_plan_revives_a_withdrawn_key() -> googletest::Result<()> {
+    let platform = platform::Platform::new();
+    support::seed(&platform, &declared(3));
+    let (desk, source) = (desk(&platform), source(&platform));
+    let digest = key::Digest::of("secret");
+    keys::give(&source, "ann", &"acme".to_owned(), digest).await?;
+    let mut intent = declared(5);
+    intent.keys = support::current(&platform).intent()?.keys;
+    make(&desk, "bob", "p1", &intent).await?;
+    keys::withdraw(&source, "ann", digest).await?;
+    desk.confirm("bob", "p1").await?;
+    let keys = support::current(&platform).intent()?.keys;
+    verify_that!(keys.len(), eq(1))?;
+    verify_that!(keys[0].withdrawn, eq(true))?;
+    let again = keys::give(&source, "ann", &"acme".to_owned(), digest).await;
+    verify_that!(again.unwrap_err().code(), eq(code::Code::PartsClash))
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn while_the_store_is_down_the_operator_is_told_so_at_once() -> googletest::Result<()> {
+    let platform = platform::Platform::new();
+    support::seed(&platform, &declared(3));
+    let desk = desk(&platform);
+    make(&desk, "ann", "p1", &declared(5)).await?;
+    platform.table.set_faults(faults::Faults::new().outage(true));
+    let start = tokio::time::Instant::now();
+    let failure = desk.confirm("ann", "p1").await.unwrap_err();
+    verify_that!(failure.code(), eq(code::Code::StoreUnavailable))?;
+    verify_that!(start.elapsed(), le(time::Duration::from_secs(2)))?;
+    verify_that!(matches!(failure, failure::Failure::Unavailable(_)), eq(true))
+}
+
+/// Three operators make plans from the same version and confirm them at once.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn of_three_racing_operators_exactly_one_wins_each_of_200_plans() -> googletest::Result<()> {
+    let platform = platform::Platform::new();
+    support::seed(&platform, &declared(3));
+    let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(5);
+    for round in 0..200_u64 {
+        let slow = faults::Faults::new().delay(time::Duration::from_millis(2));
+        platform.table.set_faults(match round % 4 {
+            0 => slow.lose(rng.random_range(1..3)).spare(rng.random_range(3..6)),
+            _ => slow,
+        });
+        let race = |operator: usize| {
+            let desk = desk(&platform);
+            let pause = time::Duration::from_millis(rng.random_range(0..6));
+            let (by, id) = (format!("operator-{operator}"), format!("{round}-{operator}"));
+            let intent = declared(10 + round * 3 + operator as u64);
+            async move {
+                make(&desk, &by, &id, &intent).await?;
+                tokio::time::sleep(time::Duration::from_millis(40) + pause).await;
+                desk.confirm(&by, &id).await
+            }
+        };
+        let results = future::join_all((0..3).map(race)).await;
+        let won: Vec<_> = results.iter().flatten().collect();
+        verify_that!(won.len(), eq(1)).with_failure_message(|| format!("{round}: {results:?}"))?;
+        verify_that!(won[0].version, eq(round + 2))?;
+        let winner = &support::current(&platform).by;
+        for failure in results.iter().filter_map(|result| result.as_ref().err()) {
+            let failure::Failure::Conflict(conflict) = failure else {
+                panic!("{round}: {failure:?}");
+            };
+            verify_that!(&conflict.by, eq(winner))?;
+            verify_that!(conflict.version, eq(round + 2))?;
+        }
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn key_changes_that_race_are_all_made_once() -> googletest::Result<()> {
+    let platform = platform::Platform::new();
+    support::seed(&platform, &declared(3));
+    platform.table.set_faults(faults::Faults::new().lose(6).spare(3));
+    let give = |i: usize| {
+        let source = source(&platform);
+        async move {
+            let digest = key::Digest::of(i.to_string());
+            keys::give(&source, "ann", &"acme".to_owned(), digest).await
+        }
+    };
+    let results = future::join_all((0..8).map(give)).await;
+    verify_that!(results.iter().filter(|result| result.is_ok()).count(), eq(8))?;
+    verify_that!(support::current(&platform).intent()?.keys.len(), eq(8))
+}
