--- /dev/null
+++ b/crates/control/tests/placement.rs
@@ -0,0 +1,299 @@
+//! Planned stops, orders to agents and their gate.
+
+mod support;
+
+use std::cell;
+use std::collections;
+use std::rc;
+use std::time;
+
+use azuregap_control::ask;
+use azuregap_control::configuration;
+use azuregap_control::holder;
+use azuregap_control::orders;
+use azuregap_control::placement;
+use azuregap_control::snapshot;
+use azuregap_coordination::lease;
+use azuregap_core::code;
+use azuregap_platform::error;
+use azuregap_platform::orders as calls;
+use azuregap_standins::platform;
+use azuregap_wire::control;
+use azuregap_wire::frame;
+use futures::future;
+use googletest::prelude::*;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// What an agent answers to `DrainState`; none when it is silent.
+#[derive(Clone, Copy, Debug)]
+struct Left {
+    running: u32,
+    unflushed: u64,
+    /// Whether it knows the newest configuration.
+    knows: bool,
+}
+
+const NOTHING: Left = Left { running: 0, unflushed: 0, knows: true };
+
+/// What agents answer, by the name of their backend server.
+type Agents = rc::Rc<cell::RefCell<collections::BTreeMap<String, Option<Left>>>>;
+
+/// What is sent to agents, when and what.
+type Sends = rc::Rc<cell::RefCell<Vec<(Instant, control::Order)>>>;
+
+fn answer(platform: &platform::Platform, left: Left) -> control::Message {
+    let load = frame::Load { running: left.running, ..frame::Load::default() };
+    let body = control::Body::Draining { load, unflushed: left.unflushed };
+    let version = support::current(platform).version;
+    let version = if left.knows { version } else { version - 1 };
+    support::agent("agent", 1).message(version, body)
+}
+
+fn carriers(platform: &platform::Platform, sends: &Sends) -> orders::Carriers {
+    let sends = sends.clone();
+    orders::Carriers::new(platform.orders.client(support::TIMEOUT), move |_, order| {
+        sends.borrow_mut().push((Instant::now(), order));
+        async { Ok(()) }
+    })
+}
+
+/// Runs one entry in charge for `span` beside `events`.
+async fn run(
+    platform: &platform::Platform,
+    agents: &Agents,
+    span: time::Duration,
+    events: impl Future<Output = googletest::Result<()>>,
+) -> googletest::Result<()> {
+    let process = support::entry("a", 1);
+    let table = platform.table.client(support::TIMEOUT);
+    let holder = holder::Holder::new("control", &process, lease::Terms::default());
+    let (_resign, resigned) = watch::channel(false);
+    let (snapshot, doubt) = (snapshot::Handle::default(), configuration::Doubt::default());
+    let source = configuration::Source::new(table.clone(), snapshot, doubt);
+    let (asked, known) = (platform.clone(), agents.clone());
+    let ask = ask::Ask::new(move |backend, _| {
+        let left = known.borrow().get(&backend).copied().unwrap_or(Some(NOTHING));
+        let answer = left.map(|left| answer(&asked, left));
+        async move { answer }
+    });
+    let vms = platform.vms.client(support::TIMEOUT);
+    let carriers = carriers(platform, &Sends::default());
+    let mut placement =
+        placement::Placement::new(holder.clone(), source, vms, ask, carriers).wall(support::wall());
+    let acting = async {
+        loop {
+            let _ = placement.round().await;
+            tokio::time::sleep(time::Duration::from_millis(500)).await;
+        }
+    };
+    let work = future::join3(
+        holder::keep(holder, table, resigned),
+        acting,
+        support::boot(platform, time::Duration::from_secs(1)),
+    );
+    let both = future::select(Box::pin(events), Box::pin(work));
+    match tokio::time::timeout(span, both).await? {
+        future::Either::Left((result, _)) => result,
+        future::Either::Right(_) => panic!("the entry does not end"),
+    }
+}
+
+/// Declares `replicas` as the next version.
+fn declare(platform: &platform::Platform, replicas: u32) {
+    let mut row = support::current(platform);
+    let mut intent = support::intent(replicas, 3);
+    intent.leaving = row.intent().unwrap().leaving;
+    row.version += 1;
+    row.text = serde_json::to_string(&intent).unwrap();
+    support::put(platform, &row);
+}
+
+fn running(platform: &platform::Platform) -> Vec<String> {
+    platform.orders.with(|state| state.running().keys().cloned().collect())
+}
+
+async fn until(what: &str, holds: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < time::Duration::from_secs(200), "never: {what}");
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_planned_stop_waits_for_the_last_request_and_the_last_record() -> googletest::Result<()> {
+    let platform = platform::Platform::new();
+    support::seed(&platform, &support::intent(3, 3));
+    let agents = Agents::default();
+    let events = async {
+        until("three run", || running(&platform).len() == 3).await;
+        tokio::time::sleep(time::Duration::from_secs(5)).await;
+        for left in [
+            Left { running: 1, ..NOTHING },
+            Left { unflushed: 1, ..NOTHING },
+            Left { knows: false, ..NOTHING },
+        ] {
+            let all = running(&platform).into_iter().map(|name| (name, Some(left)));
+            *agents.borrow_mut() = all.collect();
+            declare(&platform, 2);
+            tokio::time::sleep(time::Duration::from_secs(60)).await;
+            verify_that!(running(&platform).len(), eq(3))
+                .with_failure_message(|| format!("{left:?}"))?;
+            verify_that!(support::current(&platform).intent()?.leaving.len(), eq(1))?;
+        }
+        agents.borrow_mut().clear();
+        until("one is stopped", || running(&platform).len() == 2).await;
+        let tidy = || support::current(&platform).intent().unwrap().leaving.is_empty();
+        until("it is off the list", tidy).await;
+        tokio::time::sleep(time::Duration::from_secs(30)).await;
+        verify_that!(platform.orders.with(|state| state.log().len()), eq(4))
+    };
+    run(&platform, &agents, time::Duration::from_secs(900), events).await
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_crashed_server_that_leaves_is_stopped_after_a_while() -> googletest::Result<()> {
+    let platform = platform::Platform::new();
+    support::seed(&platform, &support::intent(2, 3));
+    let agents = Agents::default();
+    let events = async {
+        until("two run", || running(&platform).len() == 2).await;
+        tokio::time::sleep(time::Duration::from_secs(5)).await;
+        *agents.borrow_mut() = running(&platform).into_iter().map(|name| (name, None)).collect();
+        declare(&platform, 1);
+        tokio::time::sleep(time::Duration::from_secs(20)).await;
+        verify_that!(running(&platform).len(), eq(2))?;
+        until("one is stopped", || running(&platform).len() == 1).await;
+        Ok(())
+    };
+    run(&platform, &agents, time::Duration::from_secs(900), events).await
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn without_a_list_of_vms_nothing_is_ordered() -> googletest::Result<()> {
+    let platform = platform::Platform::new();
+    support::seed(&platform, &support::intent(2, 3));
+    platform.vms.set_faults(azuregap_standins::faults::Faults::new().outage(true));
+    let agents = Agents::default();
+    let events = async {
+        tokio::time::sleep(time::Duration::from_secs(30)).await;
+        verify_that!(running(&platform), is_empty())
+    };
+    run(&platform, &agents, time::Duration::from_secs(60), events).await
+}
+
+fn load(id: &str, fence: u64) -> control::Order {
+    let action = control::Action::Load { name: "advisor".to_owned(), version: "2".to_owned() };
+    control::Order { id: id.to_owned(), fence, action }
+}
+
+#[gtest]
+fn the_gate_of_an_agent_refuses_old_numbers_and_runs_an_order_once() -> googletest::Result<()> {
+    let mut gate = orders::Gate::default();
+    verify_that!(gate.admit(&load("one", 2)), eq(orders::Admission::Run))?;
+    verify_that!(gate.admit(&load("one", 2)), eq(orders::Admission::Repeat))?;
+    verify_that!(gate.admit(&load("one", 3)), eq(orders::Admission::Repeat))?;
+    let refused = orders::Admission::Refuse(code::Code::FenceOld);
+    verify_that!(gate.admit(&load("two", 2)), eq(refused))?;
+    verify_that!(gate.admit(&load("one", 2)), eq(refused))?;
+    verify_that!(gate.admit(&load("two", 3)), eq(orders::Admission::Run))?;
+    gate.forget(&"two".to_owned());
+    verify_that!(gate.admit(&load("two", 3)), eq(orders::Admission::Run))
+}
+
+/// The desk of a process that is in charge.
+async fn in_charge(
+    platform: &platform::Platform,
+    carriers: orders::Carriers,
+    work: impl AsyncFnOnce(&mut orders::Desk, u64),
+) {
+    let process = support::entry("a", 1);
+    let table = platform.table.client(support::TIMEOUT);
+    let holder = holder::Holder::new("control", &process, lease::Terms::default());
+    let (_resign, resigned) = watch::channel(false);
+    let mut desk = orders::Desk::new(holder.clone(), table.clone(), carriers);
+    let working = async {
+        let fence = loop {
+            match holder.may_act() {
+                Some(fence) => break fence,
+                None => tokio::time::sleep(time::Duration::from_millis(50)).await,
+            }
+        };
+        work(&mut desk, fence).await;
+    };
+    let keeping = holder::keep(holder.clone(), table, resigned);
+    future::select(Box::pin(working), Box::pin(keeping)).await;
+}
+
+fn agent_order(id: &str) -> orders::OrderRow {
+    orders::OrderRow {
+        id: id.to_owned(),
+        fence: 1,
+        backend: "server".to_owned(),
+        zone: "north".to_owned(),
+        action: orders::OrderAction::Agent(load(id, 1).action),
+        state: orders::OrderState::Open,
+        made: 0,
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn loads_are_paced() -> googletest::Result<()> {
+    let platform = platform::Platform::new();
+    support::seed(&platform, &support::intent(0, 0));
+    let sends = Sends::default();
+    in_charge(&platform, carriers(&platform, &sends), async |desk, fence| {
+        let orders = ["one", "two", "three"].map(agent_order);
+        desk.write(fence, 1, &orders).await.unwrap();
+        for _ in 0..30 {
+            let mut rows = desk.rows(fence).await.unwrap();
+            desk.drive(fence, &mut rows).await;
+            tokio::time::sleep(time::Duration::from_millis(500)).await;
+        }
+    })
+    .await;
+    let sends = sends.borrow();
+    verify_that!(sends.len(), eq(3))?;
+    for pair in sends.windows(2) {
+        verify_that!(pair[1].0 - pair[0].0, ge(time::Duration::from_secs(5)))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn an_order_whose_answer_is_lost_is_sent_again_under_its_id() -> googletest::Result<()> {
+    let platform = platform::Platform::new();
+    support::seed(&platform, &support::intent(0, 0));
+    let sent: rc::Rc<cell::RefCell<Vec<calls::ZoneOrder>>> = rc::Rc::default();
+    let log = sent.clone();
+    let lossy = calls::Orders::new(move |order: calls::ZoneOrder| {
+        log.borrow_mut().push(order.clone());
+        let answered = log.borrow().len() > 3;
+        async move {
+            if answered {
+                return Ok(calls::OrderTaken { id: order.id, repeated: true });
+            }
+            Err(error::PlatformError::Unknown("lost".to_owned()))
+        }
+    });
+    let carriers = orders::Carriers::new(lossy, |_, _| async { Ok(()) });
+    in_charge(&platform, carriers, async |desk, fence| {
+        let action = orders::OrderAction::Start { pool: "advisor".to_owned() };
+        let order = orders::OrderRow { action, ..agent_order("one") };
+        desk.write(fence, 1, &[order]).await.unwrap();
+        for _ in 0..6 {
+            let mut rows = desk.rows(fence).await.unwrap();
+            desk.drive(fence, &mut rows).await;
+        }
+    })
+    .await;
+    let sent = sent.borrow();
+    verify_that!(sent.len(), eq(4))?;
+    verify_that!(sent.iter().all(|order| order.id == "one"), eq(true))
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -120,8 +120,13 @@
         text: serde_json::to_string(intent).unwrap(),
         declared: configuration::Declared::default(),
     };
+    put(platform, &row);
+}
+
+/// Writes the configuration row past all faults.
+pub(crate) fn put(platform: &platform::Platform, row: &configuration::ConfigurationRow) {
     let put =
-        calls::Transaction::new().put(configuration::CURRENT, serde_json::to_value(&row).unwrap());
+        calls::Transaction::new().put(configuration::CURRENT, serde_json::to_value(row).unwrap());
     platform.table.with(|state| state.apply(calls::TableCall::Commit(put)));
 }
 
