--- /dev/null
+++ b/crates/control/tests/spread.rs
@@ -0,0 +1,376 @@
+//! How a configuration reaches every process, and what proves that it is the newest.
+
+mod support;
+
+use std::cell;
+use std::collections;
+use std::rc;
+use std::time;
+
+use azuregap_control::ask;
+use azuregap_control::configuration;
+use azuregap_control::failure;
+use azuregap_control::keys;
+use azuregap_control::mailbox;
+use azuregap_core::key;
+use azuregap_platform::vms;
+use azuregap_standins::faults;
+use azuregap_standins::platform;
+use azuregap_wire::codec;
+use azuregap_wire::control;
+use futures::future;
+use googletest::prelude::*;
+use tokio::time::Instant;
+
+/// Withdrawn keys must be refused everywhere within this time.
+const IN_FORCE: time::Duration = time::Duration::from_secs(5);
+
+/// Longest age of the proof at which an entry serves callers with keys.
+const MAX_STALE: time::Duration = time::Duration::from_secs(4);
+
+/// Entries and agents on one platform that reach each other in a few milliseconds.
+struct World {
+    platform: platform::Platform,
+    mailboxes: Vec<mailbox::Mailbox>,
+    freezers: Vec<support::Freezer>,
+    /// Processes that reach nobody.
+    cut: cell::RefCell<collections::BTreeSet<String>>,
+    /// Whether messages carry the sender's version.
+    versions: bool,
+    messages: cell::Cell<u64>,
+    bytes: cell::Cell<u64>,
+}
+
+impl World {
+    fn new(entries: usize, agents: usize, versions: bool) -> rc::Rc<Self> {
+        let platform = platform::Platform::new();
+        support::seed(&platform, &support::intent(2, 3));
+        let entry = |i: usize| support::entry(&format!("entry-{i}"), i as u64 + 1);
+        let agent = |i: usize| support::agent(&format!("agent-{i}"), i as u64 + 1_000);
+        let processes = (0..entries).map(entry).chain((0..agents).map(agent));
+        let mailboxes: Vec<_> = processes.map(mailbox::Mailbox::new).collect();
+        let list: Vec<_> = mailboxes.iter().map(vm).collect();
+        for mailbox in &mailboxes {
+            greet(mailbox);
+            mailbox.set_peers(list.clone());
+        }
+        let freezers = mailboxes.iter().map(|_| support::Freezer::new()).collect();
+        let (cut, messages, bytes) = Default::default();
+        rc::Rc::new(Self { platform, mailboxes, freezers, cut, versions, messages, bytes })
+    }
+
+    fn source(&self, at: usize) -> configuration::Source {
+        let (mailbox, table) = (&self.mailboxes[at], self.platform.table.client(support::TIMEOUT));
+        configuration::Source::new(table, mailbox.snapshot(), mailbox.doubt())
+    }
+
+    /// Runs the process at `at`, from `start` on.
+    async fn process(self: &rc::Rc<Self>, at: usize, start: time::Duration) {
+        tokio::time::sleep(start).await;
+        let follower =
+            configuration::Follower::new(self.mailboxes[at].clone(), self.source(at), self.ask(at));
+        self.freezers[at].run(follower.run()).await;
+    }
+
+    fn ask(self: &rc::Rc<Self>, at: usize) -> ask::Ask {
+        let (world, own) = (self.clone(), self.mailboxes[at].clone());
+        ask::Ask::new(move |address, body| {
+            let (world, own) = (world.clone(), own.clone());
+            async move { world.carry(&own, &address, body).await }
+        })
+    }
+
+    async fn carry(
+        &self,
+        own: &mailbox::Mailbox,
+        address: &str,
+        body: control::Body,
+    ) -> Option<control::Message> {
+        let silence = time::Duration::from_millis(700);
+        let from = &own.process().peer.control;
+        let to = self.mailboxes.iter().position(|to| to.process().peer.control == address)?;
+        if self.cut.borrow().contains(from) || self.cut.borrow().contains(address) {
+            tokio::time::sleep(silence).await;
+            return None;
+        }
+        tokio::time::sleep(time::Duration::from_millis(1)).await;
+        if self.freezers[to].is_frozen() {
+            tokio::time::sleep(silence).await;
+            return None;
+        }
+        let question = self.count(own.message(body));
+        let answer = self.count(self.mailboxes[to].answer(&question));
+        tokio::time::sleep(time::Duration::from_millis(1)).await;
+        own.note(&answer.from, Some(address), answer.version);
+        Some(answer)
+    }
+
+    /// Counts a message, and takes the version off it if messages carry none.
+    fn count(&self, mut message: control::Message) -> control::Message {
+        let wanted = matches!(message.body, control::Body::ConfigurationWanted);
+        if !self.versions && !wanted {
+            message.version = 0;
+        }
+        self.messages.set(self.messages.get() + 1);
+        self.bytes.set(self.bytes.get() + codec::encode(&message).len() as u64);
+        message
+    }
+
+    /// Runs every process beside `events`.
+    async fn run(
+        self: &rc::Rc<Self>,
+        late: usize,
+        events: impl Future<Output = googletest::Result<()>>,
+    ) -> googletest::Result<()> {
+        let start = |at: usize| match at + late >= self.mailboxes.len() {
+            true => time::Duration::from_secs(20),
+            false => time::Duration::ZERO,
+        };
+        let all = (0..self.mailboxes.len()).map(|at| self.process(at, start(at)));
+        let all = Box::pin(future::join_all(all));
+        match future::select(Box::pin(events), all).await {
+            future::Either::Left((result, _)) => result,
+            future::Either::Right(_) => panic!("the processes do not end"),
+        }
+    }
+
+    fn version(&self, at: usize) -> u64 {
+        self.mailboxes[at].snapshot().load().version
+    }
+
+    /// How long until every process but `without` has `version`.
+    async fn everywhere(&self, version: u64, without: Option<usize>) -> time::Duration {
+        let start = Instant::now();
+        let all = || (0..self.mailboxes.len()).filter(|at| Some(*at) != without);
+        while all().any(|at| self.version(at) < version) {
+            assert!(start.elapsed() < time::Duration::from_secs(60), "never everywhere");
+            tokio::time::sleep(time::Duration::from_millis(5)).await;
+        }
+        start.elapsed()
+    }
+
+    /// The greatest age of the proof of any entry over `span`.
+    async fn oldest(&self, entries: usize, span: time::Duration) -> time::Duration {
+        let start = Instant::now();
+        let mut oldest = time::Duration::ZERO;
+        while start.elapsed() < span {
+            let ages = self.mailboxes[..entries].iter().map(|entry| entry.snapshot().age());
+            oldest = ages.fold(oldest, time::Duration::max);
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+        oldest
+    }
+}
+
+fn vm(mailbox: &mailbox::Mailbox) -> vms::Vm {
+    let peer = &mailbox.process().peer;
+    let kind = match &peer.role {
+        control::Role::Entry => vms::VmKind::Entry,
+        control::Role::Agent { pool, .. } => vms::VmKind::Backend { pool: pool.clone() },
+    };
+    let (name, zone, control) = (peer.node.clone(), peer.zone.clone(), peer.control.clone());
+    vms::Vm { name, zone, kind, control, leaving: false }
+}
+
+fn greet(mailbox: &mailbox::Mailbox) {
+    let peer = mailbox.process().peer.clone();
+    mailbox.on(move |message| match &message.body {
+        control::Body::Hello(_) => {
+            Some(control::Body::Greeted { peer: peer.clone(), known: Vec::new() })
+        }
+        _ => None,
+    });
+}
+
+async fn sleep(seconds: u64) {
+    tokio::time::sleep(time::Duration::from_secs(seconds)).await;
+}
+
+async fn give(world: &World, at: usize, name: &str) -> u64 {
+    let digest = key::Digest::of(name);
+    keys::give(&world.source(at), "ann", &"acme".to_owned(), digest).await.unwrap()
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_change_is_in_force_everywhere_within_seconds() -> googletest::Result<()> {
+    for versions in [true, false] {
+        for entries in [2, 4, 16] {
+            let agents = entries * 3;
+            let world = World::new(entries, agents, versions);
+            let events = async {
+                sleep(10).await;
+                let mut slowest = time::Duration::ZERO;
+                let reads = world.platform.table.with(|state| state.counters().reads);
+                world.bytes.set(0);
+                let start = Instant::now();
+                for change in 0..20 {
+                    let version = give(&world, change % entries, &change.to_string()).await;
+                    slowest = slowest.max(world.everywhere(version, None).await);
+                    tokio::time::sleep(time::Duration::from_millis(1_700)).await;
+                }
+                let seconds = start.elapsed().as_secs_f64();
+                let reads = world.platform.table.with(|state| state.counters().reads) - reads;
+                let processes = (entries + agents) as f64;
+                println!(
+                    "{entries} entries, {agents} agents, versions on messages {versions}: slowest \
+                     {} ms, {:.1} store reads/s, {:.0} bytes/s per process",
+                    slowest.as_millis(),
+                    reads as f64 / seconds,
+                    world.bytes.get() as f64 / seconds / processes,
+                );
+                verify_that!(slowest, le(IN_FORCE))
+            };
+            world.run(0, events).await?;
+        }
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn store_reads_do_not_grow_with_the_processes() -> googletest::Result<()> {
+    for agents in [1, 8, 60] {
+        let world = World::new(4, agents, true);
+        let events = async {
+            sleep(10).await;
+            let before = world.platform.table.with(|state| state.counters().reads);
+            sleep(60).await;
+            let reads = world.platform.table.with(|state| state.counters().reads) - before;
+            println!("{agents} agents and 4 entries: {:.1} store reads/s", reads as f64 / 60.0);
+            // Two readers that read at most four times a second each.
+            verify_that!(reads, le(2 * 4 * 60))
+        };
+        world.run(0, events).await?;
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_process_that_starts_while_the_store_is_down_asks_its_peers() -> googletest::Result<()> {
+    let world = World::new(3, 3, true);
+    let events = async {
+        sleep(10).await;
+        world.platform.table.set_faults(faults::Faults::new().outage(true));
+        sleep(9).await;
+        verify_that!(world.version(5), eq(0))?;
+        sleep(3).await;
+        verify_that!(world.version(5), eq(1))
+    };
+    world.run(1, events).await
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn traffic_goes_on_while_the_store_is_down() -> googletest::Result<()> {
+    let world = World::new(3, 3, true);
+    let events = async {
+        sleep(10).await;
+        for faults in [
+            faults::Faults::new().outage(true),
+            faults::Faults::new().delay(time::Duration::from_secs(5)),
+            faults::Faults::new().freeze(true),
+        ] {
+            world.platform.table.set_faults(faults);
+            let oldest = world.oldest(3, time::Duration::from_secs(300)).await;
+            verify_that!(oldest, lt(MAX_STALE))?;
+        }
+        Ok(())
+    };
+    world.run(0, events).await
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn an_entry_cut_from_store_and_peers_knows_that_it_is_stale() -> googletest::Result<()> {
+    let world = World::new(3, 3, true);
+    let events = async {
+        sleep(10).await;
+        world.platform.table.set_faults(faults::Faults::new().outage(true));
+        world.cut.borrow_mut().insert("entry-0".to_owned());
+        sleep(10).await;
+        verify_that!(world.mailboxes[0].snapshot().age(), gt(MAX_STALE))?;
+        // The others cannot know what it accepted before it was cut off.
+        verify_that!(world.mailboxes[1].snapshot().age(), gt(MAX_STALE))?;
+        world.cut.borrow_mut().clear();
+        sleep(3).await;
+        verify_that!(world.mailboxes[0].snapshot().age(), lt(MAX_STALE))
+    };
+    world.run(0, events).await
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn an_entry_with_an_unsettled_change_vouches_for_nothing() -> googletest::Result<()> {
+    let world = World::new(3, 3, true);
+    let events = async {
+        sleep(10).await;
+        let (source, table) = (world.source(0), &world.platform.table);
+        let answer = time::Duration::from_millis(50);
+        table.set_faults(faults::Faults::new().answer_delay(answer));
+        let (digest, team) = (key::Digest::of("secret"), "acme".to_owned());
+        let giving = keys::give(&source, "ann", &team, digest);
+        let outage = async {
+            // The read is answered by then, and the write has taken effect.
+            tokio::time::sleep(answer + answer / 2).await;
+            table.set_faults(faults::Faults::new().outage(true).lose(1_000));
+        };
+        let failure = future::join(giving, outage).await.0.unwrap_err();
+        verify_that!(matches!(failure, failure::Failure::Unsettled(_)), eq(true))?;
+        let accepted = support::current(&world.platform).version;
+        verify_that!(accepted, eq(2))?;
+        sleep(10).await;
+        let ages = world.mailboxes[..3].iter().map(|entry| entry.snapshot().age());
+        verify_that!(ages.min().unwrap(), gt(MAX_STALE))?;
+        world.platform.table.set_faults(faults::Faults::new());
+        sleep(20).await;
+        let all = (0..6).all(|at| world.version(at) == accepted);
+        verify_that!(all, eq(true))?;
+        verify_that!(world.mailboxes[0].snapshot().age(), lt(MAX_STALE))
+    };
+    world.run(0, events).await
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_thawed_process_catches_up_and_never_goes_back() -> googletest::Result<()> {
+    let world = World::new(3, 3, true);
+    let events = async {
+        sleep(10).await;
+        world.freezers[1].freeze(time::Duration::from_secs(30));
+        sleep(5).await;
+        let version = give(&world, 0, "one").await;
+        world.everywhere(version, Some(1)).await;
+        verify_that!(world.version(1), eq(1))?;
+        sleep(30).await;
+        verify_that!(world.version(1), eq(version))?;
+        let old = azuregap_control::snapshot::Snapshot::new(1, support::intent(1, 1));
+        verify_that!(world.mailboxes[1].snapshot().advance(old), eq(false))?;
+        verify_that!(world.version(1), eq(version))
+    };
+    world.run(0, events).await
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_recovering_store_is_not_stampeded() -> googletest::Result<()> {
+    let world = World::new(4, 60, true);
+    let events = async {
+        sleep(10).await;
+        world.platform.table.set_faults(faults::Faults::new().outage(true));
+        sleep(300).await;
+        let reads = || world.platform.table.with(|state| state.counters().reads);
+        world.platform.table.set_faults(faults::Faults::new());
+        let mut most = 0;
+        for _ in 0..10 {
+            let before = reads();
+            sleep(1).await;
+            most = most.max(reads() - before);
+        }
+        println!("most store reads in a second after an outage of 300 s: {most}");
+        // Every entry and reader may use up its burst at once; the 60 agents may not.
+        verify_that!(most, le(6 * 4))
+    };
+    world.run(0, events).await
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -38,6 +38,10 @@
         self.until.set(Instant::now() + span);
     }
 
+    pub(crate) fn is_frozen(&self) -> bool {
+        Instant::now() < self.until.get()
+    }
+
     /// Runs `process`, which makes no step while it is frozen.
     pub(crate) async fn run(&self, process: impl Future<Output = ()>) {
         let mut process = pin::pin!(process);
