--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod choice;
 pub mod estimate;
 pub mod limits;
+pub mod plan;
 pub mod queue;
 pub mod retry;
