feat(cli): tables of the operators' API as it is, and a hidden demo

Cause: the fake entry of the tests answered in shapes of its own; bodies up to 64 MiB were declared sound while an entry reads 16 MiB. Change: the fake answers as the intent API does; negative costs and instants are readable, nested parts are left out of lists; the largest body is one constant, 16 MiB. The demo starts the whole path in one process; it stays hidden from the help, as agents do not answer greetings yet.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -94,6 +94,11 @@
     /// answered, and each is timed from the time it was due. The key of the calling team is read
     /// from the environment variable AZUREGAP_KEY.
     Load(LoadArgs),
+    #[command(hide = true)]
+    /// Run the main job on embedded stand-ins and show one request of each class
+    ///
+    /// Platform, backend servers, agents and two entries run in this process, on loopback.
+    Demo(DemoArgs),
 }
 
 /// Commands on keys.
@@ -176,6 +181,39 @@
     pub(crate) seed: u64,
 }
 
+/// Options of `demo`.
+#[derive(Clone, Debug, clap::Args)]
+pub(crate) struct DemoArgs {
+    /// Which of the shipped deployments to show
+    #[arg(long, value_enum, default_value_t = Deployment::SwanCoastal)]
+    pub(crate) deployment: Deployment,
+    /// Keep running until interrupted, to try requests by hand
+    #[arg(long)]
+    pub(crate) hold: bool,
+    /// Write the log lines to standard error
+    #[arg(long)]
+    pub(crate) logs: bool,
+}
+
+/// The deployments that are shipped as examples.
+#[derive(Clone, Copy, Debug, clap::ValueEnum)]
+pub(crate) enum Deployment {
+    /// Summaries and chat, with a billing service.
+    SwanCoastal,
+    /// Scenarios and coaching, with a registry of marshals.
+    Academy,
+}
+
+impl Deployment {
+    /// The shipped intent.
+    pub(crate) const fn intent(self) -> &'static str {
+        match self {
+            Self::SwanCoastal => include_str!("../../../examples/swan-coastal/intent.json"),
+            Self::Academy => include_str!("../../../examples/academy/intent.json"),
+        }
+    }
+}
+
 fn parse_digest(text: &str) -> Result<key::Digest, String> {
     let value = serde_json::Value::String(text.to_owned());
     serde_json::from_value(value).map_err(|_| "expected 64 hexadecimal digits".to_owned())
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -5,6 +5,7 @@
 mod operate;
 
 use crate::args;
+use crate::demo;
 use crate::error;
 use crate::exit;
 use crate::load;
@@ -35,6 +36,7 @@
         args::Command::Usage { window: Some(window), operator } => {
             operate::show(&format!("/v1/usage/{window}"), operator, json).await
         }
+        args::Command::Demo(options) => demo::run(options, json).await,
         args::Command::Load(options) => load::run(options, json).await,
     }
 }
--- a/crates/cli/src/commands/keys.rs
+++ b/crates/cli/src/commands/keys.rs
@@ -9,9 +9,7 @@
 use crate::error;
 use crate::exit;
 use crate::render;
-
-/// Random bytes of a new key.
-const KEY_BYTES: usize = 32;
+use crate::secret;
 
 pub(super) async fn run(command: &args::KeysCommand, json: bool) -> error::CliResult<exit::Exit> {
     match command {
@@ -29,7 +27,7 @@
 /// The key is printed only once the entry has taken its digest.
 async fn give(team: &str, operator: &args::Operator, json: bool) -> error::CliResult<exit::Exit> {
     let api = api::Api::new(operator)?;
-    let key = new_key();
+    let key = secret::new_key();
     let digest = written(&key::Digest::of(&key));
     let body = json!({ "team": team, "digest": digest });
     let outcome = api.post("/v1/keys", Some(&body)).await;
@@ -56,12 +54,6 @@
     Ok(exit::Exit::Done)
 }
 
-fn new_key() -> String {
-    let bytes: [u8; KEY_BYTES] = rand::random();
-    let digits: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
-    format!("ag-{digits}")
-}
-
 /// The digest as 64 hexadecimal digits.
 fn written(digest: &key::Digest) -> String {
     match json!(digest) {
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -2,6 +2,7 @@
 
 use azuregap_core::code;
 use azuregap_core::settings;
+use azuregap_kernel::error as kernel;
 use quick_error::quick_error;
 use serde_json::Value;
 
@@ -32,6 +33,11 @@
         Unreachable(url: String, reason: String) {
             display("{}: no answer from {}: {}", code::Code::PeerUnavailable.number(), url, reason)
         }
+        /// A part of the demo did not start.
+        Start(fault: kernel::KernelError) {
+            from()
+            display("{}: {}", code::Code::Internal.number(), fault)
+        }
         /// The answer cannot be used.
         Answer(reason: String) {
             display("{}: the answer cannot be used: {}", code::Code::MessageUnknown.number(), reason)
@@ -46,7 +52,9 @@
     /// The exit code that goes with the error.
     pub(crate) const fn exit(&self) -> exit::Exit {
         match self {
-            Self::File(..) | Self::Document(..) | Self::Refused(..) => exit::Exit::Faulty,
+            Self::File(..) | Self::Document(..) | Self::Refused(..) | Self::Start(_) => {
+                exit::Exit::Faulty
+            }
             Self::Usage(_) => exit::Exit::Usage,
             Self::Unreachable(..) | Self::Answer(_) => exit::Exit::Unreachable,
         }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,11 +3,13 @@
 mod api;
 mod args;
 mod commands;
+mod demo;
 mod documents;
 mod error;
 mod exit;
 mod load;
 mod render;
+mod secret;
 
 use std::process;
 
--- a/crates/cli/src/render.rs
+++ b/crates/cli/src/render.rs
@@ -2,6 +2,8 @@
 //!
 //! Whatever an entry answers is shown, also fields that a newer entry adds.
 
+use std::time;
+
 use comfy_table::Table;
 use comfy_table::presets;
 use serde_json::Map;
@@ -11,7 +13,10 @@
 const MONEY: [&str; 4] = ["cost", "price", "spend", "per_hour"];
 
 /// Millionths in one currency unit.
-const UNIT: u64 = 1_000_000;
+const UNIT: i64 = 1_000_000;
+
+/// Fields that hold seconds since the Unix epoch.
+const INSTANTS: [&str; 1] = ["expires"];
 
 /// Prints `value` in the form asked for.
 pub(crate) fn print(value: &Value, json: bool) {
@@ -61,10 +66,11 @@
     }
 }
 
+/// One row for each object; what is nested in a row is left to the command that shows one.
 fn write_rows(text: &mut String, rows: &[Value]) {
     let mut columns: Vec<&String> = Vec::new();
-    for name in rows.iter().filter_map(Value::as_object).flat_map(Map::keys) {
-        if !columns.contains(&name) {
+    for (name, value) in rows.iter().filter_map(Value::as_object).flatten() {
+        if !columns.contains(&name) && !is_nested(value) {
             columns.push(name);
         }
     }
@@ -91,7 +97,10 @@
         Value::Null => "-".to_owned(),
         Value::String(text) => text.clone(),
         Value::Number(number) if MONEY.contains(&name) => {
-            number.as_u64().map_or_else(|| number.to_string(), money)
+            number.as_i64().map_or_else(|| number.to_string(), money)
+        }
+        Value::Number(number) if INSTANTS.contains(&name) => {
+            number.as_u64().map_or_else(|| number.to_string(), instant)
         }
         Value::Array(items) if items.is_empty() => "none".to_owned(),
         Value::Array(items) if !items.iter().any(Value::is_object) => {
@@ -102,15 +111,22 @@
 }
 
 /// Millionths of the currency unit as units with two digits, or all six where they matter.
-fn money(micros: u64) -> String {
-    let (units, rest) = (micros / UNIT, micros % UNIT);
-    if rest.is_multiple_of(UNIT / 100) {
-        format!("{units}.{:02}", rest / (UNIT / 100))
+fn money(micros: i64) -> String {
+    let sign = if micros < 0 { "-" } else { "" };
+    let (units, rest) = ((micros / UNIT).abs(), (micros % UNIT).abs());
+    if rest % (UNIT / 100) == 0 {
+        format!("{sign}{units}.{:02}", rest / (UNIT / 100))
     } else {
-        format!("{units}.{rest:06}")
+        format!("{sign}{units}.{rest:06}")
     }
 }
 
+/// Seconds since the Unix epoch as date and time in UTC.
+fn instant(seconds: u64) -> String {
+    let at = time::SystemTime::UNIX_EPOCH.checked_add(time::Duration::from_secs(seconds));
+    at.map_or_else(|| seconds.to_string(), |at| humantime::format_rfc3339_seconds(at).to_string())
+}
+
 fn table() -> Table {
     let mut table = Table::new();
     table.load_style(presets::NOTHING);
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -105,15 +105,13 @@
     match call {
         "POST /v1/plans" => HttpResponse::Created().json(plan("open")),
         "GET /v1/plans/p-7" => HttpResponse::Ok().json(plan("confirmed")),
-        "GET /v1/plans" => HttpResponse::Ok().json(json!({ "plans": [
-            { "id": "p-7", "base": 4, "by": "desk-lead", "state": "open" },
-            { "id": "p-8", "base": 4, "by": "desk-deputy", "state": "expired" },
-        ]})),
+        "GET /v1/plans" => HttpResponse::Ok().json([plan("open"), plan("expired")]),
         "POST /v1/plans/p-7/confirm" => HttpResponse::Ok().json(json!({"plan": "p-7", "version": 5})),
         "POST /v1/plans/p-8/confirm" => refuse(410, 4003, "plan p-8 expired"),
         "POST /v1/plans/p-9/confirm" => HttpResponse::Conflict().json(json!({
             "code": 4002, "message": "version 5 by desk-deputy was accepted since",
-            "changed": ["teams[0].weight"],
+            "advice": "make a new plan from the present version", "base": 4, "version": 5,
+            "by": "desk-deputy", "changes": ["teams[0].weight"],
         })),
         "GET /v1/intent" => HttpResponse::Ok().json(json!({
             "version": 5, "by": "desk-lead",
@@ -121,8 +119,10 @@
         })),
         "POST /v1/keys" => HttpResponse::Created().json(json!({ "version": 6 })),
         "GET /v1/status" => HttpResponse::Ok().json(json!({
-            "node": "entry-1", "version": 6, "lease": { "holder": "entry-2", "fence": 3 },
-            "agents": [{ "node": "agent-1", "zone": "perth-north", "leaving": false }],
+            "node": "entry-1", "zone": "perth-north", "version": 6, "age_ms": 120,
+            "holder": "entry-2", "fence": null,
+            "agents": [{ "node": "agent-1", "incarnation": 77, "backend": "advisor-model-1",
+                "pool": "advisor-model", "zone": "perth-north", "leaving": false }],
         })),
         "GET /v1/usage" => HttpResponse::Ok().json(json!([{ "window": 41, "state": "reported" }])),
         "GET /v1/usage/41" => HttpResponse::Ok().json(json!({
@@ -137,18 +137,21 @@
 
 fn plan(state: &str) -> Value {
     json!({
-        "id": "p-7", "base": 4, "by": "desk-lead", "state": state,
+        "id": "p-7", "base": 4, "by": "desk-lead", "state": state, "changes": ["teams[0].weight"],
         "steps": [
             { "action": "start", "backend": "advisor-model-10", "pool": "advisor-model",
-              "zone": "perth-south", "reason": "demand", "cost": 3_600_000 },
+              "zone": "perth-south", "reason": "demand", "cost": 3_600_000, "ready": true },
+            { "action": "stop", "backend": "billing-app-4", "pool": "billing-app",
+              "zone": "perth-east", "reason": "no demand", "cost": -4_000_000, "ready": true },
             { "action": "refuse", "pool": "billing-app", "zone": "perth-east",
-              "reason": "over spend", "cost": 0 },
+              "reason": "over spend", "cost": 0, "ready": true },
         ],
         "cost": { "per_hour": 3_600_000, "zones": [
             { "zone": "perth-south", "cost": 3_600_000, "spend": 18_000_000 },
         ]},
-        "attainment": [{ "class": "summary", "share": 0.99 }],
-        "expires": "2026-01-01T00:15:00Z",
+        "attainment": [{ "pool": "advisor-model", "class": "summary", "tier": 0, "demand": 900.0,
+            "served": 0.99 }],
+        "expires": 1_767_226_500,
     })
 }
 
--- a/crates/core/src/intent.rs
+++ b/crates/core/src/intent.rs
@@ -15,6 +15,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use check::MAX_BODY;
 pub use check::MODEL_PATHS;
 pub use class::Class;
 pub use fault::Fault;
--- a/crates/core/src/intent/check.rs
+++ b/crates/core/src/intent/check.rs
@@ -6,6 +6,7 @@
 mod teams;
 mod zones;
 
+pub use routes::MAX_BODY;
 pub use routes::MODEL_PATHS;
 
 use super::Fault;
--- a/crates/core/src/intent/check/routes.rs
+++ b/crates/core/src/intent/check/routes.rs
@@ -15,8 +15,8 @@
 /// Methods a route can take.
 const METHODS: [&str; 7] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
 
-/// Largest body of a request, in bytes.
-const MAX_BODY: usize = 64 * 1024 * 1024;
+/// Largest body that a route can take, in bytes.
+pub const MAX_BODY: usize = 16 * 1024 * 1024;
 
 pub(super) fn check(intent: &Intent, findings: &mut findings::Findings) {
     findings.unique(intent.routes.iter().map(|route| &route.name), |i| format!("routes[{i}].name"));
