fix(cli): repeat a change whose outcome is not known

Cause: a key whose giving was answered 'may have been made' was lost, and a confirm had to be repeated by hand, though both have one effect however often they are made.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -3,6 +3,7 @@
 mod check;
 mod keys;
 mod operate;
+mod settle;
 
 use crate::args;
 use crate::demo;
--- a/crates/cli/src/commands/keys.rs
+++ b/crates/cli/src/commands/keys.rs
@@ -4,6 +4,7 @@
 use serde_json::Value;
 use serde_json::json;
 
+use super::settle;
 use crate::api;
 use crate::args;
 use crate::error;
@@ -11,12 +12,14 @@
 use crate::render;
 use crate::secret;
 
+/// Runs one of the commands on keys.
 pub(super) async fn run(command: &args::KeysCommand, json: bool) -> error::CliResult<exit::Exit> {
     match command {
         args::KeysCommand::Give { team, operator } => give(team, operator, json).await,
         args::KeysCommand::Withdraw { digest, operator } => {
             let path = format!("/v1/keys/{}", written(digest));
-            let answer = api::Api::new(operator)?.delete(&path).await?;
+            let api = api::Api::new(operator)?;
+            let answer = settle::settle(|| api.delete(&path)).await?;
             render::print(&answer, json);
             Ok(exit::Exit::Done)
         }
@@ -30,11 +33,12 @@
     let key = secret::new_key();
     let digest = written(&key::Digest::of(&key));
     let body = json!({ "team": team, "digest": digest });
-    let outcome = api.post("/v1/keys", Some(&body)).await;
-    if let (false, Err(error::CliError::Unreachable(..))) = (json, &outcome) {
-        eprintln!(
-            "The key may have been given. It is lost; withdraw it: azuregap keys withdraw {digest}"
-        );
+    let outcome = settle::settle(|| api.post("/v1/keys", Some(&body))).await;
+    if let (false, Err(error)) = (json, &outcome)
+        && settle::is_open(error)
+    {
+        eprintln!("The key may have been given, and is lost. Withdraw it:");
+        eprintln!("azuregap keys withdraw {digest}");
     }
     let mut answer = outcome?;
     answer["team"] = team.into();
--- a/crates/cli/src/commands/operate.rs
+++ b/crates/cli/src/commands/operate.rs
@@ -6,6 +6,7 @@
 use serde_json::Value;
 
 use super::check;
+use super::settle;
 use crate::api;
 use crate::args;
 use crate::documents;
@@ -44,8 +45,9 @@
     json: bool,
 ) -> error::CliResult<exit::Exit> {
     let path = format!("/v1/plans/{id}/confirm");
-    let outcome = api::Api::new(operator)?.post(&path, None).await;
-    if let (false, Err(error::CliError::Unreachable(..))) = (json, &outcome) {
+    let api = api::Api::new(operator)?;
+    let outcome = settle::settle(|| api.post(&path, None)).await;
+    if !json && outcome.as_ref().is_err_and(settle::is_open) {
         eprintln!("The plan may be in force. Confirm it again: that has one effect.");
     }
     render::print(&outcome?, json);
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -122,6 +122,16 @@
     }
 }
 
+#[gtest]
+fn a_key_whose_giving_is_unsettled_is_given_again_with_the_same_digest() {
+    let fake = support::Fake::start();
+    let said = support::run(&["keys", "give", "unsure", "--json", "--entry", &fake.url]);
+    expect_that!(said.exit, some(eq(0)));
+    let got = fake.got();
+    expect_that!(got, len(eq(2)));
+    expect_that!(got[0], eq(&got[1]));
+}
+
 #[gtest]
 fn exit_codes_tell_usage_from_silence() {
     let no_key = support::run_with(&["status"], &[]);
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -88,7 +88,10 @@
 async fn answer(request: HttpRequest, body: web::Bytes, log: web::Data<Log>) -> HttpResponse {
     let call = format!("{} {}", request.method(), request.path());
     let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
-    log.lock().unwrap().push(Got { call: call.clone(), body });
+    let got = Got { call: call.clone(), body };
+    let repeated = log.lock().unwrap().contains(&got);
+    let unsure = got.body["team"] == "unsure" && !repeated;
+    log.lock().unwrap().push(got);
     let key = request.headers().get("authorization").map(|value| value.as_bytes());
     let header = |name: &str| Some(request.headers().get(name)?.to_str().ok()?.to_owned());
     match request.path() {
@@ -97,6 +100,9 @@
         _ if key != Some(format!("Bearer {OPERATOR_KEY}").as_bytes()) => {
             refuse(401, 4007, "no such operator")
         }
+        _ if unsure => HttpResponse::ServiceUnavailable().json(json!({
+            "code": 4001, "message": "the change may have been made", "unsettled": true,
+        })),
         _ => operate(&call),
     }
 }
