--- /dev/null
+++ b/crates/daemon/tests/support/documents.rs
@@ -0,0 +1,120 @@
+//! Settings and intent of the deployment under test.
+
+use std::net;
+
+use azuregap_core::key;
+use serde_json::json;
+
+/// Key of the team that calls.
+pub(crate) const KEY: &str = "key-of-harbour";
+
+/// Key of another team.
+pub(crate) const OTHER_KEY: &str = "key-of-kelp";
+
+/// The model callers ask for.
+pub(crate) const MODEL: &str = "advisor-model";
+
+/// A settings document.
+#[derive(Clone, Debug)]
+pub(crate) struct Document(pub(crate) serde_json::Value);
+
+impl Document {
+    /// Name of the process.
+    pub(crate) fn name(&self) -> &str {
+        self.0["node"].as_str().unwrap()
+    }
+
+    /// An address in it.
+    pub(crate) fn address(&self, field: &str) -> net::SocketAddr {
+        self.0[field].as_str().unwrap().parse().unwrap()
+    }
+
+    /// The JSON text.
+    pub(crate) fn text(&self) -> String {
+        self.0.to_string()
+    }
+}
+
+fn platform(address: net::SocketAddr) -> serde_json::Value {
+    let base = format!("http://{address}");
+    json!({
+        "table": base, "objects": base, "orders": base, "usage": base, "vms": base,
+        "timeout_ms": 1000,
+    })
+}
+
+/// Settings of the entry numbered `i`.
+pub(crate) fn entry(i: usize, platform_at: net::SocketAddr) -> Document {
+    Document(json!({
+        "node": format!("entry-{i}"), "zone": "perth-north",
+        "listen": free_address(), "operators": free_address(), "control": free_address(),
+        "platform": platform(platform_at), "operator_keys": [], "workers": 1,
+        "silence_ms": 1000, "max_stale_ms": 3000, "window_s": 60,
+    }))
+}
+
+/// Settings of the agent beside the backend server at `backend`.
+pub(crate) fn agent(
+    name: &str,
+    pool: &str,
+    backend: net::SocketAddr,
+    platform_at: net::SocketAddr,
+) -> Document {
+    Document(json!({
+        "node": format!("agent-{name}"), "zone": "perth-north", "backend": name, "pool": pool,
+        "engine": format!("http://{backend}"), "model": pool == MODEL, "checks_fence": true,
+        "listen": free_address(), "control": free_address(), "platform": platform(platform_at),
+        "slots": 8, "queue": 64, "heartbeat_ms": 200, "keep_ms": 10_000, "window_s": 60,
+    }))
+}
+
+/// The intent in force.
+pub(crate) fn intent() -> serde_json::Value {
+    let class = |name: &str, tier: u8, deadline_ms: u64| {
+        json!({
+            "name": name, "tier": tier, "first_token_ms": 1000, "token_gap_ms": 50,
+            "floor_percent": 20, "deadline_ms": deadline_ms,
+        })
+    };
+    let plain = |name: &str, idempotent: bool| {
+        json!({
+            "name": name, "prefix": format!("/{name}"), "pool": "billing-app", "class": "ledger",
+            "idempotent": idempotent, "max_body": 65536,
+        })
+    };
+    let chat = json!({
+        "name": "chat", "prefix": "/v1/chat/completions", "methods": ["POST"], "pool": MODEL,
+        "class": "chat", "idempotent": true, "max_body": 1_048_576,
+    });
+    let mut open = plain("open", true);
+    open["open"] = json!(true);
+    let mut tariffs = plain("tariffs", false);
+    tariffs["require_key"] = json!(true);
+    let team = |name: &str| json!({"name": name, "weight": 1});
+    let key = |key: &str, team: &str| json!({"digest": key::Digest::of(key), "team": team});
+    let pool = |name: &str, kind: &str| {
+        json!({
+            "name": name, "kind": kind, "slots": 8, "throughput": 1000, "min_replicas": 1,
+            "max_replicas": 4,
+        })
+    };
+    json!({
+        "classes": [class("chat", 1, 60_000), class("ledger", 0, 10_000)],
+        "teams": [team("harbour"), team("kelp")],
+        "keys": [key(KEY, "harbour"), key(OTHER_KEY, "kelp")],
+        "pools": [pool(MODEL, "model"), pool("billing-app", "plain")],
+        "routes": [chat, plain("lookups", true), plain("credits", false), open, tariffs],
+        "zones": [{
+            "name": "perth-north", "region": "perth-metro", "spend": 100_000_000,
+            "price": 1_000_000,
+        }],
+    })
+}
+
+/// An address on loopback that is free now, on an IP number of this process's own.
+pub(crate) fn free_address() -> net::SocketAddr {
+    let [_, a, b, c] = std::process::id().to_be_bytes();
+    let host = net::Ipv4Addr::new(127, 64 | a, b, c.max(1));
+    let listener = net::TcpListener::bind((host, 0)).unwrap();
+    listener.local_addr().unwrap()
+}
