--- a/crates/daemon/tests/support/cluster.rs
+++ b/crates/daemon/tests/support/cluster.rs
@@ -19,6 +19,9 @@
 
 static CLUSTERS: atomic::AtomicU32 = atomic::AtomicU32::new(0);
 
+/// Lines of each log that are shown after a failure.
+const LOG_LINES: usize = 20;
+
 /// How many of everything there are.
 #[derive(Clone, Debug)]
 pub(crate) struct Shape {
@@ -130,7 +133,8 @@
     /// The processes' logs, for the message of a failure.
     pub(crate) fn logs(&self) -> String {
         let all = self.entries.iter().chain(&self.engine_agents).chain(&self.plain_agents);
-        all.map(|daemon| format!("--- {}\n{}", daemon.settings.name(), daemon.log())).collect()
+        all.map(|daemon| format!("--- {}\n{}", daemon.settings.name(), last_lines(&daemon.log())))
+            .collect()
     }
 
     fn start_platform() -> Self {
@@ -178,6 +182,12 @@
     }
 }
 
+/// The end of a log.
+fn last_lines(log: &str) -> String {
+    let lines: Vec<_> = log.lines().collect();
+    lines[lines.len().saturating_sub(LOG_LINES)..].join("\n") + "\n"
+}
+
 impl Drop for Cluster {
     fn drop(&mut self) {
         if std::thread::panicking() {
@@ -191,6 +201,8 @@
         {
             daemon.kill();
         }
-        let _ = fs::remove_dir_all(&self.folder);
+        if !std::thread::panicking() {
+            let _ = fs::remove_dir_all(&self.folder);
+        }
     }
 }
