--- a/crates/agent/src/answer.rs
+++ b/crates/agent/src/answer.rs
@@ -39,6 +39,7 @@
 struct Content {
     head: Option<Head>,
     bytes: BytesMut,
+    usage: frame::Usage,
     end: Option<End>,
 }
 
@@ -119,10 +120,22 @@
         self.lock().head.is_some()
     }
 
-    /// Adds bytes; answers false when the answer became too large.
+    /// What was used so far.
     #[must_use]
-    pub fn push(&self, bytes: &[u8]) -> bool {
+    pub fn usage(&self) -> frame::Usage {
+        self.lock().usage
+    }
+
+    /// Sets what was used so far.
+    pub fn set_usage(&self, usage: frame::Usage) {
+        self.lock().usage = usage;
+    }
+
+    /// Adds bytes, with what was used up to them; answers false when the answer became too large.
+    #[must_use]
+    pub fn push(&self, bytes: &[u8], usage: frame::Usage) -> bool {
         let mut content = self.lock();
+        content.usage = usage;
         if content.bytes.len() + bytes.len() > MAX_ANSWER {
             return false;
         }
--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -1,19 +1,24 @@
 //! The services of an agent, put together.
 
+use std::sync;
+
+use actix::Actor as _;
+use azuregap_control::configuration;
 use azuregap_control::mailbox;
 use azuregap_control::process;
 use azuregap_control::snapshot;
+use azuregap_control::usage;
 use azuregap_core::settings;
 use azuregap_kernel::error;
 use azuregap_kernel::kernel;
+use azuregap_kernel::registry;
 use azuregap_kernel::service;
 use azuregap_wire::control;
 
-use actix::Actor as _;
-
 use crate::desk;
 use crate::engine;
 use crate::http;
+use crate::orders;
 
 /// Name of the service that holds the desk.
 const DESK: &str = "desk";
@@ -30,56 +35,89 @@
         runs: settings.listen.to_string(),
     };
     let process = process::Process::new(&settings.node, &settings.zone, settings.control, role);
+    let load = desk::SharedLoad::default();
     kernel::Kernel::new()
         .service(mailbox::service(process.clone()))
-        .service(greeting_service(process.clone()))
-        .service(azuregap_control::configuration::service(process.clone(), &settings.platform))
-        .service(desk_service(settings.clone(), process.clone()))
-        .service(runs_service(settings.clone(), process))
+        .service(configuration::service(process.clone(), &settings.platform))
+        .service(usage::service(process.clone(), &settings.platform, settings.window))
+        .service(greeting_service(process.clone(), load.clone()))
+        .service(desk_service(settings.clone(), process.clone(), load.clone()))
+        .service(runs_service(settings.clone(), process, load))
 }
 
-/// Answers greetings, so that entries find this agent.
-fn greeting_service(process: process::Process) -> service::Service {
-    let start = move |registry: azuregap_kernel::registry::Registry| async move {
+/// Answers greetings, so that entries find this agent, and tells the holder of the lease how far
+/// a planned stop is.
+fn greeting_service(process: process::Process, load: desk::SharedLoad) -> service::Service {
+    let start = move |registry: registry::Registry| async move {
         let mailbox = registry.find::<mailbox::Mailbox>(mailbox::Mailbox::NAME)?;
+        let recorder = registry.find::<usage::Recorder>(usage::Recorder::NAME)?;
         mailbox.on(move |message| match &message.body {
             control::Body::Hello(_) => {
                 Some(control::Body::Greeted { peer: process.peer.clone(), known: Vec::new() })
             }
+            control::Body::DrainState => {
+                let load = *load.lock().unwrap_or_else(sync::PoisonError::into_inner);
+                Some(control::Body::Draining { load, unflushed: recorder.unflushed() })
+            }
             _ => None,
         });
         Ok(())
     };
-    service::Service::new("greeting").needs([mailbox::Mailbox::NAME]).start(start)
+    service::Service::new("greeting")
+        .needs([mailbox::Mailbox::NAME, usage::Recorder::NAME])
+        .start(start)
 }
 
-fn desk_service(settings: settings::AgentSettings, process: process::Process) -> service::Service {
-    let start = move |registry: azuregap_kernel::registry::Registry| async move {
-        let configuration = registry.find::<snapshot::Handle>(snapshot::Handle::NAME)?;
-        let load = desk::SharedLoad::default();
-        let engine = engine::Engine::new(&settings.engine, settings.model);
-        let incarnation = process.peer.incarnation;
-        let (handle, shared) = ((*configuration).clone(), load.clone());
-        let desk = desk::Desk::new(settings, incarnation, handle, engine, shared).start();
-        registry.offer(DESK, desk);
-        registry.offer("load", load);
+fn desk_service(
+    settings: settings::AgentSettings,
+    process: process::Process,
+    load: desk::SharedLoad,
+) -> service::Service {
+    let start = move |registry: registry::Registry| async move {
+        let mailbox = registry.find::<mailbox::Mailbox>(mailbox::Mailbox::NAME)?;
+        let orders = orders::Orders::default();
+        let parts = desk::Parts {
+            engine: engine::Engine::new(&settings.engine, settings.model),
+            settings,
+            process,
+            configuration: (*registry.find::<snapshot::Handle>(snapshot::Handle::NAME)?).clone(),
+            recorder: (*registry.find::<usage::Recorder>(usage::Recorder::NAME)?).clone(),
+            load,
+            orders: orders.clone(),
+        };
+        let desk = desk::Desk::new(parts).start();
+        registry.offer(DESK, desk.clone());
+        mailbox.on(move |message| match &message.body {
+            control::Body::Order(order) => {
+                Some(orders.take(order, |order| desk.do_send(desk::CarryOut(order))))
+            }
+            _ => None,
+        });
         Ok(())
     };
-    let stop = |registry: azuregap_kernel::registry::Registry| async move {
+    let stop = |registry: registry::Registry| async move {
         if let Ok(desk) = registry.find::<actix::Addr<desk::Desk>>(DESK) {
             let _ = desk.send(desk::Drain).await;
         }
     };
-    service::Service::new(DESK).needs([snapshot::Handle::NAME]).start(start).stop(stop)
+    service::Service::new(DESK)
+        .needs([snapshot::Handle::NAME, usage::Recorder::NAME])
+        .start(start)
+        .stop(stop)
 }
 
-fn runs_service(settings: settings::AgentSettings, process: process::Process) -> service::Service {
-    let start = move |registry: azuregap_kernel::registry::Registry| async move {
+fn runs_service(
+    settings: settings::AgentSettings,
+    process: process::Process,
+    load: desk::SharedLoad,
+) -> service::Service {
+    let start = move |registry: registry::Registry| async move {
         let front = http::Front {
             desk: (*registry.find::<actix::Addr<desk::Desk>>(DESK)?).clone(),
             incarnation: process.peer.incarnation,
             configuration: (*registry.find::<snapshot::Handle>(snapshot::Handle::NAME)?).clone(),
-            load: (*registry.find::<desk::SharedLoad>("load")?).clone(),
+            mailbox: (*registry.find::<mailbox::Mailbox>(mailbox::Mailbox::NAME)?).clone(),
+            load,
             heartbeat: settings.heartbeat,
         };
         let server = http::serve(front, settings.listen)
@@ -88,7 +126,7 @@
         actix_rt::spawn(server);
         Ok(())
     };
-    let stop = |registry: azuregap_kernel::registry::Registry| async move {
+    let stop = |registry: registry::Registry| async move {
         if let Ok(desk) = registry.find::<actix::Addr<desk::Desk>>(DESK) {
             let _ = desk.send(desk::Drain).await;
         }
--- a/crates/agent/src/desk.rs
+++ b/crates/agent/src/desk.rs
@@ -1,6 +1,9 @@
 //! Takes, queues, runs and keeps requests: the one place that decides what the backend server
 //! runs.
 
+mod messages;
+mod run;
+
 use std::collections;
 use std::sync;
 use std::time;
@@ -8,211 +11,287 @@
 use actix::AsyncContext as _;
 use actix::fut;
 use actix::fut::ActorFutureExt as _;
+use azuregap_control::process;
 use azuregap_control::snapshot;
+use azuregap_control::usage;
 use azuregap_core::code;
 use azuregap_core::ids;
 use azuregap_core::refusal;
 use azuregap_core::settings;
+use azuregap_policy::queue;
+use azuregap_wire::control;
 use azuregap_wire::frame;
-use azuregap_wire::run;
+use azuregap_wire::run as wire_run;
+
+pub use messages::Cancel;
+pub use messages::CarryOut;
+pub use messages::Drain;
+pub use messages::Resume;
+pub use messages::Submit;
 
 use crate::answer;
 use crate::engine;
+use crate::orders;
 
 /// Load shared with the connections, which put it on frames.
 pub type SharedLoad = sync::Arc<sync::Mutex<frame::Load>>;
 
-/// How long an id that was asked for in vain stays refused. It is longer than a TCP connection
+/// How long an id that must not run any more stays refused. It is longer than a TCP connection
 /// retransmits, so that a request that arrives late on an old connection is not run.
 const REFUSED_KEEP: time::Duration = time::Duration::from_secs(20 * 60);
 
 /// Time between two looks at deadlines and abandoned runs.
 const SWEEP: time::Duration = time::Duration::from_millis(100);
 
-/// Where a run stands.
-#[derive(Debug)]
-enum State {
-    Waiting(Box<run::RunRequest>),
-    Running(actix::SpawnHandle),
-    Ended(tokio::time::Instant),
-}
-
-#[derive(Debug)]
-struct Run {
-    answer: sync::Arc<answer::Answer>,
-    idempotent: bool,
-    state: State,
-    /// Since when no connection reads the answer.
-    unread: Option<tokio::time::Instant>,
+/// What a desk is given by the other services of its process.
+#[derive(Clone, Debug)]
+pub struct Parts {
+    /// Settings of the agent.
+    pub settings: settings::AgentSettings,
+    /// This process.
+    pub process: process::Process,
+    /// The configuration in force.
+    pub configuration: snapshot::Handle,
+    /// Takes usage records.
+    pub recorder: usage::Recorder,
+    /// The backend server.
+    pub engine: engine::Engine,
+    /// Load told to entries.
+    pub load: SharedLoad,
+    /// Outcomes of orders.
+    pub orders: orders::Orders,
 }
 
 /// The actor that holds the queue and the runs of one agent.
 #[derive(Debug)]
 pub struct Desk {
-    settings: settings::AgentSettings,
-    incarnation: ids::Incarnation,
-    configuration: snapshot::Handle,
-    engine: engine::Engine,
-    runs: collections::HashMap<ids::RequestId, Run>,
+    parts: Parts,
+    windows: usage::Windows,
+    queue: queue::Queue<()>,
+    /// Version of the configuration that the queue follows.
+    version: ids::Version,
+    runs: collections::HashMap<ids::RequestId, run::Run>,
+    /// Ids that must not run any more.
     refused: collections::HashMap<ids::RequestId, tokio::time::Instant>,
-    waiting: collections::VecDeque<ids::RequestId>,
-    load: SharedLoad,
     stopping: bool,
 }
 
 impl Desk {
-    /// A desk for the backend server named in `settings`.
+    /// A desk for the backend server named in the settings.
     #[must_use]
-    pub fn new(
-        settings: settings::AgentSettings,
-        incarnation: ids::Incarnation,
-        configuration: snapshot::Handle,
-        engine: engine::Engine,
-        load: SharedLoad,
-    ) -> Self {
-        Self {
-            settings,
-            incarnation,
-            configuration,
-            engine,
-            runs: collections::HashMap::new(),
-            refused: collections::HashMap::new(),
-            waiting: collections::VecDeque::new(),
-            load,
-            stopping: false,
-        }
+    pub fn new(parts: Parts) -> Self {
+        let settings = &parts.settings;
+        let queue = queue::Queue::new(queue::Limits::new(settings.slots, settings.queue));
+        let windows = usage::Windows::system(settings.window);
+        let (runs, refused) = (collections::HashMap::new(), collections::HashMap::new());
+        Self { parts, windows, queue, version: 0, runs, refused, stopping: false }
     }
 
-    fn running(&self) -> usize {
-        self.runs.values().filter(|run| matches!(run.state, State::Running(_))).count()
+    const fn incarnation(&self) -> ids::Incarnation {
+        self.parts.process.peer.incarnation
+    }
+
+    /// Takes over tiers, floors and weights when the configuration changed.
+    fn follow(&mut self) {
+        let snapshot = self.parts.configuration.load();
+        if snapshot.version == self.version {
+            return;
+        }
+        self.version = snapshot.version;
+        self.queue.set_classes(&snapshot.intent.classes);
+        self.queue.set_teams(&snapshot.intent.teams);
     }
 
     fn update_load(&self) {
+        let open = self.runs.values().filter(|run| !run.is_ended());
         let load = frame::Load {
-            running: self.running() as u32,
-            waiting: self.waiting.len() as u32,
-            slots: self.settings.slots,
-            backlog: 0,
+            running: self.queue.running() as u32,
+            waiting: self.queue.waiting() as u32,
+            slots: self.parts.settings.slots,
+            backlog: open.map(|run| run.cost).sum(),
         };
-        *self.load.lock().unwrap_or_else(sync::PoisonError::into_inner) = load;
+        *self.parts.load.lock().unwrap_or_else(sync::PoisonError::into_inner) = load;
     }
 
     /// Whether the request may be taken at all.
-    fn admit(&self, request: &run::RunRequest) -> Result<(), refusal::Refusal> {
-        if request.incarnation != self.incarnation {
-            let text = "the agent was restarted";
-            return Err(refusal::Refusal::not_run(code::Code::RunUnknown, text));
+    fn admit(&self, request: &wire_run::RunRequest) -> Result<(), refusal::Refusal> {
+        let refuse = |code, text: &str| Err(refusal::Refusal::not_run(code, text));
+        if request.incarnation != self.incarnation() {
+            return refuse(code::Code::RunUnknown, "the agent was restarted");
         }
         if self.refused.contains_key(&request.id) {
-            let text = "the request was given up before it arrived";
-            return Err(refusal::Refusal::not_run(code::Code::RunUnknown, text));
+            return refuse(code::Code::RunUnknown, "the request was given up before it arrived");
+        }
+        let backend = &self.parts.settings.backend;
+        if self.stopping || self.parts.configuration.load().intent.is_leaving(backend) {
+            return refuse(code::Code::Leaving, "the backend server takes no new work");
         }
-        if self.stopping || self.configuration.load().intent.is_leaving(&self.settings.backend) {
-            let text = format!("backend server '{}' is leaving", self.settings.backend);
-            return Err(refusal::Refusal::not_run(code::Code::Leaving, text));
+        if self.parts.recorder.is_full() {
+            return refuse(code::Code::StoreUnavailable, "too much usage is not durable yet");
         }
         Ok(())
     }
 
     fn submit(
         &mut self,
-        request: run::RunRequest,
+        request: wire_run::RunRequest,
         ctx: &mut actix::Context<Self>,
     ) -> Result<sync::Arc<answer::Answer>, refusal::Refusal> {
         if let Some(run) = self.runs.get(&request.id) {
             return Ok(run.answer.clone());
         }
         self.admit(&request)?;
-        if self.waiting.len() >= self.settings.queue as usize {
-            let text = "the queue is full";
-            return Err(refusal::Refusal::not_run(code::Code::QueueFull, text));
-        }
+        self.follow();
+        let now = tokio::time::Instant::now();
         let id = request.id;
-        let answer = sync::Arc::new(answer::Answer::new(id, request.offset));
-        let idempotent = request.idempotent;
-        let state = State::Waiting(Box::new(request));
-        self.runs.insert(id, Run { answer: answer.clone(), idempotent, state, unread: None });
-        self.waiting.push_back(id);
-        self.start_next(ctx);
+        let job = queue::Job::new(id, request.class.as_str(), request.team.as_str())
+            .tier(request.tier)
+            .cost(request.cost)
+            .deadline(now + request.deadline);
+        let offer = self.queue.offer(now, job, ());
+        for dropped in offer.shed {
+            self.give_up(dropped.job.id, dropped.refusal);
+        }
+        let starts = match offer.decision {
+            queue::Decision::Run(()) => true,
+            queue::Decision::Wait => false,
+            queue::Decision::Refuse { refusal, item: () } => {
+                self.update_load();
+                return Err(refusal);
+            }
+        };
+        let run = run::Run::new(request);
+        let answer = run.answer.clone();
+        self.runs.insert(id, run);
+        if starts {
+            self.start(id, ctx);
+        }
+        self.start_waiting(ctx);
         Ok(answer)
     }
 
-    fn start_next(&mut self, ctx: &mut actix::Context<Self>) {
-        while self.running() < self.settings.slots as usize {
-            let Some(id) = self.waiting.pop_front() else { break };
-            self.start(id, ctx);
+    /// Ends a request that never ran with its final answer.
+    fn give_up(&mut self, id: ids::RequestId, refusal: refusal::Refusal) {
+        let Some(run) = self.runs.get_mut(&id) else { return };
+        tracing::info!(
+            request = format!("{id:032x}"),
+            team = run.team,
+            class = run.class,
+            decision = "given_up",
+            code = refusal.code.number(),
+            not_run = refusal.not_run,
+            why = refusal.message,
+            "queue decision"
+        );
+        run.end(answer::End::Failed(refusal));
+    }
+
+    fn start_waiting(&mut self, ctx: &mut actix::Context<Self>) {
+        while let Some(started) = self.queue.next(tokio::time::Instant::now()) {
+            self.start(started.job.id, ctx);
         }
         self.update_load();
     }
 
     fn start(&mut self, id: ids::RequestId, ctx: &mut actix::Context<Self>) {
+        let engine = self.parts.engine.clone();
         let Some(run) = self.runs.get_mut(&id) else { return };
-        let placeholder = State::Ended(tokio::time::Instant::now());
-        let State::Waiting(request) = std::mem::replace(&mut run.state, placeholder) else {
-            return;
-        };
-        let (engine, answer) = (self.engine.clone(), run.answer.clone());
+        let Some(request) = run.take_request() else { return };
+        let answer = run.answer.clone();
         let work = async move { engine.run(&request, &answer).await };
-        let done = fut::wrap_future::<_, Self>(work).map(move |outcome, desk: &mut Self, ctx| {
-            desk.finish(id, outcome, ctx);
+        let done = fut::wrap_future::<_, Self>(work).map(move |failure, desk: &mut Self, ctx| {
+            desk.finish(id, failure, ctx);
         });
-        run.state = State::Running(ctx.spawn(done));
+        run.state = run::State::Running(ctx.spawn(done));
     }
 
     fn finish(
         &mut self,
         id: ids::RequestId,
-        outcome: engine::Outcome,
+        failure: Option<refusal::Refusal>,
         ctx: &mut actix::Context<Self>,
     ) {
         if let Some(run) = self.runs.get_mut(&id) {
-            run.state = State::Ended(tokio::time::Instant::now());
-            run.answer.finish(match outcome.failure {
-                None => answer::End::Whole(outcome.usage),
+            let usage = run.answer.usage();
+            let whole = failure.is_none();
+            run.end(match failure {
+                None => answer::End::Whole(usage),
                 Some(refusal) => answer::End::Failed(refusal),
             });
+            self.queue.finish(id, usage.prompt + usage.output, tokio::time::Instant::now());
+            if whole {
+                self.bill(id, usage);
+            }
         }
-        self.start_next(ctx);
+        self.start_waiting(ctx);
     }
 
+    /// Records what a request used. A run that failed on our side is not billed; the request is
+    /// billed by the agent that answers it in the end.
+    fn bill(&self, id: ids::RequestId, usage: frame::Usage) {
+        let Some(run) = self.runs.get(&id) else { return };
+        if run.team.is_empty() {
+            return;
+        }
+        self.parts.recorder.record(control::UsageRecord {
+            id,
+            agent: self.parts.process.peer.node.clone(),
+            incarnation: self.incarnation(),
+            window: self.windows.now(),
+            team: run.team.clone(),
+            route: run.route.clone(),
+            usage,
+        });
+    }
+
+    /// Nobody waits any more: what waits is dropped, what may be cut is cut and billed so far.
     fn cancel(&mut self, id: ids::RequestId, ctx: &mut actix::Context<Self>) {
         let Some(run) = self.runs.get_mut(&id) else { return };
-        let not_run = match run.state {
-            State::Waiting(_) => true,
-            State::Running(handle) if run.idempotent => {
+        let text = "nobody waits for the answer";
+        match run.state {
+            run::State::Waiting(_) => {
+                self.queue.cancel(id);
+                let refusal = refusal::Refusal::not_run(code::Code::CallerGone, text);
+                run.end(answer::End::Failed(refusal));
+            }
+            run::State::Running(handle) if run.idempotent => {
                 ctx.cancel_future(handle);
-                false
+                let usage = run.answer.usage();
+                let refusal = refusal::Refusal::may_have_run(code::Code::CallerGone, text);
+                run.end(answer::End::Failed(refusal));
+                self.queue.finish(id, usage.prompt + usage.output, tokio::time::Instant::now());
+                self.bill(id, usage);
             }
-            State::Running(_) | State::Ended(_) => return,
-        };
-        run.state = State::Ended(tokio::time::Instant::now());
-        let (code, message) = (code::Code::CallerGone, "nobody waits for it".to_owned());
-        let refusal = refusal::Refusal { code, not_run, message, retry_after: None };
-        run.answer.finish(answer::End::Failed(refusal));
-        self.waiting.retain(|other| *other != id);
-        self.start_next(ctx);
+            run::State::Running(_) | run::State::Ended(_) => return,
+        }
+        self.start_waiting(ctx);
     }
 
-    /// Drops what was kept long enough and cancels what nobody reads.
+    /// Gives up what waited too long, cancels what nobody reads, drops what was kept long enough.
     fn sweep(&mut self, ctx: &mut actix::Context<Self>) {
         let now = tokio::time::Instant::now();
-        let keep = self.settings.keep;
+        let keep = self.parts.settings.keep;
+        self.follow();
+        for dropped in self.queue.expire(now) {
+            self.give_up(dropped.job.id, dropped.refusal);
+        }
         self.refused.retain(|_, since| now - *since < REFUSED_KEEP);
-        self.runs.retain(|_, run| !matches!(run.state, State::Ended(at) if now - at >= keep));
-        let mut abandoned = Vec::new();
-        for (id, run) in &mut self.runs {
-            if run.answer.readers() > 0 {
-                run.unread = None;
-                continue;
+        let refused = &mut self.refused;
+        self.runs.retain(|id, run| {
+            let over = run.is_over(now, keep);
+            if over {
+                refused.insert(*id, now);
             }
-            let since = *run.unread.get_or_insert(now);
-            if now - since >= keep {
-                abandoned.push(*id);
-            }
-        }
-        for id in abandoned {
+            !over
+        });
+        let unread = self.runs.iter_mut().filter_map(|(id, run)| {
+            let abandoned = run.is_abandoned(now, keep);
+            abandoned.then_some(*id)
+        });
+        for id in unread.collect::<Vec<_>>() {
             self.cancel(id, ctx);
         }
+        self.start_waiting(ctx);
     }
 }
 
@@ -224,93 +303,3 @@
         ctx.run_interval(SWEEP, Self::sweep);
     }
 }
-
-/// Asks for a run; a known id joins the run that exists.
-#[derive(Debug)]
-#[derive(actix::Message)]
-#[rtype(result = "Result<sync::Arc<answer::Answer>, refusal::Refusal>")]
-pub struct Submit(pub run::RunRequest);
-
-impl actix::Handler<Submit> for Desk {
-    type Result = Result<sync::Arc<answer::Answer>, refusal::Refusal>;
-
-    fn handle(&mut self, Submit(request): Submit, ctx: &mut Self::Context) -> Self::Result {
-        let (id, team, class) = (request.id, request.team.clone(), request.class.clone());
-        let result = self.submit(request, ctx);
-        let refusal = result.as_ref().err();
-        tracing::info!(
-            request = format!("{id:032x}"),
-            team,
-            class,
-            decision = if refusal.is_some() { "refused" } else { "taken" },
-            code = refusal.map(|refusal| refusal.code.number()),
-            why = refusal.map(|refusal| refusal.message.as_str()),
-            running = self.running(),
-            waiting = self.waiting.len(),
-            "queue decision"
-        );
-        result
-    }
-}
-
-/// Asks for the rest of an answer.
-#[derive(Debug)]
-#[derive(actix::Message)]
-#[rtype(result = "Result<sync::Arc<answer::Answer>, refusal::Refusal>")]
-pub struct Resume(pub run::ResumeRequest);
-
-impl actix::Handler<Resume> for Desk {
-    type Result = Result<sync::Arc<answer::Answer>, refusal::Refusal>;
-
-    fn handle(&mut self, Resume(request): Resume, _: &mut Self::Context) -> Self::Result {
-        if request.incarnation != self.incarnation {
-            let text = "the agent was restarted; what the earlier one ran is not known";
-            return Err(refusal::Refusal::may_have_run(code::Code::RunUnknown, text));
-        }
-        if let Some(run) = self.runs.get(&request.id) {
-            return Ok(run.answer.clone());
-        }
-        self.refused.insert(request.id, tokio::time::Instant::now());
-        let text = "the request never arrived and will be refused if it does";
-        Err(refusal::Refusal::not_run(code::Code::RunUnknown, text))
-    }
-}
-
-/// Nobody waits for the request any more.
-#[derive(Debug)]
-#[derive(actix::Message)]
-#[rtype(result = "()")]
-pub struct Cancel(pub ids::RequestId);
-
-impl actix::Handler<Cancel> for Desk {
-    type Result = ();
-
-    fn handle(&mut self, Cancel(id): Cancel, ctx: &mut Self::Context) {
-        self.cancel(id, ctx);
-    }
-}
-
-/// Takes no new work from now on; answers when the last run ended.
-#[derive(Debug)]
-#[derive(actix::Message)]
-#[rtype(result = "()")]
-pub struct Drain;
-
-impl actix::Handler<Drain> for Desk {
-    type Result = actix::ResponseActFuture<Self, ()>;
-
-    fn handle(&mut self, Drain: Drain, _: &mut Self::Context) -> Self::Result {
-        self.stopping = true;
-        let load = self.load.clone();
-        let idle = async move {
-            loop {
-                let now = *load.lock().unwrap_or_else(sync::PoisonError::into_inner);
-                if now.running + now.waiting == 0 {
-                    break;
-                }
-                tokio::time::sleep(SWEEP).await;
-            }
-        };
-        Box::pin(fut::wrap_future::<_, Self>(idle))
-    }
-}
--- /dev/null
+++ b/crates/agent/src/desk/messages.rs
@@ -0,0 +1,127 @@
+//! What the desk can be asked.
+
+use std::sync;
+
+use actix::fut;
+use azuregap_core::code;
+use azuregap_core::ids;
+use azuregap_core::refusal;
+use azuregap_wire::control;
+use azuregap_wire::run;
+
+use super::Desk;
+use super::SWEEP;
+use crate::answer;
+
+/// Asks for a run; a known id joins the run that exists.
+#[derive(Debug)]
+#[derive(actix::Message)]
+#[rtype(result = "Result<sync::Arc<answer::Answer>, refusal::Refusal>")]
+pub struct Submit(pub run::RunRequest);
+
+impl actix::Handler<Submit> for Desk {
+    type Result = Result<sync::Arc<answer::Answer>, refusal::Refusal>;
+
+    fn handle(&mut self, Submit(request): Submit, ctx: &mut Self::Context) -> Self::Result {
+        let (id, team, class) = (request.id, request.team.clone(), request.class.clone());
+        let result = self.submit(request, ctx);
+        let refusal = result.as_ref().err();
+        tracing::info!(
+            request = format!("{id:032x}"),
+            team,
+            class,
+            decision = if refusal.is_some() { "refused" } else { "taken" },
+            code = refusal.map(|refusal| refusal.code.number()),
+            why = refusal.map(|refusal| refusal.message.as_str()),
+            running = self.queue.running(),
+            waiting = self.queue.waiting(),
+            "queue decision"
+        );
+        result
+    }
+}
+
+/// Asks for the rest of an answer. An id that is not known will not be run any more.
+#[derive(Debug)]
+#[derive(actix::Message)]
+#[rtype(result = "Result<sync::Arc<answer::Answer>, refusal::Refusal>")]
+pub struct Resume(pub run::ResumeRequest);
+
+impl actix::Handler<Resume> for Desk {
+    type Result = Result<sync::Arc<answer::Answer>, refusal::Refusal>;
+
+    fn handle(&mut self, Resume(request): Resume, _: &mut Self::Context) -> Self::Result {
+        if request.incarnation != self.incarnation() {
+            let text = "the agent was restarted; what the earlier one ran is not known";
+            return Err(refusal::Refusal::may_have_run(code::Code::RunUnknown, text));
+        }
+        if let Some(run) = self.runs.get(&request.id) {
+            return Ok(run.answer.clone());
+        }
+        if self.refused.contains_key(&request.id) {
+            let text = "the answer is not kept any more";
+            return Err(refusal::Refusal::may_have_run(code::Code::RunUnknown, text));
+        }
+        self.refused.insert(request.id, tokio::time::Instant::now());
+        let text = "the request never arrived and will be refused if it does";
+        Err(refusal::Refusal::not_run(code::Code::RunUnknown, text))
+    }
+}
+
+/// Nobody waits for the request any more.
+#[derive(Debug)]
+#[derive(actix::Message)]
+#[rtype(result = "()")]
+pub struct Cancel(pub ids::RequestId);
+
+impl actix::Handler<Cancel> for Desk {
+    type Result = ();
+
+    fn handle(&mut self, Cancel(id): Cancel, ctx: &mut Self::Context) {
+        self.cancel(id, ctx);
+    }
+}
+
+/// Carries an admitted order out at the backend server.
+#[derive(Debug)]
+#[derive(actix::Message)]
+#[rtype(result = "()")]
+pub struct CarryOut(pub control::Order);
+
+impl actix::Handler<CarryOut> for Desk {
+    type Result = actix::ResponseActFuture<Self, ()>;
+
+    fn handle(&mut self, CarryOut(order): CarryOut, _: &mut Self::Context) -> Self::Result {
+        let (engine, orders) = (self.parts.engine.clone(), self.parts.orders.clone());
+        let work = async move {
+            let result = engine.order(&order).await;
+            orders.settle(&order.id, result);
+        };
+        Box::pin(fut::wrap_future::<_, Self>(work))
+    }
+}
+
+/// Takes no new work from now on; answers when the last run ended.
+#[derive(Debug)]
+#[derive(actix::Message)]
+#[rtype(result = "()")]
+pub struct Drain;
+
+impl actix::Handler<Drain> for Desk {
+    type Result = actix::ResponseActFuture<Self, ()>;
+
+    fn handle(&mut self, Drain: Drain, _: &mut Self::Context) -> Self::Result {
+        self.stopping = true;
+        let load = self.parts.load.clone();
+        let idle = async move {
+            loop {
+                let now = *load.lock().unwrap_or_else(sync::PoisonError::into_inner);
+                if now.running + now.waiting == 0 {
+                    break;
+                }
+                tokio::time::sleep(SWEEP).await;
+            }
+        };
+        Box::pin(fut::wrap_future::<_, Self>(idle))
+    }
+}
--- /dev/null
+++ b/crates/agent/src/desk/run.rs
@@ -0,0 +1,81 @@
+//! One request at the desk.
+
+use std::sync;
+use std::time;
+
+use azuregap_core::ids;
+use azuregap_wire::run;
+
+use crate::answer;
+
+/// Where a run stands.
+#[derive(Debug)]
+pub(super) enum State {
+    /// It waits in the queue; the request is taken out when it starts.
+    Waiting(Option<Box<run::RunRequest>>),
+    /// The backend server works on it.
+    Running(actix::SpawnHandle),
+    /// It ended then.
+    Ended(tokio::time::Instant),
+}
+
+/// One request, from its admission until its answer is dropped.
+#[derive(Debug)]
+pub(super) struct Run {
+    pub(super) answer: sync::Arc<answer::Answer>,
+    pub(super) team: ids::TeamId,
+    pub(super) class: ids::ClassId,
+    pub(super) route: String,
+    pub(super) cost: u64,
+    pub(super) idempotent: bool,
+    pub(super) state: State,
+    /// Since when no connection reads the answer.
+    unread: Option<tokio::time::Instant>,
+}
+
+impl Run {
+    pub(super) fn new(request: run::RunRequest) -> Self {
+        Self {
+            answer: sync::Arc::new(answer::Answer::new(request.id, request.offset)),
+            team: request.team.clone(),
+            class: request.class.clone(),
+            route: request.route.clone(),
+            cost: request.cost,
+            idempotent: request.idempotent,
+            state: State::Waiting(Some(Box::new(request))),
+            unread: None,
+        }
+    }
+
+    /// Takes the request out, once.
+    pub(super) fn take_request(&mut self) -> Option<Box<run::RunRequest>> {
+        match &mut self.state {
+            State::Waiting(request) => request.take(),
+            State::Running(_) | State::Ended(_) => None,
+        }
+    }
+
+    pub(super) const fn is_ended(&self) -> bool {
+        matches!(self.state, State::Ended(_))
+    }
+
+    pub(super) fn end(&mut self, end: answer::End) {
+        self.state = State::Ended(tokio::time::Instant::now());
+        self.answer.finish(end);
+    }
+
+    /// Whether it ended at least `keep` ago.
+    pub(super) fn is_over(&self, now: tokio::time::Instant, keep: time::Duration) -> bool {
+        matches!(self.state, State::Ended(at) if now.saturating_duration_since(at) >= keep)
+    }
+
+    /// Whether no connection has read the answer for `keep`.
+    pub(super) fn is_abandoned(&mut self, now: tokio::time::Instant, keep: time::Duration) -> bool {
+        if self.is_ended() || self.answer.readers() > 0 {
+            self.unread = None;
+            return false;
+        }
+        let since = *self.unread.get_or_insert(now);
+        now.saturating_duration_since(since) >= keep
+    }
+}
--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -7,12 +7,13 @@
 use awc::http::uri;
 use azuregap_core::code;
 use azuregap_core::refusal;
-use azuregap_wire::frame;
+use azuregap_wire::control;
 use azuregap_wire::run;
 use futures::StreamExt as _;
 
 use crate::answer;
 use crate::meter;
+use crate::orders;
 
 /// Header by which the backend server learns the request id.
 pub const ID_HEADER: &str = "x-request-id";
@@ -23,6 +24,12 @@
 /// Header by which an engine learns how many bytes of the answer exist already.
 pub const OFFSET_HEADER: &str = "x-resume-offset";
 
+/// Path at which an engine takes orders.
+const ORDERS_PATH: &str = "/orders";
+
+/// How long an order may take.
+const ORDER_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+
 /// How long a backend server may be silent within an answer.
 pub const STALL: time::Duration = time::Duration::from_secs(5);
 
@@ -53,47 +60,66 @@
         Self { base: base.into(), model, client }
     }
 
-    /// Runs `request` once, writing into `answer`; gives what was used, also when it failed.
-    pub async fn run(&self, request: &run::RunRequest, answer: &answer::Answer) -> Outcome {
-        let mut meter = meter::Meter::new(false);
-        let call = self.call(request, answer, &mut meter);
-        let end = match tokio::time::timeout(request.deadline, call).await {
+    /// Runs `request` once, writing answer and usage into `answer`; gives why it failed, if so.
+    pub async fn run(
+        &self,
+        request: &run::RunRequest,
+        answer: &answer::Answer,
+    ) -> Option<refusal::Refusal> {
+        let call = self.call(request, answer);
+        match tokio::time::timeout(request.deadline, call).await {
             Ok(Ok(())) => None,
             Ok(Err(refusal)) => Some(refusal),
             Err(_) => Some(failed(code::Code::DeadlinePassed, "the deadline passed")),
-        };
-        Outcome { usage: meter.usage(), failure: end }
+        }
     }
 
     async fn call(
         &self,
         request: &run::RunRequest,
         answer: &answer::Answer,
-        meter: &mut meter::Meter,
     ) -> Result<(), refusal::Refusal> {
         let mut response = self.send(request).await?;
         let status = response.status();
         if self.model && status.is_server_error() {
             return Err(backend(format!("the engine answered {status}")));
         }
-        let headers = kept_headers(response.headers());
         let stream = self.model && is_events(response.headers());
-        *meter = meter::Meter::new(stream);
+        let mut meter = meter::Meter::new(stream);
+        let headers = kept_headers(response.headers());
         answer.set_head(answer::Head { status: status.as_u16(), headers });
         loop {
             let next = tokio::time::timeout(STALL, response.next()).await;
             match next.map_err(|_| backend("the answer stalled"))? {
                 Some(Ok(bytes)) => {
                     meter.push(&bytes);
-                    if !answer.push(&bytes) {
+                    if !answer.push(&bytes, meter.so_far()) {
                         return Err(backend("the answer is too large"));
                     }
                 }
                 Some(Err(error)) => return Err(backend(error)),
-                None if meter.is_done() => return Ok(()),
+                None if meter.is_done() => break,
                 None => return Err(backend("the stream ended without its last event")),
             }
         }
+        answer.set_usage(meter.finish());
+        Ok(())
+    }
+
+    /// Carries an order out at the backend server.
+    pub async fn order(&self, order: &control::Order) -> orders::Outcome {
+        let url = format!("{}{ORDERS_PATH}", self.base);
+        let call = self.client.post(url).timeout(ORDER_TIMEOUT).send_json(order);
+        match call.await {
+            Ok(response) if response.status().is_success() => orders::Outcome::Done,
+            Ok(response) if response.status().is_client_error() => {
+                orders::Outcome::Refused(format!("the engine answered {}", response.status()))
+            }
+            Ok(response) => {
+                orders::Outcome::Unknown(format!("the engine answered {}", response.status()))
+            }
+            Err(error) => orders::Outcome::Unknown(error.to_string()),
+        }
     }
 
     async fn send(
@@ -128,15 +154,6 @@
     }
 }
 
-/// What a run came to.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Outcome {
-    /// What is billed.
-    pub usage: frame::Usage,
-    /// Why it failed, if it did.
-    pub failure: Option<refusal::Refusal>,
-}
-
 fn kept_headers(headers: &header::HeaderMap) -> Vec<run::Header> {
     headers
         .iter()
--- a/crates/agent/src/http.rs
+++ b/crates/agent/src/http.rs
@@ -6,6 +6,7 @@
 use std::time;
 
 use actix_web::web;
+use azuregap_control::mailbox;
 use azuregap_control::snapshot;
 use azuregap_core::code;
 use azuregap_core::ids;
@@ -33,6 +34,8 @@
     pub incarnation: ids::Incarnation,
     /// The configuration in force.
     pub configuration: snapshot::Handle,
+    /// Hears of newer configurations.
+    pub mailbox: mailbox::Mailbox,
     /// The agent's load.
     pub load: desk::SharedLoad,
     /// Time between two heartbeats on a running answer.
@@ -72,6 +75,7 @@
         Err(refusal) => return refuse(&front, refusal),
     };
     let offset = request.offset;
+    front.mailbox.note(&request.entry, None, request.version);
     let result = front.desk.send(desk::Submit(request)).await;
     respond(&front, result, offset)
 }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod engine;
 pub mod http;
 pub mod meter;
+pub mod orders;
--- a/crates/agent/src/meter.rs
+++ b/crates/agent/src/meter.rs
@@ -69,10 +69,16 @@
 
     /// What was used so far. Without figures from the engine the chunks are counted.
     #[must_use]
-    pub fn usage(&mut self) -> frame::Usage {
-        if !self.stream && !self.told {
-            let line = std::mem::take(&mut self.line);
-            self.read(&line);
+    pub const fn so_far(&self) -> frame::Usage {
+        self.usage
+    }
+
+    /// What was used, now that the answer is whole.
+    #[must_use]
+    pub fn finish(mut self) -> frame::Usage {
+        if !self.stream {
+            let document = std::mem::take(&mut self.line);
+            self.read(&document);
         }
         self.usage
     }
--- a/crates/cli/src/demo/run.rs
+++ b/crates/cli/src/demo/run.rs
@@ -64,7 +64,12 @@
 fn put_in_force(cluster: &cluster::Cluster, intent: &intent::Intent) -> error::CliResult<()> {
     let unusable = |error: serde_json::Error| error::CliError::Answer(error.to_string());
     let text = serde_json::to_string(intent).map_err(unusable)?;
-    let row = configuration::ConfigurationRow { version: 1, by: "demo".to_owned(), text };
+    let row = configuration::ConfigurationRow {
+        version: 1,
+        by: "demo".to_owned(),
+        text,
+        ..configuration::ConfigurationRow::default()
+    };
     let row = serde_json::to_value(row).map_err(unusable)?;
     let write = table::Transaction::new().put(configuration::CURRENT, row);
     cluster.platform.table.with(|state| state.apply(table::TableCall::Commit(write)));
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -1,8 +1,16 @@
 //! The services of an entry, put together.
 
+use azuregap_control::configuration;
 use azuregap_control::directory;
+use azuregap_control::holder;
+use azuregap_control::intent_api;
+use azuregap_control::mailbox;
+use azuregap_control::membership;
+use azuregap_control::placement;
 use azuregap_control::process;
+use azuregap_control::reports;
 use azuregap_control::snapshot;
+use azuregap_control::usage;
 use azuregap_core::settings;
 use azuregap_kernel::error;
 use azuregap_kernel::kernel;
@@ -10,9 +18,9 @@
 use azuregap_kernel::service;
 use azuregap_wire::control;
 
-use crate::balance;
 use crate::dispatch;
 use crate::http;
+use crate::router;
 
 /// Name of the service that listens for callers.
 const CALLERS: &str = "callers";
@@ -22,10 +30,16 @@
 pub fn kernel(settings: &settings::EntrySettings) -> kernel::Kernel {
     let role = control::Role::Entry;
     let process = process::Process::new(&settings.node, &settings.zone, settings.control, role);
+    let (platform, window) = (&settings.platform, settings.window);
     kernel::Kernel::new()
-        .service(azuregap_control::mailbox::service(process.clone()))
-        .service(azuregap_control::configuration::service(process.clone(), &settings.platform))
-        .service(azuregap_control::membership::service(process, &settings.platform))
+        .service(mailbox::service(process.clone()))
+        .service(configuration::service(process.clone(), platform))
+        .service(membership::service(process.clone(), platform))
+        .service(usage::copies(process.clone(), platform, window))
+        .service(holder::service(process, platform))
+        .service(placement::service(platform))
+        .service(reports::service(platform, window))
+        .service(intent_api::service(settings))
         .service(callers_service(settings.clone()))
 }
 
@@ -36,10 +50,13 @@
             configuration: (*registry.find::<snapshot::Handle>(snapshot::Handle::NAME)?).clone(),
             directory: (*registry.find::<directory::Directory>(directory::Directory::NAME)?)
                 .clone(),
-            balance: balance::Balance::default(),
+            mailbox: (*registry.find::<mailbox::Mailbox>(mailbox::Mailbox::NAME)?).clone(),
+            router: router::Router::new(&settings.node, &settings.zone),
+            copies: (*registry.find::<usage::Copies>(usage::Copies::NAME)?).clone(),
+            windows: usage::Windows::system(settings.window),
             silence: settings.silence,
         };
-        let server = http::serve(shared, settings.listen, settings.workers, settings.max_stale)
+        let server = http::serve(shared, &settings)
             .map_err(|error| error::KernelError::Failed(CALLERS.to_owned(), error.to_string()))?;
         registry.offer(CALLERS, server.handle());
         actix_rt::spawn(server);
@@ -51,7 +68,7 @@
         }
     };
     service::Service::new(CALLERS)
-        .needs([snapshot::Handle::NAME, "membership"])
+        .needs([snapshot::Handle::NAME, "membership", usage::Copies::NAME])
         .start(start)
         .stop(stop)
 }
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -1,21 +1,30 @@
 //! Sees one job through: attempts, lost connections, resumes and retries.
 
+mod event;
+mod shared;
+
 use std::time;
 
 use azuregap_control::directory;
-use azuregap_control::snapshot;
 use azuregap_core::code;
 use azuregap_core::ids;
 use azuregap_core::refusal;
+use azuregap_policy::retry;
+use azuregap_wire::control;
 use azuregap_wire::frame;
 use azuregap_wire::run;
 use bytes::Bytes;
 use bytes::BytesMut;
 use tokio::sync::mpsc;
 
-use crate::balance;
+pub use event::Event;
+pub use event::Whole;
+pub use shared::Shared;
+
+use crate::claims;
 use crate::job;
 use crate::link;
+use crate::sight;
 
 /// Largest answer that is held back until it is whole, in bytes.
 pub const MAX_HELD: usize = 1024 * 1024;
@@ -26,54 +35,6 @@
 /// Time between two attempts to reach an agent again.
 const RESUME_PAUSE: time::Duration = time::Duration::from_millis(300);
 
-/// Agents tried for one job.
-const MAX_TRIED: usize = 4;
-
-/// When a caller may come back if no replica was found.
-const COME_BACK: time::Duration = time::Duration::from_secs(1);
-
-/// What a job shares with the others of its entry.
-#[derive(Clone, Debug)]
-pub struct Shared {
-    /// Name of this entry.
-    pub node: ids::NodeId,
-    /// The configuration in force.
-    pub configuration: snapshot::Handle,
-    /// The agents known.
-    pub directory: directory::Directory,
-    /// Chooses among them.
-    pub balance: balance::Balance,
-    /// How long an answer may be silent before the entry asks again.
-    pub silence: time::Duration,
-}
-
-/// What the caller's connection gets, in order.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Event {
-    /// The answer as a whole.
-    Whole {
-        /// HTTP status.
-        status: u16,
-        /// Headers.
-        headers: Vec<run::Header>,
-        /// Body.
-        body: Bytes,
-    },
-    /// The start of an answer that comes piece by piece.
-    Head {
-        /// HTTP status.
-        status: u16,
-        /// Headers.
-        headers: Vec<run::Header>,
-    },
-    /// The next piece.
-    Data(Bytes),
-    /// The answer is whole.
-    End,
-    /// The job failed or was refused.
-    Failed(refusal::Refusal),
-}
-
 /// How one attempt ended.
 #[derive(Debug)]
 enum Attempt {
@@ -87,6 +48,17 @@
     CallerGone,
 }
 
+/// How the single attempt of a claimed job ended.
+#[derive(Debug)]
+pub enum Once {
+    /// It ran; this is the whole answer, and the caller has it.
+    Whole(Whole),
+    /// It certainly did not run.
+    NotRun(refusal::Refusal),
+    /// What became of it is not known.
+    Lost,
+}
+
 /// A job under way.
 #[derive(Debug)]
 pub struct Dispatch {
@@ -98,6 +70,8 @@
     held: Option<(u16, Vec<run::Header>)>,
     /// Bytes held back.
     kept: BytesMut,
+    /// The whole answer of a claimed job.
+    whole: Option<Whole>,
     /// Whether the head went out to the caller.
     committed: bool,
     /// Bytes of the answer received so far.
@@ -113,23 +87,121 @@
         job: job::Job,
         out: mpsc::Sender<Event>,
     ) -> Self {
-        let (held, kept) = (None, BytesMut::new());
-        Self { shared, clients, job, out, held, kept, committed: false, offset: 0 }
+        let (held, kept, whole) = (None, BytesMut::new(), None);
+        Self { shared, clients, job, out, held, kept, whole, committed: false, offset: 0 }
     }
 
     /// Runs the job to its end.
-    pub async fn run(mut self) {
-        let deadline = self.job.deadline;
-        let end = tokio::time::timeout_at(deadline, self.attempts()).await;
-        let failure = match end {
-            Ok(failure) => failure,
-            Err(_) => Some(self.late()),
+    pub async fn run(mut self, stores: claims::Stores) {
+        if let Err(refusal) = self.shared.router.admit(&self.job.team) {
+            let _ = self.out.send(Event::Failed(refusal)).await;
+            return;
+        }
+        let failure = match self.claim_key() {
+            Some(key) => claims::run(&mut self, &stores, &key).await,
+            None => {
+                let deadline = self.job.deadline;
+                let end = tokio::time::timeout_at(deadline, self.attempts()).await;
+                end.unwrap_or_else(|_| Some(self.late()))
+            }
         };
+        self.shared.router.release(&self.job.team);
         if let Some(refusal) = failure {
             let _ = self.out.send(Event::Failed(refusal)).await;
         }
     }
 
+    /// The job.
+    #[must_use]
+    pub const fn job(&self) -> &job::Job {
+        &self.job
+    }
+
+    /// HTTP clients towards agents.
+    #[must_use]
+    pub const fn clients(&self) -> &link::Clients {
+        &self.clients
+    }
+
+    /// Request id as callers and logs see it.
+    #[must_use]
+    pub fn id_text(&self) -> String {
+        format!("{:032x}", self.job.id)
+    }
+
+    /// The agent called `node`, if it is known.
+    #[must_use]
+    pub fn agent(&self, node: &str) -> Option<directory::Agent> {
+        self.shared.router.agent(node)
+    }
+
+    /// Chooses an agent, leaving out those in `tried`.
+    ///
+    /// # Errors
+    ///
+    /// A refusal, nothing run, when no agent can take the job.
+    pub fn choose(&self, tried: &[ids::NodeId]) -> Result<directory::Agent, refusal::Refusal> {
+        self.shared.follow();
+        let (agent, choice) = self.shared.router.choose(&self.job, tried)?;
+        tracing::info!(
+            request = self.id_text(),
+            team = self.job.team,
+            class = self.job.class.name,
+            route = self.job.route.name,
+            decision = "chosen",
+            agent = agent.node,
+            zone = agent.zone,
+            why = ?choice.reason,
+            fill = choice.fill,
+            other = choice.other,
+            eligible = choice.eligible,
+            left_out = choice.left_out,
+            "routing decision"
+        );
+        Ok(agent)
+    }
+
+    /// Another agent for a claimed job that was refused, if the retry policy allows one.
+    pub async fn next_agent(
+        &self,
+        refusal: &refusal::Refusal,
+        tried: &[ids::NodeId],
+    ) -> Option<directory::Agent> {
+        match self.verdict(refusal.clone(), tried.len()) {
+            retry::Verdict::Retry { after } => {
+                tokio::time::sleep(after).await;
+                self.choose(tried).ok()
+            }
+            retry::Verdict::GiveUp { .. } => None,
+        }
+    }
+
+    /// Makes the single attempt of a claimed job.
+    pub async fn once(&mut self, agent: &directory::Agent) -> Once {
+        self.restart();
+        let deadline = self.job.deadline;
+        let attempt = tokio::time::timeout_at(deadline, self.attempt(agent)).await;
+        match attempt {
+            Ok(Attempt::Done) => self.whole.take().map_or(Once::Lost, Once::Whole),
+            Ok(Attempt::Refused(refusal)) if refusal.not_run => {
+                self.log_failure(agent, &refusal);
+                Once::NotRun(refusal)
+            }
+            Ok(Attempt::Refused(_) | Attempt::Lost(_) | Attempt::CallerGone) | Err(_) => Once::Lost,
+        }
+    }
+
+    /// Gives the caller the answer of an earlier request.
+    pub async fn repeat(&self, whole: Whole) {
+        tracing::info!(request = self.id_text(), decision = "repeated", "routing decision");
+        let _ = self.out.send(Event::Whole(whole)).await;
+    }
+
+    /// The key of the claim, for a job that must run at most once and carries one.
+    fn claim_key(&self) -> Option<String> {
+        if self.job.route.idempotent { None } else { self.job.claim.clone() }
+    }
+
     fn late(&self) -> refusal::Refusal {
         let code = if self.job.route.idempotent {
             code::Code::DeadlinePassed
@@ -143,15 +215,13 @@
     async fn attempts(&mut self) -> Option<refusal::Refusal> {
         let mut tried = Vec::new();
         let mut last = None;
-        while tried.len() < MAX_TRIED {
-            let agents = self.shared.directory.load();
-            let Some(agent) = self.shared.balance.choose(&self.job, &agents, &tried) else { break };
+        loop {
+            let agent = match self.choose(&tried) {
+                Ok(agent) => agent,
+                Err(refusal) => return Some(last.unwrap_or(refusal)),
+            };
             tried.push(agent.node.clone());
-            self.log("chosen", &agent, None);
-            self.shared.balance.begin(&agent.node);
-            let attempt = self.attempt(&agent).await;
-            self.shared.balance.end(&agent.node);
-            let refusal = match attempt {
+            let refusal = match self.attempt(&agent).await {
                 Attempt::Done => return None,
                 Attempt::CallerGone => {
                     self.cancel(&agent).await;
@@ -163,33 +233,32 @@
                     refusal::Refusal::may_have_run(code::Code::OutcomeUnknown, text)
                 }
             };
-            self.log("failed", &agent, Some(&refusal));
-            if !self.may_retry(&refusal) {
+            self.log_failure(&agent, &refusal);
+            // What went out of a plain service's answer cannot be continued by another replica.
+            if self.committed && !self.job.model {
                 return Some(self.final_failure(refusal));
             }
+            match self.verdict(refusal.clone(), tried.len()) {
+                retry::Verdict::Retry { after } => tokio::time::sleep(after).await,
+                retry::Verdict::GiveUp { refusal } => return Some(self.final_failure(refusal)),
+            }
             self.restart();
             last = Some(refusal);
         }
-        Some(last.unwrap_or_else(|| {
-            let text = format!("no backend server of pool '{}' takes work", self.job.route.pool);
-            refusal::Refusal::not_run(code::Code::NoReplica, text).retry_after(COME_BACK)
-        }))
     }
 
-    /// Only what did not run or may run twice goes to another agent.
-    fn may_retry(&self, refusal: &refusal::Refusal) -> bool {
-        if refusal.code == code::Code::KeyWithdrawnRunning {
-            return false;
-        }
-        let resumable = !self.committed || self.job.model;
-        refusal.not_run || (self.job.route.idempotent && resumable)
+    fn verdict(&self, refusal: refusal::Refusal, count: usize) -> retry::Verdict {
+        let attempt = retry::Attempt::new(self.job.deadline, refusal)
+            .count(u32::try_from(count).unwrap_or(u32::MAX))
+            .idempotent(self.job.route.idempotent);
+        self.shared.router.decide(&self.job.team, attempt)
     }
 
     fn final_failure(&self, refusal: refusal::Refusal) -> refusal::Refusal {
         if refusal.not_run || self.job.route.idempotent {
             return refusal;
         }
-        refusal::Refusal { code: code::Code::OutcomeUnknown, ..refusal }
+        refusal::Refusal { code: code::Code::OutcomeUnknown, retry_after: None, ..refusal }
     }
 
     /// Forgets what was held back of a failed attempt.
@@ -201,14 +270,26 @@
         }
     }
 
+    /// Sends the job to `agent` and follows its answer, over new connections if need be.
     async fn attempt(&mut self, agent: &directory::Agent) -> Attempt {
-        let request = self.request(agent);
+        let mut sight = sight::Sight::new(self.shared.router.clone(), agent.clone());
+        let attempt = self.follow(agent, &mut sight).await;
+        match &attempt {
+            Attempt::Done | Attempt::CallerGone => sight.done(),
+            Attempt::Refused(refusal) => sight.refused(refusal),
+            Attempt::Lost(_) => sight.lost(),
+        }
+        attempt
+    }
+
+    async fn follow(&mut self, agent: &directory::Agent, sight: &mut sight::Sight) -> Attempt {
         let silence = self.shared.silence;
+        let request = self.request(agent);
         let mut link = self.clients.run(&agent.runs, &request, silence).await;
         let mut failures = 0;
         loop {
             let reason = match link {
-                Ok(mut open) => match self.follow(&mut open, agent, &mut failures).await {
+                Ok(mut open) => match self.read(&mut open, agent, sight, &mut failures).await {
                     Ok(attempt) => return attempt,
                     Err(error) => error.to_string(),
                 },
@@ -226,7 +307,7 @@
                 tokio::time::sleep(RESUME_PAUSE).await;
             }
             tracing::info!(
-                request = format!("{:032x}", self.job.id),
+                request = self.id_text(),
                 decision = "resume",
                 agent = agent.node,
                 offset = self.offset,
@@ -244,10 +325,11 @@
     }
 
     /// Passes frames on until the answer ends or the connection fails.
-    async fn follow(
+    async fn read(
         &mut self,
         link: &mut link::Link,
         agent: &directory::Agent,
+        sight: &mut sight::Sight,
         failures: &mut u32,
     ) -> Result<Attempt, link::LinkError> {
         loop {
@@ -259,7 +341,7 @@
                 let refusal = refusal::Refusal::may_have_run(code, "the key was withdrawn");
                 return Ok(Attempt::Refused(refusal));
             }
-            if let Some(end) = self.take(frame, agent).await? {
+            if let Some(end) = self.take(frame, agent, sight).await? {
                 return Ok(end);
             }
         }
@@ -269,20 +351,22 @@
         &mut self,
         frame: frame::Frame,
         agent: &directory::Agent,
+        sight: &mut sight::Sight,
     ) -> Result<Option<Attempt>, link::LinkError> {
         let cut = |reason: &str| Err(link::LinkError::Cut(reason.to_owned()));
         match frame {
-            frame::Frame::Accepted { id, incarnation, load, .. } => {
-                self.shared.balance.told(&agent.node, load);
+            frame::Frame::Accepted { id, incarnation, load, version } => {
                 if id != self.job.id || incarnation != agent.incarnation {
                     return cut("an answer to another request");
                 }
+                self.shared.router.report(agent, load);
+                self.shared.mailbox.note(&agent.node, Some(&agent.control), version);
+                sight.accepted();
             }
             frame::Frame::Heartbeat { load } => {
-                self.shared.balance.told(&agent.node, load);
-                if self.out.is_closed() {
-                    return Ok(Some(Attempt::CallerGone));
-                }
+                self.shared.router.report(agent, load);
+                sight.waited();
+                return Ok(self.caller_gone().then_some(Attempt::CallerGone));
             }
             frame::Frame::Head { status, headers } => {
                 if !self.committed && self.held.is_none() {
@@ -293,30 +377,34 @@
                 if offset != self.offset {
                     return cut("a piece of the answer is missing");
                 }
+                sight.data(&bytes);
                 self.offset += bytes.len() as u64;
                 return Ok(self.take_data(bytes).await);
             }
-            frame::Frame::End { length, load, .. } => {
-                self.shared.balance.told(&agent.node, load);
+            frame::Frame::End { length, usage, load } => {
+                self.shared.router.report(agent, load);
                 if length != self.offset {
                     return cut("the answer is shorter than announced");
                 }
+                self.keep_record(agent, usage);
+                self.shared.router.learn(&self.job, usage);
                 return Ok(Some(self.take_end().await));
             }
             frame::Frame::Refused { refusal, load } => {
-                self.shared.balance.told(&agent.node, load);
+                self.shared.router.report(agent, load);
                 return Ok(Some(Attempt::Refused(refusal)));
             }
         }
         Ok(None)
     }
 
-    /// Streams of events go out at once, anything else is held back until it is whole.
+    /// Streams of events go out at once, anything else is held back until it is whole. So is
+    /// every answer of a claimed job, which is stored for repeats.
     async fn take_head(&mut self, status: u16, headers: Vec<run::Header>) -> Option<Attempt> {
         let stream = headers.iter().any(|header| {
             header.name == "content-type" && header.value.starts_with("text/event-stream")
         });
-        if stream {
+        if stream && self.claim_key().is_none() {
             self.committed = true;
             return self.tell(Event::Head { status, headers }).await;
         }
@@ -329,7 +417,7 @@
             return self.tell(Event::Data(bytes)).await;
         }
         self.kept.extend_from_slice(&bytes);
-        if self.kept.len() <= MAX_HELD {
+        if self.kept.len() <= MAX_HELD || self.claim_key().is_some() {
             return None;
         }
         let (status, headers) = self.held.take()?;
@@ -342,7 +430,9 @@
     async fn take_end(&mut self) -> Attempt {
         let event = match self.held.take() {
             Some((status, headers)) => {
-                Event::Whole { status, headers, body: self.kept.split().freeze() }
+                let whole = Whole { status, headers, body: self.kept.split().freeze() };
+                self.whole = self.claim_key().map(|_| whole.clone());
+                Event::Whole(whole)
             }
             None => Event::End,
         };
@@ -354,6 +444,11 @@
         self.out.send(event).await.is_err().then_some(Attempt::CallerGone)
     }
 
+    /// A claimed job is followed to its end also without its caller, for repeats.
+    fn caller_gone(&self) -> bool {
+        self.out.is_closed() && self.claim_key().is_none()
+    }
+
     /// A withdrawn key ends what may be run again; a call that may not is let end.
     fn key_withdrawn(&self) -> bool {
         let Some(key) = &self.job.key else { return false };
@@ -362,6 +457,22 @@
         !valid && self.job.route.idempotent
     }
 
+    /// Keeps a copy of what the agent bills, until it is durable.
+    fn keep_record(&self, agent: &directory::Agent, usage: frame::Usage) {
+        if self.job.team.is_empty() {
+            return;
+        }
+        self.shared.copies.keep(control::UsageRecord {
+            id: self.job.id,
+            agent: agent.node.clone(),
+            incarnation: agent.incarnation,
+            window: self.shared.windows.now(),
+            team: self.job.team.clone(),
+            route: self.job.route.name.clone(),
+            usage,
+        });
+    }
+
     async fn cancel(&self, agent: &directory::Agent) {
         let request = run::CancelRequest { protocol: azuregap_wire::PROTOCOL, id: self.job.id };
         self.clients.cancel(&agent.runs, &request).await;
@@ -390,18 +501,17 @@
         }
     }
 
-    fn log(&self, decision: &str, agent: &directory::Agent, refusal: Option<&refusal::Refusal>) {
+    fn log_failure(&self, agent: &directory::Agent, refusal: &refusal::Refusal) {
         tracing::info!(
-            request = format!("{:032x}", self.job.id),
+            request = self.id_text(),
             team = self.job.team,
             class = self.job.class.name,
             route = self.job.route.name,
-            decision,
+            decision = "failed",
             agent = agent.node,
-            zone = agent.zone,
-            code = refusal.map(|refusal| refusal.code.number()),
-            not_run = refusal.map(|refusal| refusal.not_run),
-            why = refusal.map(|refusal| refusal.message.as_str()),
+            code = refusal.code.number(),
+            not_run = refusal.not_run,
+            why = refusal.message,
             "routing decision"
         );
     }
--- /dev/null
+++ b/crates/entry/src/dispatch/shared.rs
@@ -0,0 +1,42 @@
+//! What a job shares with the others of its entry.
+
+use std::time;
+
+use azuregap_control::directory;
+use azuregap_control::mailbox;
+use azuregap_control::snapshot;
+use azuregap_control::usage;
+use azuregap_core::ids;
+use azuregap_platform::vms;
+
+use crate::router;
+
+/// What a job shares with the others of its entry.
+#[derive(Clone, Debug)]
+pub struct Shared {
+    /// Name of this entry.
+    pub node: ids::NodeId,
+    /// The configuration in force.
+    pub configuration: snapshot::Handle,
+    /// The agents known.
+    pub directory: directory::Directory,
+    /// Asks other processes; hears of newer configurations.
+    pub mailbox: mailbox::Mailbox,
+    /// Decides for all jobs.
+    pub router: router::Router,
+    /// Copies of usage records.
+    pub copies: usage::Copies,
+    /// Numbers of usage windows.
+    pub windows: usage::Windows,
+    /// How long an answer may be silent before the entry asks again.
+    pub silence: time::Duration,
+}
+
+impl Shared {
+    /// Brings the router in step with the configuration and the agents.
+    pub fn follow(&self) {
+        let peers = self.mailbox.peers();
+        let entries = peers.iter().filter(|vm| vm.kind == vms::VmKind::Entry && !vm.leaving);
+        self.router.follow(&self.configuration.load(), &self.directory.load(), entries.count());
+    }
+}
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -1,7 +1,6 @@
 //! The caller API.
 
 use std::io;
-use std::net;
 use std::time;
 
 use actix_web::http;
@@ -9,12 +8,16 @@
 use azuregap_core::code;
 use azuregap_core::intent;
 use azuregap_core::refusal;
+use azuregap_core::settings;
+use azuregap_platform::objects;
+use azuregap_platform::table;
 use azuregap_wire::run;
 use bytes::Bytes;
 use futures::stream;
 use serde::Serialize;
 use tokio::sync::mpsc;
 
+use crate::claims;
 use crate::dispatch;
 use crate::identify;
 use crate::link;
@@ -34,23 +37,27 @@
 struct Worker {
     shared: dispatch::Shared,
     clients: link::Clients,
+    stores: claims::Stores,
     max_stale: time::Duration,
 }
 
-/// Starts the server at `listen` with `workers` threads.
+/// Starts the server as the settings say.
 ///
 /// # Errors
 ///
 /// When the address cannot be listened on.
 pub fn serve(
     shared: dispatch::Shared,
-    listen: net::SocketAddr,
-    workers: usize,
-    max_stale: time::Duration,
+    settings: &settings::EntrySettings,
 ) -> io::Result<actix_web::dev::Server> {
+    let (platform, max_stale) = (settings.platform.clone(), settings.max_stale);
     let server = actix_web::HttpServer::new(move || {
         let clients = link::Clients::default();
-        let worker = Worker { shared: shared.clone(), clients, max_stale };
+        let stores = claims::Stores {
+            table: table::Table::http(&platform.table, platform.timeout),
+            objects: objects::Objects::http(&platform.objects, platform.timeout),
+        };
+        let worker = Worker { shared: shared.clone(), clients, stores, max_stale };
         actix_web::App::new()
             .app_data(web::Data::new(worker))
             .app_data(web::PayloadConfig::new(MAX_BODY))
@@ -59,8 +66,9 @@
             .route("/v1/models", web::get().to(models))
             .default_service(web::to(call))
     });
-    let server = server.workers(workers).shutdown_timeout(SHUTDOWN_SECONDS).disable_signals();
-    Ok(server.bind(listen)?.run())
+    let server =
+        server.workers(settings.workers).shutdown_timeout(SHUTDOWN_SECONDS).disable_signals();
+    Ok(server.bind(settings.listen)?.run())
 }
 
 async fn ready(worker: web::Data<Worker>) -> actix_web::HttpResponse {
@@ -120,7 +128,9 @@
     let incoming = incoming(&request, body);
     let configuration = worker.shared.configuration.load();
     let now = tokio::time::Instant::now();
-    let job = identify::identify(&configuration, &incoming, now)
+    let router = &worker.shared.router;
+    let estimate = |route: &str, class: &str, bytes, limit| router.cost(route, class, bytes, limit);
+    let job = identify::identify(&configuration, &incoming, now, estimate)
         .and_then(|job| if job.key.is_some() { fresh(&worker, job) } else { Ok(job) });
     let job = match job {
         Ok(job) => job,
@@ -129,7 +139,7 @@
     let id = job.id;
     let (out, events) = mpsc::channel(PIECES);
     let job = dispatch::Dispatch::new(worker.shared.clone(), worker.clients.clone(), job, out);
-    actix_rt::spawn(job.run());
+    actix_rt::spawn(job.run(worker.stores.clone()));
     respond(events, id).await
 }
 
@@ -174,8 +184,8 @@
 /// Waits for the start of the answer and passes the rest on as it comes.
 async fn respond(mut events: mpsc::Receiver<dispatch::Event>, id: u128) -> actix_web::HttpResponse {
     match events.recv().await {
-        Some(dispatch::Event::Whole { status, headers, body }) => {
-            start(status, &headers, id).body(body)
+        Some(dispatch::Event::Whole(whole)) => {
+            start(whole.status, &whole.headers, id).body(whole.body)
         }
         Some(dispatch::Event::Head { status, headers }) => {
             start(status, &headers, id).streaming(pieces(events, id))
--- a/crates/entry/src/identify.rs
+++ b/crates/entry/src/identify.rs
@@ -5,6 +5,7 @@
 use azuregap_core::intent;
 use azuregap_core::key;
 use azuregap_core::refusal;
+use azuregap_policy::choice;
 use azuregap_wire::run;
 use bytes::Bytes;
 use serde::Deserialize;
@@ -44,15 +45,6 @@
     "x-resume-offset",
 ];
 
-/// Bytes of a prompt that count for prefix affinity.
-const PREFIX_BYTES: usize = 1024;
-
-/// Bytes of text that make about one token.
-const TOKEN_BYTES: u64 = 4;
-
-/// Tokens expected when a caller gives no limit.
-const OUTPUT_GUESS: u64 = 256;
-
 /// A caller's request as it came.
 #[derive(Clone, Debug)]
 pub struct Incoming {
@@ -83,7 +75,8 @@
     max_tokens: Option<u64>,
 }
 
-/// Turns a caller's request into a job.
+/// Turns a caller's request into a job. `estimate` gives the cost in tokens of a model request by
+/// route, class, length of the prompt in bytes and the caller's limit of output tokens.
 ///
 /// # Errors
 ///
@@ -92,6 +85,7 @@
     configuration: &snapshot::Snapshot,
     incoming: &Incoming,
     now: time::Instant,
+    estimate: impl Fn(&str, &str, u64, Option<u64>) -> u64,
 ) -> Result<job::Job, refusal::Refusal> {
     let completion = read_completion(incoming)?;
     let route = find_route(&configuration.intent, incoming, completion.as_ref())?;
@@ -109,6 +103,10 @@
     let unknown = |what: &str| refusal::Refusal::not_run(code::Code::Internal, what.to_owned());
     let class = configuration.intent.class(&route.class).ok_or_else(|| unknown("no such class"))?;
     let pool = configuration.intent.pool(&route.pool).ok_or_else(|| unknown("no such pool"))?;
+    let bytes = incoming.body.len() as u64;
+    let model = completion.as_ref();
+    let cost = model.map(|it| estimate(&route.name, &class.name, bytes, it.max_tokens));
+    let cost = cost.unwrap_or(1);
     Ok(job::Job {
         id: rand::random(),
         team: grant.map(|grant| grant.team.clone()).unwrap_or_default(),
@@ -117,8 +115,8 @@
         route: route.clone(),
         model: pool.kind == intent::PoolKind::Model,
         claim,
-        cost: cost(incoming, completion.as_ref()),
-        prefix: prefix(&incoming.body),
+        cost,
+        prefix: choice::prefix::hash(&pool.name, &incoming.body),
         method: incoming.method.clone(),
         path: incoming.target.clone(),
         headers: kept(&incoming.headers),
@@ -202,19 +200,6 @@
     rest.is_empty() || rest.starts_with('/') || prefix.ends_with('/')
 }
 
-fn cost(incoming: &Incoming, completion: Option<&Completion>) -> u64 {
-    let Some(completion) = completion else { return 1 };
-    let prompt = incoming.body.len() as u64 / TOKEN_BYTES;
-    prompt + completion.max_tokens.unwrap_or(OUTPUT_GUESS)
-}
-
-fn prefix(body: &[u8]) -> u64 {
-    use std::hash::Hasher as _;
-    let mut hasher = std::hash::DefaultHasher::new();
-    hasher.write(&body[..body.len().min(PREFIX_BYTES)]);
-    hasher.finish()
-}
-
 fn kept(headers: &[run::Header]) -> Vec<run::Header> {
     let keep = |header: &&run::Header| {
         !DROPPED.contains(&header.name.as_str()) && !header.name.starts_with(OWN_PREFIX)
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,9 +1,10 @@
 //! The entry: takes callers' requests and sees them through.
 //!
 //! [`identify`] turns a caller's request into a [`job::Job`], [`dispatch`] finds a replica for it
-//! and follows its answer over lost and silent connections, [`http`] is the caller API.
+//! and follows its answer over lost and silent connections, [`claims`] runs what carries an
+//! `Idempotency-Key` at most once, [`http`] is the caller API.
 
-pub mod balance;
+pub mod claims;
 pub mod daemon;
 pub mod dispatch;
 pub mod http;
@@ -11,3 +12,5 @@
 pub mod job;
 pub mod link;
 pub mod reply;
+pub mod router;
+pub mod sight;
--- /dev/null
+++ b/crates/entry/src/sight.rs
@@ -0,0 +1,106 @@
+//! What one attempt shows of its replica, told to the router as it happens.
+
+use std::time;
+
+use azuregap_control::directory;
+use azuregap_core::code;
+use azuregap_core::refusal;
+use azuregap_policy::choice;
+use tokio::time::Instant;
+
+use crate::router;
+
+/// End of one server-sent event, which carries about one token.
+const EVENT_END: &[u8] = b"\n\n";
+
+/// Observes one attempt.
+#[derive(Debug)]
+pub struct Sight {
+    router: router::Router,
+    agent: directory::Agent,
+    accepted: Option<Instant>,
+    /// When the last observation of progress was made; none before the first byte.
+    moved: Option<Instant>,
+}
+
+impl Sight {
+    /// Starts with a request that was just sent to `agent`.
+    #[must_use]
+    pub const fn new(router: router::Router, agent: directory::Agent) -> Self {
+        Self { router, agent, accepted: None, moved: None }
+    }
+
+    /// The agent took the request.
+    pub fn accepted(&mut self) {
+        if self.accepted.is_none() {
+            self.accepted = Some(Instant::now());
+            self.tell(choice::Outcome::Accepted);
+        }
+    }
+
+    /// Bytes of the answer came.
+    pub fn data(&mut self, bytes: &[u8]) {
+        let ends = bytes.windows(EVENT_END.len()).filter(|part| *part == EVENT_END).count();
+        self.progress(u32::try_from(ends.max(1)).unwrap_or(u32::MAX));
+    }
+
+    /// Time passed without a byte.
+    pub fn waited(&mut self) {
+        self.progress(0);
+    }
+
+    fn progress(&mut self, tokens: u32) {
+        let Some(accepted) = self.accepted else { return };
+        let now = Instant::now();
+        match self.moved {
+            None => {
+                self.tell(choice::Outcome::FirstByte { after: now - accepted });
+                self.moved = (tokens > 0).then_some(now);
+            }
+            Some(moved) => {
+                self.tell(choice::Outcome::Progress { tokens, over: now - moved });
+                self.moved = Some(now);
+            }
+        }
+    }
+
+    /// The answer is whole, or its caller went away.
+    pub fn done(&self) {
+        self.accepted.map_or_else(
+            || self.tell(choice::Outcome::Unreachable),
+            |_| self.tell(choice::Outcome::Done),
+        );
+    }
+
+    /// The agent refused the request or its run failed.
+    pub fn refused(&self, refusal: &refusal::Refusal) {
+        let outcome = match (self.accepted.is_some(), refusal.not_run) {
+            (true, true) => choice::Outcome::Done,
+            (true, false) => choice::Outcome::Broken,
+            (false, _) => match refusal.code {
+                code::Code::Leaving => choice::Outcome::Leaving,
+                code::Code::PeerUnavailable | code::Code::BackendFailed => {
+                    choice::Outcome::Unreachable
+                }
+                _ => choice::Outcome::Refused,
+            },
+        };
+        self.tell(outcome);
+    }
+
+    /// The agent cannot be reached any more.
+    pub fn lost(&self) {
+        let known = self.accepted.is_some();
+        self.tell(if known { choice::Outcome::Broken } else { choice::Outcome::Unreachable });
+    }
+
+    /// Time since the agent took the request.
+    #[must_use]
+    pub fn age(&self) -> time::Duration {
+        self.accepted.map_or(time::Duration::ZERO, |accepted| accepted.elapsed())
+    }
+
+    fn tell(&self, outcome: choice::Outcome) {
+        self.router.observe(&self.agent, outcome);
+    }
+}
