--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -7,8 +7,28 @@
 //! write, the present [`tokio::time::Instant`]) and answers with a typed action (what to read or
 //! write next, what is allowed now). That makes every part testable in virtual time.
 //!
-//! Rows are plain serde structures; the caller stores them as JSON under a key of its choice,
-//! with a row version that the table service moves on at each write (0 means absent).
+//! | part | promise |
+//! |---|---|
+//! | [`lease`] | at most one process may act at any moment; fencing numbers only grow |
+//! | [`claim`] | work under an idempotency key runs at most once; "not run" is said only where true |
+//! | [`configuration`] | versions never go back; a superseded version is acted on for a bounded time |
+//! | [`dissemination`] | a new version reaches every process over few readers and a relay tree |
+//! | [`membership`] | who is usable, from a lagging list and direct speech |
+//! | [`ledger`] | durable usage is billed exactly once; all reports of a window are the same text |
+//!
+//! Each module states its promise, what it needs from its surroundings, and its limits.
+//!
+//! # What the table service must do
+//!
+//! * A read answers with the latest applied write.
+//! * A write may name versions that rows must have (0: absent); it is applied as a whole or not at
+//!   all, and moves the versions of the rows that it writes on.
+//! * The answer of a write may be lost, and the write may even be applied some time later; the
+//!   caller feeds [`store::Outcome::Unknown`] then, and never retries on its own.
+//!
+//! Rows are plain serde structures; the caller stores them as JSON under a key of its choice.
+//!
+//! # Example
 //!
 //! ```
 //! use std::time::Duration;
