--- a/crates/control/src/snapshot.rs
+++ b/crates/control/src/snapshot.rs
@@ -4,9 +4,11 @@
 use std::sync;
 
 use arc_swap::ArcSwap;
+use arc_swap::ArcSwapOption;
 use azuregap_core::ids;
 use azuregap_core::intent;
 use azuregap_core::key;
+use tokio::sync::watch;
 use tokio::time;
 
 /// One version of the configuration, indexed for the data path.
@@ -33,7 +35,8 @@
 #[derive(Clone, Debug)]
 pub struct Handle {
     current: sync::Arc<ArcSwap<Snapshot>>,
-    fresh: sync::Arc<ArcSwap<time::Instant>>,
+    fresh: sync::Arc<ArcSwapOption<time::Instant>>,
+    versions: sync::Arc<watch::Sender<ids::Version>>,
 }
 
 impl Default for Handle {
@@ -41,7 +44,8 @@
         let empty = Snapshot::new(0, intent::Intent::default());
         Self {
             current: sync::Arc::new(ArcSwap::from_pointee(empty)),
-            fresh: sync::Arc::new(ArcSwap::from_pointee(time::Instant::now())),
+            fresh: sync::Arc::default(),
+            versions: sync::Arc::default(),
         }
     }
 }
@@ -62,17 +66,34 @@
         let before = self.current.rcu(|current| {
             if snapshot.version > current.version { snapshot.clone() } else { current.clone() }
         });
+        self.versions.send_if_modified(|version| {
+            let newer = snapshot.version > *version;
+            *version = snapshot.version.max(*version);
+            newer
+        });
         snapshot.version > before.version
     }
 
+    /// Tells of each version that is put in force.
+    #[must_use]
+    pub fn versions(&self) -> watch::Receiver<ids::Version> {
+        self.versions.subscribe()
+    }
+
     /// Notes that at `instant` the version in force was known to be the newest.
     pub fn prove_fresh(&self, instant: time::Instant) {
-        self.fresh.rcu(|fresh| if instant > **fresh { instant.into() } else { fresh.clone() });
+        self.fresh.rcu(|fresh| match fresh {
+            Some(known) if **known >= instant => fresh.clone(),
+            _ => Some(sync::Arc::new(instant)),
+        });
     }
 
-    /// How long ago the version in force was last known to be the newest.
+    /// How long ago the version in force was last known to be the newest; [`Duration::MAX`] while
+    /// that was never known.
+    ///
+    /// [`Duration::MAX`]: std::time::Duration::MAX
     #[must_use]
     pub fn age(&self) -> std::time::Duration {
-        self.fresh.load().elapsed()
+        self.fresh.load().as_ref().map_or(std::time::Duration::MAX, |fresh| fresh.elapsed())
     }
 }
--- /dev/null
+++ b/crates/control/src/usage/entry.rs
@@ -0,0 +1,49 @@
+//! The service "usage-copies" of an entry.
+
+use std::time;
+
+use azuregap_core::settings;
+use azuregap_kernel::service;
+use azuregap_platform::table;
+
+use super::copies;
+use super::settle;
+use super::windows;
+use super::write;
+use crate::ask;
+use crate::directory;
+use crate::mailbox;
+use crate::process;
+use crate::tasks;
+
+/// How long an agent may take to say which records are durable.
+const ASKING: time::Duration = time::Duration::from_secs(1);
+
+/// The service "usage-copies" of an entry; offers [`copies::Copies`].
+#[must_use]
+pub fn service(
+    process: process::Process,
+    platform: &settings::PlatformSettings,
+    window: time::Duration,
+) -> service::Service {
+    let platform = platform.clone();
+    let tasks = tasks::Tasks::default();
+    let running = tasks.clone();
+    service::Service::new(copies::Copies::NAME)
+        .needs([mailbox::Mailbox::NAME, "membership"])
+        .start(move |registry| async move {
+            let mailbox = registry.find::<mailbox::Mailbox>(mailbox::Mailbox::NAME)?;
+            let directory = registry.find::<directory::Directory>(directory::Directory::NAME)?;
+            let copies = copies::Copies::default();
+            registry.offer(copies::Copies::NAME, copies.clone());
+            let ask = ask::Ask::mailbox(mailbox.as_ref().clone(), ASKING);
+            tasks.spawn(settle::settle(copies.clone(), ask, directory.as_ref().clone()));
+            let table = table::Table::http(&platform.table, platform.timeout);
+            let windows = windows::Windows::system(window);
+            let orphans = copies.orphans().clone();
+            let oldest = move || copies.oldest();
+            tasks.spawn(write::write(orphans, oldest, table, process, windows));
+            Ok(())
+        })
+        .stop(move |_| async move { running.abort() })
+}
