refactor(coordination): one explorer for the schedules, plainer names, missed notices can be asked for

Cause: the explorer stood twice; some names were figurative; a lost notice kept a copy for good. Change: tests share explore(); piggyback, StoringOther and MarkingOther are named as what they are; Batcher::holds and Copies::kept let an entry ask; Terms::is_sound tells terms that cannot work.

--- a/crates/coordination/src/claim/machine.rs
+++ b/crates/coordination/src/claim/machine.rs
@@ -61,10 +61,10 @@
         self.failures = 0;
         match self.phase.clone() {
             phase::Phase::Claiming => self.dispatch(version),
-            phase::Phase::Helping(answer) => self.settle(claim::Verdict::Repeated(answer)),
+            phase::Phase::StoringOther(answer) => self.settle(claim::Verdict::Repeated(answer)),
             phase::Phase::Storing(_) => self.settle(claim::Verdict::Ran { stored: true }),
             phase::Phase::Releasing(why) => self.settle(claim::Verdict::NotRun(why)),
-            phase::Phase::Burying | phase::Phase::Marking => {
+            phase::Phase::MarkingOther | phase::Phase::Marking => {
                 self.settle(claim::Verdict::OutcomeUnknown)
             }
             phase::Phase::Asking { .. }
@@ -88,11 +88,11 @@
             phase::Phase::Claiming | phase::Phase::Releasing(_) => {
                 claim::Verdict::NotRunHere(claim::Reason::StoreUnavailable)
             }
-            phase::Phase::Helping(answer) => claim::Verdict::Repeated(answer),
+            phase::Phase::StoringOther(answer) => claim::Verdict::Repeated(answer),
             phase::Phase::Storing(_) => claim::Verdict::Ran { stored: false },
             phase::Phase::Settled(verdict) => verdict,
             phase::Phase::Asking { .. }
-            | phase::Phase::Burying
+            | phase::Phase::MarkingOther
             | phase::Phase::Dispatched { .. }
             | phase::Phase::Marking => claim::Verdict::OutcomeUnknown,
         };
@@ -110,7 +110,7 @@
             return self.on_own(stored.version, &row);
         }
         match self.phase.clone() {
-            phase::Phase::Helping(answer) => self.settle(claim::Verdict::Repeated(answer)),
+            phase::Phase::StoringOther(answer) => self.settle(claim::Verdict::Repeated(answer)),
             // The claim is taken only from a request that its agent refuses for good.
             phase::Phase::Storing(_) => self.settle(claim::Verdict::Ran { stored: false }),
             phase::Phase::Marking => self.settle(claim::Verdict::OutcomeUnknown),
@@ -121,15 +121,15 @@
     /// The row is not there.
     fn on_absent(&mut self) -> claim::Action {
         match self.phase.clone() {
-            phase::Phase::Helping(answer) => self.settle(claim::Verdict::Repeated(answer)),
-            phase::Phase::Burying => self.settle(claim::Verdict::OutcomeUnknown),
+            phase::Phase::StoringOther(answer) => self.settle(claim::Verdict::Repeated(answer)),
+            phase::Phase::MarkingOther => self.settle(claim::Verdict::OutcomeUnknown),
             _ => self.write(0),
         }
     }
 
     /// The row is ours.
     fn on_own(&mut self, version: ids::RowVersion, row: &claim::ClaimRow) -> claim::Action {
-        if matches!(self.phase, phase::Phase::Burying) {
+        if matches!(self.phase, phase::Phase::MarkingOther) {
             // An earlier attempt to take the claim was applied after all.
             self.phase = phase::Phase::Claiming;
         }
@@ -186,11 +186,11 @@
             claim::Reply::Running => self.settle(claim::Verdict::Running),
             claim::Reply::Silent => self.settle(claim::Verdict::OutcomeUnknown),
             claim::Reply::Done(answer) => {
-                self.phase = phase::Phase::Helping(answer.clone());
+                self.phase = phase::Phase::StoringOther(answer.clone());
                 self.put(version, claim::ClaimRow { state: claim::ClaimState::Done(answer), ..row })
             }
             claim::Reply::Gone => {
-                self.phase = phase::Phase::Burying;
+                self.phase = phase::Phase::MarkingOther;
                 self.put(version, claim::ClaimRow { state: claim::ClaimState::Unknown, ..row })
             }
             claim::Reply::NotRun => {
--- a/crates/coordination/src/claim/phase.rs
+++ b/crates/coordination/src/claim/phase.rs
@@ -16,9 +16,9 @@
         row: claim::ClaimRow,
     },
     /// The answer of an earlier request is stored on its behalf.
-    Helping(claim::StoredAnswer),
+    StoringOther(claim::StoredAnswer),
     /// An earlier request is marked as of unknown outcome.
-    Burying,
+    MarkingOther,
     /// The request is at the agent.
     Dispatched {
         /// Version of the row.
--- a/crates/coordination/src/dissemination.rs
+++ b/crates/coordination/src/dissemination.rs
@@ -4,8 +4,8 @@
 //! read the table service; every other member asks its parent in a tree with
 //! [`SpreadRules::fan_out`] children a node. Two things travel. *Proofs of freshness* are pulled,
 //! because only the one who asks can bound the age of the answer on its own clock. *News* is
-//! pushed: who takes a new version tells its children at once, and they ask for it. A version also
-//! rides on every message between processes, and the one behind asks.
+//! pushed: who takes a new version tells its children at once, and they ask for it. Versions are
+//! also piggybacked on every message between processes, and the one behind asks.
 //!
 //! A member whose parent is silent asks the next ancestor, and reads the table service itself once
 //! it ran out of ancestors. A reader whose read fails asks the other readers of its zone.
--- a/crates/coordination/src/dissemination/event.rs
+++ b/crates/coordination/src/dissemination/event.rs
@@ -16,7 +16,8 @@
     },
     /// A question or read was answered; feed [`Event::Took`] first if it brought a newer version.
     Answered,
-    /// A question or read was not answered.
+    /// A question or read was not answered, or the proof that came with the answer is too old to
+    /// be of use; the next source is asked.
     Failed,
     /// This version is in force here now, wherever it came from.
     Took(ids::Version),
--- a/crates/coordination/src/lease/terms.rs
+++ b/crates/coordination/src/lease/terms.rs
@@ -46,6 +46,12 @@
         self
     }
 
+    /// Whether a holder has time for two renewals before it must stop, and a margin at all.
+    #[must_use]
+    pub fn is_sound(&self) -> bool {
+        !self.margin.is_zero() && self.interval * 2 < self.acting()
+    }
+
     /// How long after sending a renewal the holder may act on it.
     #[must_use]
     pub fn acting(&self) -> time::Duration {
--- a/crates/coordination/src/ledger/batcher.rs
+++ b/crates/coordination/src/ledger/batcher.rs
@@ -84,6 +84,15 @@
         flight + self.waiting.values().map(Vec::len).sum::<usize>()
     }
 
+    /// Whether a record of this request is not durable. A process that kept a copy and missed the
+    /// notice asks for it.
+    #[must_use]
+    pub fn holds(&self, id: ids::RequestId) -> bool {
+        let waiting = self.waiting.values().flatten();
+        let flying = self.flight.iter().flat_map(|batch| &batch.records);
+        waiting.chain(flying).any(|record| record.id == id)
+    }
+
     /// Whether every record is durable.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/coordination/src/ledger/copies.rs
+++ b/crates/coordination/src/ledger/copies.rs
@@ -33,6 +33,19 @@
         });
     }
 
+    /// The requests of an incarnation of an agent whose records are kept; the agent is asked now
+    /// and then which of them it still holds, because a notice may be lost.
+    pub fn kept(
+        &self,
+        agent: &str,
+        incarnation: ids::Incarnation,
+    ) -> impl Iterator<Item = ids::RequestId> {
+        let of = move |record: &&ledger::Record| {
+            record.agent == agent && record.incarnation == incarnation
+        };
+        self.all.values().filter(of).map(|record| record.id)
+    }
+
     /// Takes the copies of an incarnation of an agent that is gone; the entry writes them itself.
     pub fn orphans(&mut self, agent: &str, incarnation: ids::Incarnation) -> Vec<ledger::Record> {
         let gone =
--- a/crates/coordination/tests/claim_model/main.rs
+++ b/crates/coordination/tests/claim_model/main.rs
@@ -5,15 +5,16 @@
 //! request runs; a request that was said not to have run never runs; the row is released only
 //! while nothing has run; a repeat gets the answer of the one run.
 
+#[path = "../explore/mod.rs"]
+mod explore;
 mod schedule;
 
+use std::cell;
 use std::collections;
 
 use azuregap_coordination::claim;
 use azuregap_coordination::store;
 use googletest::prelude::*;
-use proptest::test_runner;
-use proptest_state_machine::ReferenceStateMachine as _;
 use schedule::AGENTS;
 use schedule::Fate;
 use schedule::Schedule;
@@ -24,7 +25,7 @@
 /// A lost answer of a write is taken for success instead of being looked up.
 const GUESS: u8 = 1;
 /// An agent that says "not run" does not refuse the request later.
-const NO_BAR: u8 = 2;
+const FORGETS_REFUSAL: u8 = 2;
 /// An agent takes a dispatch that was addressed to an earlier incarnation.
 const ANY_INCARNATION: u8 = 3;
 
@@ -33,7 +34,7 @@
 enum Known {
     Running,
     Done,
-    Barred,
+    Refused,
 }
 
 #[derive(Default)]
@@ -284,10 +285,10 @@
             _ if !same => claim::Reply::Gone,
             Some(Known::Running) => claim::Reply::Running,
             Some(Known::Done) => claim::Reply::Done(answer(request)),
-            Some(Known::Barred) => claim::Reply::NotRun,
+            Some(Known::Refused) => claim::Reply::NotRun,
             None => {
-                if BUG != NO_BAR {
-                    agent.known.insert(request, Known::Barred);
+                if BUG != FORGETS_REFUSAL {
+                    agent.known.insert(request, Known::Refused);
                 }
                 claim::Reply::NotRun
             }
@@ -328,36 +329,14 @@
 /// Runs `cases` schedules; the first broken invariant with the shortest schedule that breaks it,
 /// or how often each verdict was given.
 fn explore<const BUG: u8>(cases: u32) -> std::result::Result<Verdicts, String> {
-    let config = test_runner::Config {
-        cases,
-        failure_persistence: None,
-        rng_seed: test_runner::RngSeed::Fixed(1),
-        ..test_runner::Config::default()
-    };
-    let mut runner = test_runner::TestRunner::new(config);
-    let verdicts = std::cell::RefCell::new(Verdicts::new());
-    let schedules = Schedule::sequential_strategy(60..150);
-    let outcome = runner.run(&schedules, |((), steps, seen)| {
-        let mut world = World::<BUG>::new();
-        for step in steps {
-            // Shrinking wants to know how many steps were taken.
-            if let Some(seen) = &seen {
-                seen.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
-            }
-            world.step(step).map_err(test_runner::TestCaseError::fail)?;
-        }
+    let verdicts = cell::RefCell::new(Verdicts::new());
+    let end = |world: World<BUG>| {
         let mut sum = verdicts.borrow_mut();
         *sum.entry("runs").or_default() += world.runs.len() as u64;
         world.verdicts.iter().for_each(|(name, count)| *sum.entry(name).or_default() += count);
-        Ok(())
-    });
-    match outcome {
-        Ok(()) => Ok(verdicts.into_inner()),
-        Err(test_runner::TestError::Fail(reason, (_, steps, _))) => {
-            Err(format!("{reason} after {} steps: {steps:?}", steps.len()))
-        }
-        Err(other) => Err(other.to_string()),
-    }
+    };
+    explore::explore::<Schedule, _>(cases, 60..150, World::<BUG>::new, World::step, end)?;
+    Ok(verdicts.into_inner())
 }
 
 #[gtest]
@@ -374,7 +353,7 @@
 
 #[gtest]
 fn an_agent_that_forgets_what_it_said_is_found() {
-    expect_that!(explore::<NO_BAR>(2000), err(contains_substring("two requests ran")));
+    expect_that!(explore::<FORGETS_REFUSAL>(2000), err(contains_substring("two requests ran")));
 }
 
 #[gtest]
--- a/crates/coordination/tests/dissemination.rs
+++ b/crates/coordination/tests/dissemination.rs
@@ -1,7 +1,7 @@
 //! How fast a new version is everywhere, and for how many bytes, in virtual time.
 //!
 //! In-memory processes in three zones, one millisecond apart, run the machines of the library. The
-//! four ways compared: questions to the parent alone; with versions that ride on ordinary messages;
+//! four ways compared: questions to the parent alone; with versions that piggyback on ordinary messages;
 //! with news pushed to the children; with both. Once without faults, once with one push in ten lost
 //! and one process in twenty dead but still listed.
 
@@ -23,7 +23,7 @@
 /// Bytes of a question, an answer or a push, with the framing of the transport.
 const MESSAGE: u64 = 60;
 /// Bytes of a version on an ordinary message.
-const RIDE: u64 = 8;
+const PIGGYBACK: u64 = 8;
 /// Time between two ordinary messages of a process.
 const TRAFFIC: Duration = Duration::from_millis(50);
 const ACCEPTED: Duration = Duration::from_secs(3);
@@ -32,7 +32,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Way {
     push: bool,
-    ride: bool,
+    piggyback: bool,
     faults: bool,
 }
 
@@ -43,7 +43,7 @@
     Question { from: usize },
     Answer { version: u64, age: Duration, asked: Duration },
     Push { from: usize, version: u64 },
-    Ride { from: usize, version: u64 },
+    Piggyback { from: usize, version: u64 },
     Failure,
     Accept,
 }
@@ -147,9 +147,9 @@
                 let turn = self.rng.random_range(0..self.all[index].neighbours.len());
                 let to = self.all[index].neighbours[turn];
                 let version = self.all[index].version;
-                if self.way.ride {
-                    self.count(now, RIDE);
-                    self.post(now + MS, to, Happening::Ride { from: index, version });
+                if self.way.piggyback {
+                    self.count(now, PIGGYBACK);
+                    self.post(now + MS, to, Happening::Piggyback { from: index, version });
                 }
                 self.post(now + TRAFFIC, index, Happening::Send);
             }
@@ -168,7 +168,7 @@
                 self.take(now, index, version);
                 self.feed(now, index, dissemination::Event::Answered);
             }
-            Happening::Push { from, version } | Happening::Ride { from, version } => {
+            Happening::Push { from, version } | Happening::Piggyback { from, version } => {
                 let event = dissemination::Event::Heard { from: name(from), version };
                 self.feed(now, index, event);
             }
@@ -265,7 +265,7 @@
     format!(
         "{count:>5} {:>5} {:>5} {:>5} | {:>5} {:>5} ms | {:>4} B/s | {:>3} reads/s | {:>4} ms",
         way.push,
-        way.ride,
+        way.piggyback,
         way.faults,
         times[times.len() / 2],
         times[times.len() - 1],
@@ -318,11 +318,11 @@
 #[gtest]
 fn time_to_everywhere_and_bytes() {
     let mut lines =
-        vec!["count  push  ride fault | median longest  | bytes | reads | proof".to_owned()];
+        vec!["count  push piggy fault | median longest  | bytes | reads | proof".to_owned()];
     for faults in [false, true] {
         for count in [2, 4, 16, 64, 1024] {
-            for (push, ride) in [(false, false), (false, true), (true, false), (true, true)] {
-                lines.push(measure(count, Way { push, ride, faults }));
+            for (push, piggyback) in [(false, false), (false, true), (true, false), (true, true)] {
+                lines.push(measure(count, Way { push, piggyback, faults }));
             }
         }
     }
--- a/crates/coordination/tests/lease.rs
+++ b/crates/coordination/tests/lease.rs
@@ -35,6 +35,13 @@
     (lease, store::Stored::new(1, row))
 }
 
+#[gtest]
+fn terms_leave_time_for_renewals() {
+    expect_that!(lease::Terms::default().is_sound(), eq(true));
+    expect_that!(terms().margin(Duration::ZERO).is_sound(), eq(false));
+    expect_that!(terms().interval(500 * MS).is_sound(), eq(false));
+}
+
 #[gtest]
 fn candidate_waits_for_term_margin_and_send_deadline() {
     let start = time::Instant::now();
--- a/crates/coordination/tests/lease_model/main.rs
+++ b/crates/coordination/tests/lease_model/main.rs
@@ -6,16 +6,16 @@
 //! send. The invariants: no two candidates may act at once, and the receiver of orders never sees
 //! a lower fencing number after a higher one.
 
+#[path = "../explore/mod.rs"]
+mod explore;
 mod schedule;
 
-use std::sync::atomic;
+use std::cell;
 use std::time::Duration;
 
 use azuregap_coordination::lease;
 use azuregap_coordination::store;
 use googletest::prelude::*;
-use proptest::test_runner;
-use proptest_state_machine::ReferenceStateMachine as _;
 use schedule::Fate;
 use schedule::HOLDER;
 use schedule::NODES;
@@ -71,11 +71,10 @@
     lingering: Vec<(u64, lease::LeaseRow)>,
     flying: Vec<(Duration, u64)>,
     received: u64,
+    takeovers: u64,
+    orders: u64,
 }
 
-static TAKEOVERS: atomic::AtomicU64 = atomic::AtomicU64::new(0);
-static ORDERS: atomic::AtomicU64 = atomic::AtomicU64::new(0);
-
 impl<const BUG: u8> World<BUG> {
     fn new() -> Self {
         let margin = if BUG == NO_MARGIN { Duration::ZERO } else { MARGIN };
@@ -99,6 +98,8 @@
             lingering: Vec::new(),
             flying: Vec::new(),
             received: 0,
+            takeovers: 0,
+            orders: 0,
         }
     }
 
@@ -126,12 +127,12 @@
                 let until = self.now + TERM / 2 * halves;
                 self.node(node).frozen_until = until;
             }
-            Step::Brink { node } => {
+            Step::FreezeUntilExpiry { node } => {
                 let start = self.start;
                 let node = self.node(node);
                 let span = node.lease.acts_until().map(|until| until - start);
-                let brink = span.map(|span| span * 1000 / node.rate - 2 * TICK);
-                node.frozen_until = brink.unwrap_or_default();
+                let expiry = span.map(|span| span * 1000 / node.rate - 2 * TICK);
+                node.frozen_until = expiry.unwrap_or_default();
             }
             Step::Cut { node, halves } => {
                 let until = self.now + TERM / 2 * halves;
@@ -173,9 +174,7 @@
             return store::Outcome::Conflict;
         }
         let held = self.row.value.as_ref().map_or(1, |row| row.fence);
-        if BUG == NONE {
-            TAKEOVERS.fetch_add(row.fence - held, atomic::Ordering::Relaxed);
-        }
+        self.takeovers += row.fence - held;
         self.row = store::Stored::new(version + 1, row.clone());
         store::Outcome::Applied(version + 1)
     }
@@ -263,67 +262,45 @@
                 return Err(format!("fencing number {fence} after {}", self.received));
             }
             self.received = fence;
-            if BUG == NONE {
-                ORDERS.fetch_add(1, atomic::Ordering::Relaxed);
-            }
+            self.orders += 1;
         }
         Ok(())
     }
 }
 
-/// Runs `cases` schedules; the first broken invariant, with the shortest schedule that breaks it.
-fn explore<const BUG: u8>(cases: u32) -> Option<String> {
-    let config = test_runner::Config {
-        cases,
-        failure_persistence: None,
-        rng_seed: test_runner::RngSeed::Fixed(1),
-        ..test_runner::Config::default()
+/// Runs `cases` schedules; the first broken invariant with the shortest schedule that breaks it,
+/// or the changes of holder and the orders that arrived.
+fn explore<const BUG: u8>(cases: u32) -> std::result::Result<(u64, u64), String> {
+    let (takeovers, orders) = (cell::Cell::new(0), cell::Cell::new(0));
+    let end = |world: World<BUG>| {
+        takeovers.set(takeovers.get() + world.takeovers);
+        orders.set(orders.get() + world.orders);
     };
-    let mut runner = test_runner::TestRunner::new(config);
-    let schedules = Schedule::sequential_strategy(40..100);
-    let outcome = runner.run(&schedules, |((), steps, seen)| {
-        let mut world = World::<BUG>::new();
-        for step in steps {
-            // Shrinking wants to know how many steps were taken.
-            if let Some(seen) = &seen {
-                seen.fetch_add(1, atomic::Ordering::SeqCst);
-            }
-            world.step(step).map_err(test_runner::TestCaseError::fail)?;
-        }
-        Ok(())
-    });
-    match outcome {
-        Ok(()) => None,
-        Err(test_runner::TestError::Fail(reason, (_, steps, _))) => {
-            Some(format!("{reason} after {} steps: {steps:?}", steps.len()))
-        }
-        Err(other) => panic!("{other}"),
-    }
+    explore::explore::<Schedule, _>(cases, 40..100, World::<BUG>::new, World::step, end)?;
+    Ok((takeovers.get(), orders.get()))
 }
 
 #[gtest]
 fn one_in_charge_over_twelve_hundred_schedules() {
-    expect_that!(explore::<NONE>(1200), none());
-    let takeovers = TAKEOVERS.load(atomic::Ordering::Relaxed);
-    let orders = ORDERS.load(atomic::Ordering::Relaxed);
+    let outcome = explore::<NONE>(1200);
     // The schedules are of use only if the lease changes hands and orders arrive.
-    expect_that!(takeovers, gt(1000));
-    expect_that!(orders, gt(1000));
+    expect_that!(outcome, ok((gt(&1000), gt(&1000))));
+    insta::assert_debug_snapshot!(outcome);
 }
 
 #[gtest]
 fn a_dropped_margin_is_found() {
-    expect_that!(explore::<NO_MARGIN>(1200), some(anything()));
+    expect_that!(explore::<NO_MARGIN>(1200), err(anything()));
 }
 
 #[gtest]
 fn a_dropped_second_check_is_found() {
-    expect_that!(explore::<NO_SECOND_CHECK>(1200), some(contains_substring("fencing number")));
+    expect_that!(explore::<NO_SECOND_CHECK>(1200), err(contains_substring("fencing number")));
 }
 
 /// The limit that the documentation states: only the receiver can help against a longer pause
 /// between the second check and the send.
 #[gtest]
 fn a_pause_beyond_the_margin_is_not_covered() {
-    expect_that!(explore::<LONG_GAP>(1200), some(contains_substring("fencing number")));
+    expect_that!(explore::<LONG_GAP>(1200), err(contains_substring("fencing number")));
 }
--- a/crates/coordination/tests/lease_model/schedule.rs
+++ b/crates/coordination/tests/lease_model/schedule.rs
@@ -41,7 +41,7 @@
         halves: u32,
     },
     /// The node freezes until just before it must stop acting.
-    Brink {
+    FreezeUntilExpiry {
         node: usize,
     },
     /// The node does not reach the table service for some half terms.
@@ -87,7 +87,7 @@
             5 => (node.clone(), fate).prop_map(|(node, fate)| Step::Fault { node, fate }),
             1 => (node.clone(), halves.clone())
                 .prop_map(|(node, halves)| Step::Freeze { node, halves }),
-            1 => node.clone().prop_map(|node| Step::Brink { node }),
+            1 => node.clone().prop_map(|node| Step::FreezeUntilExpiry { node }),
             1 => (node, halves).prop_map(|(node, halves)| Step::Cut { node, halves }),
             1 => Just(Step::Land),
             1 => prop_oneof![1 => Just(true), 4 => Just(false)].prop_map(Step::Outage),
--- a/crates/coordination/tests/ledger.rs
+++ b/crates/coordination/tests/ledger.rs
@@ -46,10 +46,12 @@
     let action = batcher.handle(ledger::BatcherEvent::Tick, start + 5 * SECOND);
     expect_that!(action, pat!(ledger::BatcherAction::Write(anything())));
     expect_that!(batcher.is_settled(7), eq(false));
+    expect_that!(batcher.holds(2), eq(true));
     let applied = ledger::BatcherEvent::Wrote(store::Outcome::Applied(1));
     let action = batcher.handle(applied, start + 5 * SECOND);
     expect_that!(action, eq(&ledger::BatcherAction::Durable(vec![1, 2, 3])));
     expect_that!(batcher.is_settled(7), eq(true));
+    expect_that!(batcher.holds(2), eq(false));
 }
 
 #[gtest]
@@ -100,6 +102,7 @@
     copies.keep(counted);
     copies.keep(record(2, 7));
     copies.durable(&[2]);
+    expect_that!(copies.kept("a", 1).collect::<Vec<_>>(), elements_are![eq(&1)]);
     expect_that!(copies.is_settled(6), eq(true));
     expect_that!(copies.is_settled(7), eq(false));
     expect_that!(copies.orphans("a", 2), is_empty());
