--- a/crates/policy/src/queue/lane.rs
+++ b/crates/policy/src/queue/lane.rs
@@ -8,7 +8,7 @@
 const TOKEN: u64 = 1024;
 
 /// Most virtual time that a team may lag behind the clock and still catch up.
-const CREDIT: u64 = 16_384 * TOKEN;
+const CREDIT: u64 = 32_768 * TOKEN;
 
 /// Lag in virtual time from which a team is far under its share.
 const BEHIND: u64 = CREDIT / 2;
--- a/crates/policy/src/retry/budget.rs
+++ b/crates/policy/src/retry/budget.rs
@@ -1,7 +1,7 @@
 //! The retry budget of one team at an entry.
 
 /// Successes that earn one retry.
-const EARNED_BY: u32 = 5;
+const EARNED_BY: u32 = 10;
 
 /// Retries that can be saved up.
 const MOST_SAVED: u32 = 4;
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -88,3 +88,16 @@
     verify_that!(retries, le(60)).and_log_failure();
     verify_that!(retries, ge(50)).and_log_failure();
 }
+
+#[gtest]
+fn a_team_that_is_refused_leaves_the_retries_of_others() {
+    let now = time::Instant::now();
+    let mut budgets = retry::Budgets::new();
+    let mut retries = |team: &str| {
+        let attempt = attempt(now, code::Code::QueueFull, true);
+        matches!(retry::decide(now, attempt, budgets.team(team)), retry::Verdict::Retry { .. })
+    };
+    let drained = (0..100).filter(|_| retries("large")).count();
+    verify_that!(drained, eq(4)).and_log_failure();
+    verify_that!(retries("small"), eq(true)).and_log_failure();
+}
