--- a/crates/cli/src/commands/keys.rs
+++ b/crates/cli/src/commands/keys.rs
@@ -4,21 +4,22 @@
 use serde_json::Value;
 use serde_json::json;
 
+use super::settle;
 use crate::api;
 use crate::args;
 use crate::error;
 use crate::exit;
 use crate::render;
+use crate::secret;
 
-/// Random bytes of a new key.
-const KEY_BYTES: usize = 32;
-
+/// Runs one of the commands on keys.
 pub(super) async fn run(command: &args::KeysCommand, json: bool) -> error::CliResult<exit::Exit> {
     match command {
         args::KeysCommand::Give { team, operator } => give(team, operator, json).await,
         args::KeysCommand::Withdraw { digest, operator } => {
             let path = format!("/v1/keys/{}", written(digest));
-            let answer = api::Api::new(operator)?.delete(&path).await?;
+            let api = api::Api::new(operator)?;
+            let answer = settle::settle(|| api.delete(&path)).await?;
             render::print(&answer, json);
             Ok(exit::Exit::Done)
         }
@@ -29,14 +30,15 @@
 /// The key is printed only once the entry has taken its digest.
 async fn give(team: &str, operator: &args::Operator, json: bool) -> error::CliResult<exit::Exit> {
     let api = api::Api::new(operator)?;
-    let key = new_key();
+    let key = secret::new_key();
     let digest = written(&key::Digest::of(&key));
     let body = json!({ "team": team, "digest": digest });
-    let outcome = api.post("/v1/keys", Some(&body)).await;
-    if let (false, Err(error::CliError::Unreachable(..))) = (json, &outcome) {
-        eprintln!(
-            "The key may have been given. It is lost; withdraw it: azuregap keys withdraw {digest}"
-        );
+    let outcome = settle::settle(|| api.post("/v1/keys", Some(&body))).await;
+    if let (false, Err(error)) = (json, &outcome)
+        && settle::is_open(error)
+    {
+        eprintln!("The key may have been given, and is lost. Withdraw it:");
+        eprintln!("azuregap keys withdraw {digest}");
     }
     let mut answer = outcome?;
     answer["team"] = team.into();
@@ -56,12 +58,6 @@
     Ok(exit::Exit::Done)
 }
 
-fn new_key() -> String {
-    let bytes: [u8; KEY_BYTES] = rand::random();
-    let digits: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
-    format!("ag-{digits}")
-}
-
 /// The digest as 64 hexadecimal digits.
 fn written(digest: &key::Digest) -> String {
     match json!(digest) {
