--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -12,6 +12,8 @@
 use azuregap_policy::limits;
 use azuregap_policy::queue;
 use azuregap_policy::retry;
+use azuregap_wire::codec;
+use azuregap_wire::frame;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng as _;
 use serde::Serialize;
@@ -55,6 +57,8 @@
     let mut slopes = vec![team, limit, budget, replica, waiting];
     slopes.extend([10, 100, 1000, 9200].map(admission));
     slopes.extend([9, 40, 320].map(choice));
+    slopes.extend(message("heartbeat frame of a running answer", &heartbeat()));
+    slopes.extend(message("end frame of an answer", &end()));
     slopes
 }
 
@@ -220,6 +224,32 @@
     Slope { name: "choice, with its answer, by replicas", count: replicas, value, unit: "ns" }
 }
 
+fn heartbeat() -> frame::Frame {
+    frame::Frame::Heartbeat { load: load() }
+}
+
+fn end() -> frame::Frame {
+    let usage = frame::Usage { requests: 1, prompt: 1800, output: 220 };
+    frame::Frame::End { length: 1200, usage, load: load() }
+}
+
+const fn load() -> frame::Load {
+    frame::Load { running: 16, waiting: 2, slots: 16, backlog: 2400 }
+}
+
+/// Size of a frame, and the time to write and read it.
+fn message(name: &'static str, frame: &frame::Frame) -> [Slope; 2] {
+    let size = codec::write_frame(frame).map_or(0, |bytes| bytes.len());
+    let value = median(|| {
+        let bytes = codec::write_frame(frame).unwrap_or_default();
+        let mut reader = codec::FrameReader::default();
+        reader.push(&bytes);
+        let _ = hint::black_box(reader.next_frame());
+    });
+    let bytes = Slope { name, count: 1, value: size as f64, unit: "bytes" };
+    [bytes, Slope { name, count: 1, value, unit: "ns to write and read" }]
+}
+
 /// Median time of a step in nanoseconds.
 fn median(mut step: impl FnMut()) -> f64 {
     let mut times: Vec<f64> = (0..BATCHES)
--- a/crates/bench/tests/scenarios.rs
+++ b/crates/bench/tests/scenarios.rs
@@ -1,5 +1,7 @@
 //! The bounds over both deployments in virtual time, and the measures as snapshots.
 
+use std::collections;
+
 use azuregap_bench::bounds;
 use azuregap_bench::deployment;
 use azuregap_bench::measure;
@@ -56,11 +58,21 @@
     hold(&deployment::academy(), &FAULTS);
 }
 
+/// Shares in 100 by class, rounded so that the snapshot is readable.
+fn summary(seen: &measure::Measure) -> collections::BTreeMap<String, [f64; 3]> {
+    let shares = |class: &measure::ClassMeasure| {
+        [class.attained, class.refused, class.failed].map(|share| (share * 100.0).round())
+    };
+    seen.classes.iter().map(|class| (class.name.clone(), shares(class))).collect()
+}
+
 #[gtest]
 fn the_same_seed_gives_the_same_measures() {
     let swan = deployment::swan_coastal();
-    let run = || scenario::run(&swan, scenario::Scenario::Crash, system::System::OURS, SEED);
-    verify_that!(run(), eq(&run())).and_log_failure();
+    let run = || scenario::run(&swan, scenario::Scenario::TopBurst, system::System::OURS, SEED);
+    let seen = run();
+    verify_that!(run(), eq(&seen)).and_log_failure();
+    insta::assert_json_snapshot!(summary(&seen));
 }
 
 #[gtest]
