--- a/crates/cli/src/api.rs
+++ b/crates/cli/src/api.rs
@@ -34,8 +34,13 @@
     pub(crate) fn new(operator: &args::Operator) -> error::CliResult<Self> {
         let missing = || error::CliError::Usage(format!("set {KEY_VARIABLE} to your operator key"));
         let key = env::var(KEY_VARIABLE).ok().filter(|key| !key.is_empty()).ok_or_else(missing)?;
-        let base = operator.entry.trim_end_matches('/').to_owned();
-        Ok(Self { client: awc::Client::default(), base, key })
+        Ok(Self::with_key(&operator.entry, &key))
+    }
+
+    /// A client of the entry at `base` with this operator key.
+    pub(crate) fn with_key(base: &str, key: &str) -> Self {
+        let base = base.trim_end_matches('/').to_owned();
+        Self { client: awc::Client::default(), base, key: key.to_owned() }
     }
 
     /// Reads `path`.
