--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -39,6 +39,10 @@
 
 pub mod claim;
 pub mod configuration;
+pub mod dissemination;
 pub mod ids;
 pub mod lease;
+pub mod ledger;
+pub mod membership;
+pub mod rendezvous;
 pub mod store;
