--- /dev/null
+++ b/crates/control/tests/intent_api.rs
@@ -0,0 +1,243 @@
+//! The intent API over HTTP, with every control service of an entry and of an agent running.
+
+mod support;
+
+use std::net;
+use std::time;
+
+use azuregap_control::configuration;
+use azuregap_control::holder;
+use azuregap_control::intent_api;
+use azuregap_control::mailbox;
+use azuregap_control::membership;
+use azuregap_control::placement;
+use azuregap_control::process;
+use azuregap_control::reports;
+use azuregap_control::usage;
+use azuregap_core::key;
+use azuregap_core::settings;
+use azuregap_kernel::kernel;
+use azuregap_standins::platform;
+use azuregap_wire::control;
+use googletest::prelude::*;
+use serde_json::json;
+
+const KEY: &str = "operator-key";
+const WINDOW: time::Duration = time::Duration::from_secs(60);
+
+fn free() -> net::SocketAddr {
+    net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn platform_settings(address: net::SocketAddr) -> settings::PlatformSettings {
+    let base = format!("http://{address}");
+    settings::PlatformSettings {
+        table: base.clone(),
+        objects: base.clone(),
+        orders: base.clone(),
+        usage: base.clone(),
+        vms: base,
+        timeout: time::Duration::from_secs(2),
+    }
+}
+
+fn entry_settings(platform: settings::PlatformSettings) -> settings::EntrySettings {
+    let operator = settings::OperatorKey { name: "ann".to_owned(), digest: key::Digest::of(KEY) };
+    settings::EntrySettings {
+        node: "entry".to_owned(),
+        zone: "north".to_owned(),
+        listen: free(),
+        operators: free(),
+        control: free(),
+        platform,
+        operator_keys: vec![operator],
+        workers: 1,
+        silence: time::Duration::from_secs(1),
+        max_stale: time::Duration::from_secs(4),
+        window: WINDOW,
+        statsd: None,
+    }
+}
+
+fn entry(settings: &settings::EntrySettings) -> kernel::Kernel {
+    let (node, zone) = (settings.node.clone(), settings.zone.clone());
+    let process = process::Process::new(node, zone, settings.control, control::Role::Entry);
+    let platform = &settings.platform;
+    kernel::Kernel::new()
+        .service(mailbox::service(process.clone()))
+        .service(configuration::service(process.clone(), platform))
+        .service(membership::service(process.clone(), platform))
+        .service(holder::service(process.clone(), platform))
+        .service(usage::copies(process, platform, WINDOW))
+        .service(reports::service(platform, WINDOW))
+        .service(placement::service(platform))
+        .service(intent_api::service(settings))
+}
+
+struct Operator {
+    client: awc::Client,
+    base: String,
+}
+
+impl Operator {
+    async fn call(
+        &self,
+        method: awc::http::Method,
+        path: &str,
+        body: Option<serde_json::Value>,
+    ) -> (u16, serde_json::Value) {
+        let request = self.client.request(method, format!("{}{path}", self.base));
+        let request = request.bearer_auth(KEY).timeout(time::Duration::from_secs(10));
+        let mut response = match body {
+            Some(body) => request.send_json(&body).await.unwrap(),
+            None => request.send().await.unwrap(),
+        };
+        (response.status().as_u16(), response.json().await.unwrap())
+    }
+
+    async fn post(&self, path: &str, body: serde_json::Value) -> (u16, serde_json::Value) {
+        self.call(awc::http::Method::POST, path, Some(body)).await
+    }
+
+    async fn get(&self, path: &str) -> (u16, serde_json::Value) {
+        self.call(awc::http::Method::GET, path, None).await
+    }
+}
+
+fn start_platform() -> (platform::Platform, settings::PlatformSettings) {
+    let stand_in = platform::Platform::new();
+    let (_server, address) = platform::serve(free(), stand_in.clone()).unwrap();
+    (stand_in, platform_settings(address))
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn an_operator_plans_confirms_and_gives_keys() -> googletest::Result<()> {
+    let (stand_in, platform) = start_platform();
+    let settings = entry_settings(platform);
+    let mut kernel = entry(&settings);
+    kernel.start().await?;
+    let base = format!("http://{}", settings.operators);
+    let operator = Operator { client: awc::Client::default(), base };
+
+    let (status, plan) = operator.post("/v1/plans", json!(support::intent(2, 2))).await;
+    verify_that!(status, eq(201))?;
+    verify_that!(plan["steps"].as_array().unwrap().len(), eq(2))?;
+    verify_that!(plan["cost"]["per_hour"], eq(&json!(2)))?;
+    let confirm = format!("/v1/plans/{}/confirm", plan["id"].as_str().unwrap());
+    let (_, other) = operator.post("/v1/plans", json!(support::intent(1, 2))).await;
+    let (status, first) = operator.post(&confirm, json!({})).await;
+    verify_that!(status, eq(200))?;
+    let (status, again) = operator.post(&confirm, json!({})).await;
+    verify_that!(status, eq(200))?;
+    verify_that!(again, eq(&first))?;
+    let late = format!("/v1/plans/{}/confirm", other["id"].as_str().unwrap());
+    let (status, conflict) = operator.post(&late, json!({})).await;
+    verify_that!(status, eq(409))?;
+    verify_that!(conflict["code"], eq(&json!(4002)))?;
+    verify_that!(conflict["by"], eq(&json!("ann")))?;
+
+    let digest = json!(key::Digest::of("caller-key"));
+    let (status, given) =
+        operator.post("/v1/keys", json!({ "team": "acme", "digest": digest })).await;
+    verify_that!(status, eq(201))?;
+    verify_that!(given, eq(&json!({ "version": 2 })))?;
+    let path = format!("/v1/keys/{}", digest.as_str().unwrap());
+    let (status, taken) = operator.call(awc::http::Method::DELETE, &path, None).await;
+    verify_that!(status, eq(200))?;
+    verify_that!(taken, eq(&json!({ "version": 3 })))?;
+    let (_, intent) = operator.get("/v1/intent").await;
+    verify_that!(intent["version"], eq(&json!(3)))?;
+    verify_that!(intent["intent"]["keys"][0]["withdrawn"], eq(&json!(true)))?;
+
+    let (status, plans) = operator.get("/v1/plans").await;
+    verify_that!((status, plans.as_array().unwrap().len()), eq((200, 2)))?;
+    let (status, _) = operator.get("/v1/plans/none").await;
+    verify_that!(status, eq(404))?;
+    let (status, usage) = operator.get("/v1/usage").await;
+    verify_that!(status, eq(200))?;
+    verify_that!(usage, eq(&json!([])))?;
+
+    // The entry takes the lease and carries the plan out.
+    let limit = tokio::time::Instant::now() + time::Duration::from_secs(60);
+    while stand_in.orders.with(|state| state.running().len()) < 2 {
+        verify_that!(tokio::time::Instant::now() < limit, eq(true))?;
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+    }
+    let (_, status) = operator.get("/v1/status").await;
+    verify_that!(status["holder"], eq(&json!("entry")))?;
+    verify_that!(status["version"], eq(&json!(3)))?;
+    kernel.stop().await;
+    Ok(())
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn faults_of_a_request_are_named() -> googletest::Result<()> {
+    let (_stand_in, platform) = start_platform();
+    let settings = entry_settings(platform);
+    let mut kernel = entry(&settings);
+    kernel.start().await?;
+    let base = format!("http://{}", settings.operators);
+    let operator = Operator { client: awc::Client::default(), base: base.clone() };
+
+    let denied = operator.client.get(format!("{base}/v1/status")).send().await.unwrap();
+    verify_that!(denied.status().as_u16(), eq(401))?;
+    let mut intent = json!(support::intent(2, 2));
+    intent["zones"][0]["spend"] = json!("much");
+    let (status, fault) = operator.post("/v1/plans", intent).await;
+    verify_that!(status, eq(400))?;
+    verify_that!(fault["faults"][0]["path"], eq(&json!("zones[0].spend")))?;
+    let digest = json!(key::Digest::of("caller-key"));
+    let (status, fault) =
+        operator.post("/v1/keys", json!({ "team": "nobody", "digest": digest })).await;
+    verify_that!(status, eq(400))?;
+    verify_that!(fault["code"], eq(&json!(5005)))?;
+    kernel.stop().await;
+    Ok(())
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn an_entry_finds_an_agent_and_its_next_incarnation() -> googletest::Result<()> {
+    let (stand_in, platform) = start_platform();
+    let settings = entry_settings(platform.clone());
+    let mut kernel = entry(&settings);
+    kernel.start().await?;
+    let directory =
+        kernel.registry().find::<azuregap_control::directory::Directory>("directory")?;
+    let control = free();
+    let role = control::Role::Agent {
+        backend: "server".to_owned(),
+        pool: "advisor".to_owned(),
+        runs: "127.0.0.1:1".to_owned(),
+    };
+    stand_in.vms.with(|state| {
+        state.add(azuregap_platform::vms::Vm {
+            name: "server".to_owned(),
+            zone: "north".to_owned(),
+            kind: azuregap_platform::vms::VmKind::Backend { pool: "advisor".to_owned() },
+            control: control.to_string(),
+            leaving: false,
+        });
+    });
+    for _ in 0..2 {
+        let process = process::Process::new("agent", "north", control, role.clone());
+        let incarnation = process.peer.incarnation;
+        let mut agent = kernel::Kernel::new()
+            .service(mailbox::service(process.clone()))
+            .service(configuration::service(process.clone(), &platform))
+            .service(membership::service(process.clone(), &platform))
+            .service(usage::service(process, &platform, WINDOW));
+        agent.start().await?;
+        let limit = tokio::time::Instant::now() + time::Duration::from_secs(30);
+        while !directory.load().iter().any(|agent| agent.incarnation == incarnation) {
+            verify_that!(tokio::time::Instant::now() < limit, eq(true))?;
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
+        }
+        verify_that!(directory.load().len(), eq(1))?;
+        agent.stop().await;
+    }
+    kernel.stop().await;
+    Ok(())
+}
--- a/crates/control/tests/mailbox.rs
+++ b/crates/control/tests/mailbox.rs
@@ -47,3 +47,50 @@
     handle.prove_fresh(old);
     verify_that!(handle.age(), ge(time::Duration::from_secs(60)))
 }
+
+#[gtest]
+#[test]
+fn many_questions_at_once_are_all_answered() -> Result<()> {
+    let server = process("server");
+    let address = server.peer.control.clone();
+    let served = actix_rt::System::new();
+    let mut kernel = kernel::Kernel::new().service(mailbox::service(server));
+    served.block_on(kernel.start())?;
+    let asker = |_| {
+        let address = address.clone();
+        std::thread::spawn(move || {
+            let mailbox = mailbox::Mailbox::new(process("client"));
+            actix_rt::System::new().block_on(async move {
+                let mut answered = 0;
+                for _ in 0..2_000 {
+                    let reply = mailbox.ask(&address, control::Body::DrainState, WAIT).await;
+                    answered += u32::from(reply.is_ok());
+                }
+                answered
+            })
+        })
+    };
+    let askers: Vec<_> = (0..24).map(asker).collect();
+    let answered: u32 = askers.into_iter().map(|asker| asker.join().unwrap()).sum();
+    verify_that!(answered, eq(24 * 2_000))?;
+    served.block_on(kernel.stop());
+    Ok(())
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn questions_that_are_given_up_do_not_block_later_ones() -> Result<()> {
+    let server = process("server");
+    let address = server.peer.control.clone();
+    let mut kernel = kernel::Kernel::new().service(mailbox::service(server));
+    kernel.start().await?;
+    let client = mailbox::Mailbox::new(process("client"));
+    client.ask(&address, control::Body::DrainState, WAIT).await?;
+    for _ in 0..500 {
+        let question = client.ask(&address, control::Body::DrainState, WAIT);
+        drop(tokio::time::timeout(time::Duration::from_micros(100), question).await);
+    }
+    client.ask(&address, control::Body::DrainState, WAIT).await?;
+    kernel.stop().await;
+    Ok(())
+}
