--- a/crates/daemon/tests/once.rs
+++ b/crates/daemon/tests/once.rs
@@ -114,6 +114,7 @@
 async fn play(
     cluster: &mut Cluster,
     round: usize,
+    keyed: bool,
     random: &mut rand_chacha::ChaCha8Rng,
 ) -> Vec<Call> {
     let fault = FAULTS[round % FAULTS.len()];
@@ -121,7 +122,6 @@
     let calls: Vec<_> = (0..CALLS)
         .map(|i| {
             let id = format!("call-{round}-{i}");
-            let keyed = random.random_bool(0.5);
             let wait = random.random_range(0..SPREAD_MS);
             let first = random.random_range(0..2);
             let callers = [first, 1 - first].map(|entry| {
@@ -155,15 +155,13 @@
     wrong.then(|| format!("{} under {:?}: ran {runs} times, told {told:?}", call.id, call.fault))
 }
 
-#[gtest]
-#[actix_rt::test]
-async fn no_call_runs_twice_and_none_that_ran_is_called_not_run() -> Result<()> {
+async fn verify_all_run_at_most_once(keyed: bool) -> Result<()> {
     let shape = Shape { engines: 0, plains: 2, entries: 2, ..Shape::default() };
     let mut cluster = Cluster::start(shape).await;
     let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(SEED);
     let mut calls = Vec::new();
     for round in 0..ROUNDS {
-        calls.extend(play(&mut cluster, round, &mut random).await);
+        calls.extend(play(&mut cluster, round, keyed, &mut random).await);
     }
     let wrong: Vec<_> = calls.iter().filter_map(|call| fault_of(&cluster, call)).collect();
     let ran = calls.iter().filter(|call| cluster.runs(&call.id) > 0).count();
@@ -171,3 +169,15 @@
     verify_that!(calls.len(), ge(500))?;
     verify_that!(wrong, is_empty())
 }
+
+#[gtest]
+#[actix_rt::test]
+async fn without_a_key_no_call_runs_twice_and_none_that_ran_is_called_not_run() -> Result<()> {
+    verify_all_run_at_most_once(false).await
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn with_a_key_no_call_runs_twice_and_none_that_ran_is_called_not_run() -> Result<()> {
+    verify_all_run_at_most_once(true).await
+}
--- a/crates/daemon/tests/support/cluster.rs
+++ b/crates/daemon/tests/support/cluster.rs
@@ -15,6 +15,7 @@
 
 use super::caller;
 use super::daemon;
+use super::detour;
 use super::documents;
 
 static CLUSTERS: atomic::AtomicU32 = atomic::AtomicU32::new(0);
@@ -29,11 +30,19 @@
     pub(crate) engines: usize,
     pub(crate) plains: usize,
     pub(crate) settings: engine::Settings,
+    /// Whether entries reach the agents through a proxy that can fall silent.
+    pub(crate) proxied: bool,
 }
 
 impl Default for Shape {
     fn default() -> Self {
-        Self { entries: 1, engines: 1, plains: 1, settings: engine::Settings::new() }
+        Self {
+            entries: 1,
+            engines: 1,
+            plains: 1,
+            settings: engine::Settings::new(),
+            proxied: false,
+        }
     }
 }
 
@@ -45,6 +54,7 @@
     pub(crate) entries: Vec<daemon::Daemon>,
     pub(crate) engine_agents: Vec<daemon::Daemon>,
     pub(crate) plain_agents: Vec<daemon::Daemon>,
+    pub(crate) detours: Vec<detour::Detour>,
     pub(crate) intent: serde_json::Value,
     version: u64,
     folder: path::PathBuf,
@@ -75,6 +85,9 @@
             cluster.plains.push(plain);
             cluster.plain_agents.push(cluster.agent(settings, "billing-app"));
         }
+        if shape.proxied {
+            cluster.take_detours().await;
+        }
         for i in 0..shape.entries {
             let settings = documents::entry(i, platform_at);
             cluster.list(settings.name(), &settings, vms::VmKind::Entry);
@@ -137,6 +150,17 @@
             .collect()
     }
 
+    /// Puts a proxy before every agent.
+    async fn take_detours(&mut self) {
+        for agent in self.engine_agents.iter().chain(&self.plain_agents) {
+            let detour = detour::Detour::start(&agent.settings).await;
+            let backend = agent.settings.0["backend"].as_str().unwrap();
+            let pool = agent.settings.0["pool"].as_str().unwrap().to_owned();
+            self.list_at(backend, detour.control().to_string(), vms::VmKind::Backend { pool });
+            self.detours.push(detour);
+        }
+    }
+
     fn start_platform() -> Self {
         let number = CLUSTERS.fetch_add(1, atomic::Ordering::Relaxed);
         let name = format!("cluster-{}-{number}", std::process::id());
@@ -149,6 +173,7 @@
             entries: Vec::new(),
             engine_agents: Vec::new(),
             plain_agents: Vec::new(),
+            detours: Vec::new(),
             intent: serde_json::Value::Null,
             version: 0,
             folder,
@@ -171,11 +196,15 @@
 
     /// Puts a VM on the platform's list.
     fn list(&self, name: &str, settings: &documents::Document, kind: vms::VmKind) {
+        self.list_at(name, settings.address("control").to_string(), kind);
+    }
+
+    fn list_at(&self, name: &str, control: String, kind: vms::VmKind) {
         let vm = vms::Vm {
             name: name.to_owned(),
             zone: "perth-north".to_owned(),
             kind,
-            control: settings.address("control").to_string(),
+            control,
             leaving: false,
         };
         self.platform.vms.with(|state| state.add(vm));
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -5,6 +5,7 @@
 mod caller;
 mod cluster;
 mod daemon;
+mod detour;
 mod documents;
 
 pub(crate) use caller::Caller;
