test(daemon): the harness gives no address twice

Cause: a run of two entries failed to start once, 'Address in use': the system gave a port again that the harness had released a moment before. Ruled out: other tests, each uses an IP number of its own; outgoing connections, which come from 127.0.0.1. Change: addresses given are remembered.

--- a/crates/daemon/tests/support/documents.rs
+++ b/crates/daemon/tests/support/documents.rs
@@ -1,10 +1,16 @@
 //! Settings and intent of the deployment under test.
 
+use std::collections;
 use std::net;
+use std::sync;
 
 use azuregap_core::key;
 use serde_json::json;
 
+/// Addresses given by [`free_address`].
+static GIVEN: sync::Mutex<collections::BTreeSet<net::SocketAddr>> =
+    sync::Mutex::new(collections::BTreeSet::new());
+
 /// Key of the team that calls.
 pub(crate) const KEY: &str = "key-of-harbour";
 
@@ -111,10 +117,17 @@
     })
 }
 
-/// An address on loopback that is free now, on an IP number of this process's own.
+/// An address on loopback that is free now and was not given before, on an IP number of this
+/// process's own.
 pub(crate) fn free_address() -> net::SocketAddr {
     let [_, a, b, c] = std::process::id().to_be_bytes();
     let host = net::Ipv4Addr::new(127, 64 | a, b, c.max(1));
-    let listener = net::TcpListener::bind((host, 0)).unwrap();
-    listener.local_addr().unwrap()
+    let mut given = GIVEN.lock().unwrap();
+    loop {
+        let listener = net::TcpListener::bind((host, 0)).unwrap();
+        let address = listener.local_addr().unwrap();
+        if given.insert(address) {
+            return address;
+        }
+    }
 }
