fix(coordination): say that an agent which forgot runs must not answer 'not run'

Cause: the needs of claims did not say so, and an agent that drops old runs and then answers 'not run' of an unknown id lets a repeat run the work a second time. Change: contract in claim and Reply::NotRun; the schedules let agents forget; that answer is planted and found (two requests ran). The ledger's schedules let writes land late as well.

--- a/crates/coordination/src/claim.rs
+++ b/crates/coordination/src/claim.rs
@@ -12,7 +12,9 @@
 //! * The table service applies a conditional write or does not, and reads are not stale.
 //! * An agent runs a request id at most once in an incarnation, and refuses a dispatch that is
 //!   addressed to another incarnation than its own.
-//! * An agent that answers [`Reply::NotRun`] refuses that request id from then on.
+//! * An agent answers [`Reply::NotRun`] only if it certainly never ran the request id, and refuses
+//!   that id from then on. An agent that has forgotten any request that it ran can no longer tell
+//!   an unknown id from a forgotten one; it answers [`Reply::Silent`] for ids it does not know.
 //! * Rows are not deleted before any request with the key could still be under way; a claim that
 //!   is given up is marked [`ClaimState::Released`] instead, so that row versions never repeat.
 //!
--- a/crates/coordination/src/claim/reply.rs
+++ b/crates/coordination/src/claim/reply.rs
@@ -9,7 +9,8 @@
     Running,
     /// It ran; this was its answer.
     Done(claim::StoredAnswer),
-    /// It did not run, and this incarnation of the agent will refuse it from now on.
+    /// It certainly did not run, and this incarnation of the agent will refuse it from now on. An
+    /// agent that has forgotten requests that it ran must not say so of an id it does not know.
     NotRun,
     /// The incarnation that is named in the claim is gone.
     Gone,
--- a/crates/coordination/tests/claim_model/main.rs
+++ b/crates/coordination/tests/claim_model/main.rs
@@ -29,6 +29,9 @@
 /// An agent takes a dispatch that was addressed to an earlier incarnation.
 const ANY_INCARNATION: u8 = 3;
 
+/// An agent that forgot what it ran says "not run" of what it does not know.
+const FORGETS_RUN: u8 = 4;
+
 /// What an agent knows of a request.
 #[derive(Clone, Copy, PartialEq)]
 enum Known {
@@ -41,6 +44,8 @@
 struct Agent {
     incarnation: u64,
     busy: bool,
+    /// A request that ran was forgotten.
+    forgot: bool,
     known: collections::BTreeMap<u128, Known>,
 }
 
@@ -111,6 +116,12 @@
                 let incarnation = self.agents[agent].incarnation + 1;
                 self.agents[agent] = Agent { incarnation, ..Agent::default() };
             }
+            Step::Forget { agent } => {
+                let agent = &mut self.agents[agent];
+                let before = agent.known.len();
+                agent.known.retain(|_, known| *known != Known::Done);
+                agent.forgot |= agent.known.len() < before;
+            }
             Step::Busy { agent, busy } => self.agents[agent].busy = busy,
             Step::Complete { agent } => {
                 let running = self.agents[agent].known.values_mut();
@@ -271,7 +282,7 @@
         match agent.known.get(&id) {
             _ if agent.incarnation != target.incarnation => Some(claim::Event::Lost),
             Some(Known::Done) if fate == Fate::Good => Some(claim::Event::Finished(answer(id))),
-            Some(Known::Done) => Some(claim::Event::Lost),
+            Some(Known::Done) | None => Some(claim::Event::Lost),
             _ => None,
         }
     }
@@ -286,6 +297,7 @@
             Some(Known::Running) => claim::Reply::Running,
             Some(Known::Done) => claim::Reply::Done(answer(request)),
             Some(Known::Refused) => claim::Reply::NotRun,
+            None if agent.forgot && BUG != FORGETS_RUN => claim::Reply::Silent,
             None => {
                 if BUG != FORGETS_REFUSAL {
                     agent.known.insert(request, Known::Refused);
@@ -360,3 +372,8 @@
 fn a_dispatch_to_another_incarnation_is_found() {
     expect_that!(explore::<ANY_INCARNATION>(2000), err(contains_substring("two requests ran")));
 }
+
+#[gtest]
+fn an_agent_that_forgets_what_it_ran_is_found() {
+    expect_that!(explore::<FORGETS_RUN>(2000), err(contains_substring("two requests ran")));
+}
--- a/crates/coordination/tests/claim_model/schedule.rs
+++ b/crates/coordination/tests/claim_model/schedule.rs
@@ -36,6 +36,10 @@
     CrashAgent {
         agent: usize,
     },
+    /// An agent forgets the requests that it completed.
+    Forget {
+        agent: usize,
+    },
     /// An agent refuses new work, or takes it again.
     Busy {
         agent: usize,
@@ -77,6 +81,7 @@
             60 => (0..4usize, fate).prop_map(|(request, fate)| Step::Act { request, fate }),
             2 => (0..4usize).prop_map(|request| Step::CrashEntry { request }),
             1 => agent.clone().prop_map(|agent| Step::CrashAgent { agent }),
+            1 => agent.clone().prop_map(|agent| Step::Forget { agent }),
             2 => (agent.clone(), any::<bool>()).prop_map(|(agent, busy)| Step::Busy { agent, busy }),
             10 => agent.prop_map(|agent| Step::Complete { agent }),
             2 => Just(Step::LandWrite),
--- a/crates/coordination/tests/ledger_model/main.rs
+++ b/crates/coordination/tests/ledger_model/main.rs
@@ -1,8 +1,8 @@
 //! Seeded schedules over two agents, two entries and two processes that both close windows.
 //!
-//! Answers of the table service are lost before and after the effect, notices that records are
-//! durable are lost, windows are closed while writers still have records, and processes die between
-//! any two steps. The invariants: all reports of a window are the same text; each request is billed
+//! Answers of the table service are lost before and after the effect, writes land late, notices that
+//! records are durable are lost, windows are closed while writers still have records, and processes
+//! die between any two steps. The invariants: all reports of a window are the same text; each request is billed
 //! at most once and with the figures that were counted; with one death nothing is lost; with more,
 //! only what was in the memory of dead processes alone.
 
@@ -227,6 +227,7 @@
                     let index = self.rng.random_range(0..4);
                     self.kill(index);
                 }
+                72..74 => self.table.land(),
                 _ if self.window > FIRST => {
                     let index = self.rng.random_range(0..2);
                     self.close(index)?;
