--- a/crates/bench/src/model/simulation.rs
+++ b/crates/bench/src/model/simulation.rs
@@ -123,7 +123,7 @@
         self.push(HEARTBEAT, Event::Heartbeat);
         self.push(REPORT_INTERVAL, Event::Publish);
         match self.scenario {
-            scenario::Scenario::Straggler => self.push(scenario::FROM, Event::Slow),
+            scenario if scenario.has_straggler() => self.push(scenario::FROM, Event::Slow),
             scenario::Scenario::Crash => self.push(scenario::CRASH_INTERVAL, Event::Crash),
             _ => {}
         }
--- a/crates/policy/src/choice/health.rs
+++ b/crates/policy/src/choice/health.rs
@@ -29,7 +29,7 @@
 const FAILED_PROBE: Duration = Duration::from_secs(1);
 
 /// Time to the first probe of a straggler.
-const SLOW_PROBE: Duration = Duration::from_secs(5);
+const SLOW_PROBE: Duration = Duration::from_secs(10);
 
 /// Longest time between two probes.
 const MOST_PROBE: Duration = Duration::from_secs(60);
--- a/crates/policy/src/choice/request.rs
+++ b/crates/policy/src/choice/request.rs
@@ -28,7 +28,8 @@
         self
     }
 
-    /// Sets whether it may serve as a probe: only if it is idempotent.
+    /// Sets whether it may serve as a probe: only if it is idempotent, and better if it is of the
+    /// lowest tier that comes to the pool, because a probe may be slow or fail.
     #[must_use]
     pub const fn probe(mut self, probe: bool) -> Self {
         self.probe = probe;
