feat(cli): demo of the whole path, declared through the operators' API

Cause: people had no way to see the main job without a platform. Change: azuregap demo starts stand-ins, two entries and the agents in one process, plans, confirms and gives a key through the operators' API, sends one request of each class, repeats the call that runs once and compares its answer with the first, and stops everything gracefully.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -94,7 +94,6 @@
     /// answered, and each is timed from the time it was due. The key of the calling team is read
     /// from the environment variable AZUREGAP_KEY.
     Load(LoadArgs),
-    #[command(hide = true)]
     /// Run the main job on embedded stand-ins and show one request of each class
     ///
     /// Platform, backend servers, agents and two entries run in this process, on loopback.
--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -1,6 +1,7 @@
 //! The main job on embedded stand-ins, in one process on loopback.
 
 mod cluster;
+mod declare;
 mod ports;
 mod requests;
 mod run;
--- a/crates/cli/src/demo/cluster.rs
+++ b/crates/cli/src/demo/cluster.rs
@@ -20,10 +20,10 @@
 const ENTRIES: usize = 2;
 
 /// Replicas of each model.
-const MODEL_REPLICAS: usize = 2;
+const MODEL_REPLICAS: u32 = 2;
 
 /// Replicas of each plain service.
-const PLAIN_REPLICAS: usize = 1;
+const PLAIN_REPLICAS: u32 = 1;
 
 /// Any free port of loopback.
 const LOOPBACK: net::SocketAddr =
@@ -71,11 +71,7 @@
         }
         let mut zones = intent.zones.iter().cycle();
         for pool in &intent.pools {
-            let replicas = match pool.kind {
-                intent::PoolKind::Model => MODEL_REPLICAS,
-                intent::PoolKind::Plain => PLAIN_REPLICAS,
-            };
-            for (i, zone) in (1..=replicas).zip(&mut zones) {
+            for (i, zone) in (1..=replicas(pool)).zip(&mut zones) {
                 cluster.start_agent(&format!("{}-{i}", pool.name), pool, zone, &base).await?;
             }
         }
@@ -174,6 +170,14 @@
     }
 }
 
+/// Replicas of `pool` that the demo starts.
+pub(super) const fn replicas(pool: &intent::Pool) -> u32 {
+    match pool.kind {
+        intent::PoolKind::Model => MODEL_REPLICAS,
+        intent::PoolKind::Plain => PLAIN_REPLICAS,
+    }
+}
+
 fn start_backend(pool: &intent::Pool) -> io::Result<net::SocketAddr> {
     let (_, address) = match pool.kind {
         intent::PoolKind::Model => {
--- a/crates/cli/src/demo/run.rs
+++ b/crates/cli/src/demo/run.rs
@@ -1,17 +1,17 @@
 //! Starts the demo, shows its requests and stops it.
 
+use std::collections;
 use std::io;
 use std::time;
 
-use azuregap_control::configuration;
 use azuregap_core::intent;
 use azuregap_core::key;
 use azuregap_core::settings;
-use azuregap_platform::table;
 use serde_json::Value;
 use serde_json::json;
 
 use super::cluster;
+use super::declare;
 use super::requests;
 use crate::args;
 use crate::error;
@@ -38,42 +38,40 @@
         tracing_subscriber::fmt().json().flatten_event(true).with_writer(io::stderr).init();
     }
     let (key, operator) = (secret::new_key(), secret::new_key());
-    let intent = declared(options.deployment, &key)?;
+    let intent = shipped(options.deployment)?;
     let cluster = cluster::Cluster::start(&intent, key::Digest::of(&operator)).await?;
-    put_in_force(&cluster, &intent)?;
+    let declared = declare::declare(cluster.operators, &operator, &intent, &key).await?;
     let shown = show(&cluster, &intent, &key).await;
-    let sound = shown.iter().all(|row| row["expected"] == row["status"]);
-    render::print(&json!({ "requests": shown }), json);
+    let sound = shown.iter().all(is_sound);
+    render::print(&report(&declared, &shown), json);
     if options.hold {
-        hold(&cluster, &key).await;
+        hold(&cluster, &intent.teams[0].name, &key, &operator).await;
     }
     cluster.stop().await;
     Ok(if sound { exit::Exit::Done } else { exit::Exit::Faulty })
 }
 
-/// The shipped intent with a key for its first team.
-fn declared(deployment: args::Deployment, key: &str) -> error::CliResult<intent::Intent> {
+/// The shipped intent, for as many replicas as the demo starts.
+fn shipped(deployment: args::Deployment) -> error::CliResult<intent::Intent> {
     let invalid = |fault| error::CliError::Document("the shipped intent".to_owned(), fault);
     let mut intent: intent::Intent = settings::from_text(deployment.intent()).map_err(invalid)?;
-    let team = intent.teams[0].name.clone();
-    intent.keys.push(intent::KeyGrant { digest: key::Digest::of(key), team, withdrawn: false });
+    for pool in &mut intent.pools {
+        pool.min_replicas = cluster::replicas(pool);
+    }
     Ok(intent)
 }
 
-/// Writes the first configuration to the platform's table.
-fn put_in_force(cluster: &cluster::Cluster, intent: &intent::Intent) -> error::CliResult<()> {
-    let unusable = |error: serde_json::Error| error::CliError::Answer(error.to_string());
-    let text = serde_json::to_string(intent).map_err(unusable)?;
-    let row = configuration::ConfigurationRow {
-        version: 1,
-        by: "demo".to_owned(),
-        text,
-        ..configuration::ConfigurationRow::default()
-    };
-    let row = serde_json::to_value(row).map_err(unusable)?;
-    let write = table::Transaction::new().put(configuration::CURRENT, row);
-    cluster.platform.table.with(|state| state.apply(table::TableCall::Commit(write)));
-    Ok(())
+/// What was put in force and what became of the requests.
+fn report(declared: &declare::Declared, shown: &[Value]) -> Value {
+    json!({
+        "in force": {
+            "plan": declared.plan["id"],
+            "version": declared.version,
+            "steps": declared.plan["steps"],
+            "cost": declared.plan["cost"],
+        },
+        "requests": shown,
+    })
 }
 
 /// Sends every request in turn, at the entries in turn.
@@ -81,13 +79,24 @@
     let client = awc::Client::builder().timeout(PATIENCE).finish();
     let entries = cluster.entries.iter().cycle();
     let mut rows = Vec::new();
-    for (request, entry) in requests::all(intent).iter().zip(entries) {
-        let answer = send_until_served(&client, *entry, key, request).await;
-        rows.push(row(request, &answer));
+    let mut first = collections::HashMap::new();
+    for (request, entry) in requests::all(intent).into_iter().zip(entries) {
+        let answer = send_until_served(&client, *entry, key, &request).await;
+        let mut row = row(&request, &answer);
+        if let Some(claim) = request.claim {
+            let earlier = first.entry(claim).or_insert_with(|| answer.body.clone());
+            row["as first"] = (*earlier == answer.body).into();
+        }
+        rows.push(row);
     }
     rows
 }
 
+/// Whether a request got the status it must get and a repeat the answer of the first.
+fn is_sound(row: &Value) -> bool {
+    row["expected"] == row["status"] && row.get("as first").is_none_or(|same| *same == true)
+}
+
 /// Sends again what was not run, while the parts still look for each other.
 async fn send_until_served(
     client: &awc::Client,
@@ -127,10 +136,12 @@
 }
 
 /// Waits for an interrupt and tells how to send requests meanwhile.
-async fn hold(cluster: &cluster::Cluster, key: &str) {
+async fn hold(cluster: &cluster::Cluster, team: &str, key: &str, operator: &str) {
     println!("\nentries: {:?}", cluster.entries);
     println!("backend servers: {}", cluster.backends.join(", "));
-    println!("key: {key}");
+    println!("key of {team}: {key}");
+    println!("operators: http://{}", cluster.operators);
+    println!("operator key: {operator}");
     println!("Stop with Ctrl-C.");
     if tokio::signal::ctrl_c().await.is_err() {
         eprintln!("azuregap: no interrupt can be waited for");
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -185,6 +185,32 @@
     insta::assert_snapshot!(support::run(&["--help"]).out);
 }
 
+/// What was asked and how it ended, without times.
+fn shown(deployment: &str) -> (Option<i32>, String) {
+    let said = support::run_with(&["demo", "--json", "--deployment", deployment], &[]);
+    let report: Value = serde_json::from_str(&said.out)
+        .unwrap_or_else(|error| panic!("{error}\n{}\n{}", said.out, said.err));
+    let rows = report["requests"].as_array().unwrap();
+    let lines = rows
+        .iter()
+        .map(|row| format!("{} {} as first: {}", row["status"], row["request"], row["as first"]));
+    (said.exit, lines.collect::<Vec<_>>().join("\n"))
+}
+
+#[gtest]
+fn demo_serves_every_class_of_swan_coastal() {
+    let (exit, lines) = shown("swan-coastal");
+    expect_that!(exit, some(eq(0)));
+    insta::assert_snapshot!(lines);
+}
+
+#[gtest]
+fn demo_serves_every_class_of_the_academy() {
+    let (exit, lines) = shown("academy");
+    expect_that!(exit, some(eq(0)));
+    insta::assert_snapshot!(lines);
+}
+
 fn count(row: &Value, name: &str) -> u64 {
     row[name].as_u64().unwrap()
 }
