fix(control): close the control socket only when no answer is under way

Cause: closing nng's reply socket while a callback begins the next receive destroys the context under it (seen: 'panic: pthread_mutex_lock: Invalid argument' in rep0_ctx_close from nng_ctx_recv, twice in 65 runs of a test that restarts an agent). Change: the mailbox has a server of its own: when it closes, callbacks begin nothing new, operations under way are cancelled until all workers are idle, then the socket is closed. azuregap_wire::socket::Server still has the fault.

--- a/crates/control/src/mailbox.rs
+++ b/crates/control/src/mailbox.rs
@@ -4,9 +4,12 @@
 //! published on [`Mailbox::heard`], so that the configuration service fetches it.
 
 mod client;
+mod server;
 
+use std::cell;
 use std::collections;
 use std::fmt;
+use std::rc;
 use std::sync;
 use std::time;
 
@@ -205,31 +208,29 @@
 /// The service "mailbox": listens at the control address of `process`.
 #[must_use]
 pub fn service(process: process::Process) -> service::Service {
-    let server: sync::Arc<sync::Mutex<Option<socket::Server>>> = sync::Arc::default();
+    let server: rc::Rc<cell::RefCell<Option<server::Server>>> = rc::Rc::default();
     let running = server.clone();
     service::Service::new(Mailbox::NAME)
         .start(move |registry| async move {
             let mailbox = Mailbox::new(process);
-            *server.lock().unwrap_or_else(sync::PoisonError::into_inner) = Some(listen(&mailbox)?);
+            *server.borrow_mut() = Some(listen(&mailbox)?);
             registry.offer(Mailbox::NAME, mailbox);
             Ok(())
         })
         .stop(move |_| async move {
-            let mut server = running.lock().unwrap_or_else(sync::PoisonError::into_inner);
-            if let Some(server) = server.take() {
-                server.close();
-                // A callback that still runs must not be left with the last reference to its
-                // operation handle: it would wait for itself.
-                std::mem::forget(server);
+            let server = running.borrow_mut().take();
+            if let Some(server) = server {
+                server.close().await;
             }
         })
 }
 
-fn listen(mailbox: &Mailbox) -> error::KernelResult<socket::Server> {
-    let address = mailbox.process().peer.control.clone();
-    let (own, refuser) = (mailbox.clone(), mailbox.clone());
-    let answer = move |message| own.answer(&message);
-    let refuse = move |code, reason: String| refuser.message(failed(code, reason));
-    socket::Server::listen(address, answer, refuse)
+fn listen(mailbox: &Mailbox) -> error::KernelResult<server::Server> {
+    let own = mailbox.clone();
+    let answer = move |message: Result<control::Message, server::Refused>| match message {
+        Ok(message) => own.answer(&message),
+        Err(refused) => own.message(failed(refused.code, refused.reason)),
+    };
+    server::Server::listen(&mailbox.process().peer.control, answer)
         .map_err(|error| error::KernelError::Failed(Mailbox::NAME.to_owned(), error.to_string()))
 }
