feat(control): operators order loads and roles through agents; agents know their peers

Cause: nothing wrote orders to agents; agents do not run 'membership', so they had no list of peers and each read the table service twice a second. Change: POST /v1/backends/{backend}/orders and GET /v1/orders, the first at the entry in charge only (4005 names the holder); on an agent the configuration service reads the VM list; an order to an agent no longer holds up the stop of its server.

--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod doubt;
 mod follower;
+mod list;
 mod merge;
 mod readers;
 mod row;
--- a/crates/control/src/configuration/service.rs
+++ b/crates/control/src/configuration/service.rs
@@ -5,8 +5,11 @@
 use azuregap_core::settings;
 use azuregap_kernel::service;
 use azuregap_platform::table;
+use azuregap_platform::vms;
+use azuregap_wire::control;
 
 use super::follower;
+use super::list;
 use super::source;
 use crate::ask;
 use crate::mailbox;
@@ -17,10 +20,11 @@
 /// How long a peer may take to answer.
 const ASKING: time::Duration = time::Duration::from_millis(700);
 
-/// The service "configuration"; offers a [`snapshot::Handle`].
+/// The service "configuration"; offers a [`snapshot::Handle`]. On an agent it reads the list of
+/// VMs as well, to find the peers that it asks; on an entry the service "membership" does.
 #[must_use]
 pub fn service(
-    _process: process::Process,
+    process: process::Process,
     platform: &settings::PlatformSettings,
 ) -> service::Service {
     let platform = platform.clone();
@@ -35,6 +39,10 @@
             let source = source::Source::new(table, mailbox.snapshot(), mailbox.doubt());
             registry.offer(snapshot::Handle::NAME, mailbox.snapshot());
             let ask = ask::Ask::mailbox(mailbox.clone(), ASKING);
+            if process.peer.role != control::Role::Entry {
+                let vms = vms::Vms::http(&platform.vms, platform.timeout);
+                tasks.spawn(list::list(mailbox.clone(), vms));
+            }
             tasks.spawn(follower::Follower::new(mailbox, source, ask).run());
             Ok(())
         })
--- a/crates/control/src/failure.rs
+++ b/crates/control/src/failure.rs
@@ -22,6 +22,10 @@
         NameUnknown(name: String) {
             display("'{}' is not known", name)
         }
+        /// Another process is in charge.
+        NotHolder(holder: ids::NodeId) {
+            display("this entry is not in charge, ask '{}'", holder)
+        }
         /// No such plan.
         PlanUnknown(id: ids::PlanId) {
             display("no plan '{}'", id)
@@ -71,6 +75,7 @@
                 faults.first().map_or(code::Code::JsonInvalid, |fault| fault.code)
             }
             Self::NameUnknown(_) => code::Code::NameUnknown,
+            Self::NotHolder(_) => code::Code::NotHolder,
             Self::PlanUnknown(_) => code::Code::PlanUnknown,
             Self::PlanExpired(_) => code::Code::PlanExpired,
             Self::Conflict(_) => code::Code::PlanConflict,
--- a/crates/control/src/intent_api.rs
+++ b/crates/control/src/intent_api.rs
@@ -1,4 +1,4 @@
-//! The HTTP interface for operators: plans, the intent in force, keys, status and usage.
+//! The HTTP interface for operators: plans, the intent in force, keys, orders, status and usage.
 //!
 //! Every call carries `Authorization: Bearer KEY` with an operator key; only digests of these
 //! keys are in the settings. An error is JSON with `code` (the numbered code), `message`, and
--- a/crates/control/src/intent_api/answer.rs
+++ b/crates/control/src/intent_api/answer.rs
@@ -42,6 +42,7 @@
             document["by"] = conflict.by.clone().into();
             document["changes"] = conflict.changes.clone().into();
         }
+        failure::Failure::NotHolder(holder) => document["holder"] = holder.clone().into(),
         failure::Failure::Unsettled(_) => document["unsettled"] = true.into(),
         _ => {}
     }
--- a/crates/control/src/intent_api/routes.rs
+++ b/crates/control/src/intent_api/routes.rs
@@ -16,6 +16,7 @@
 use super::views;
 use crate::failure;
 use crate::keys;
+use crate::orders;
 use crate::reports;
 
 type Shared = web::Data<state::State>;
@@ -30,6 +31,8 @@
         .route("/v1/intent", web::get().to(read_intent))
         .route("/v1/keys", web::post().to(give_key))
         .route("/v1/keys/{digest}", web::delete().to(withdraw_key))
+        .route("/v1/orders", web::get().to(list_orders))
+        .route("/v1/backends/{backend}/orders", web::post().to(order_agent))
         .route("/v1/status", web::get().to(status))
         .route("/v1/usage", web::get().to(list_usage))
         .route("/v1/usage/{window}", web::get().to(find_usage));
@@ -122,6 +125,29 @@
     answer::answer(http::StatusCode::OK, withdraw.await)
 }
 
+async fn list_orders(request: HttpRequest, state: Shared) -> HttpResponse {
+    let list = async {
+        operator(&request, &state)?;
+        state.orders().await
+    };
+    answer::answer(http::StatusCode::OK, list.await)
+}
+
+async fn order_agent(
+    request: HttpRequest,
+    state: Shared,
+    backend: web::Path<String>,
+    body: web::Bytes,
+) -> HttpResponse {
+    let order = async {
+        let by = operator(&request, &state)?;
+        let order: orders::AgentOrder = read(&body)?;
+        tracing::info!(decision = "order agent", code = 0, by, %backend, ?order, "placement");
+        state.order(&backend, order).await
+    };
+    answer::answer(http::StatusCode::CREATED, order.await)
+}
+
 async fn status(request: HttpRequest, state: Shared) -> HttpResponse {
     let status = operator(&request, &state).map(|_| describe(&state.handles));
     answer::answer(http::StatusCode::OK, status)
--- a/crates/control/src/intent_api/state.rs
+++ b/crates/control/src/intent_api/state.rs
@@ -1,8 +1,8 @@
 //! What the handlers of the intent API share on one thread.
 
 use azuregap_core::settings;
-use azuregap_platform::error;
 use azuregap_platform::table;
+use azuregap_platform::vms;
 use azuregap_policy::plan;
 
 use crate::configuration;
@@ -46,17 +46,41 @@
         Self { handles, source, desk }
     }
 
-    /// The backend servers that a plan counts with.
-    pub(super) async fn backends(&self) -> Result<Vec<plan::Backend>, failure::Failure> {
+    /// The orders that are kept.
+    pub(super) async fn orders(&self) -> Result<Vec<orders::OrderRow>, failure::Failure> {
         let rows = self.source.table().scan(orders::ORDERS, "", ORDERS).await;
         let rows = rows.map_err(failure::Failure::unread)?;
         let rows: Result<Vec<_>, _> =
             rows.into_iter().map(|row| serde_json::from_value(row.value)).collect();
-        let rows = rows.map_err(|error| {
-            failure::Failure::unread(error::PlatformError::Refused(error.to_string()))
-        })?;
+        rows.map_err(|error| failure::Failure::Unavailable(error.to_string()))
+    }
+
+    /// The backend servers that a plan counts with.
+    pub(super) async fn backends(&self) -> Result<Vec<plan::Backend>, failure::Failure> {
+        let rows = self.orders().await?;
         let vms = self.handles.mailbox.peers().as_ref().clone();
-        let list = azuregap_platform::vms::VmList { vms };
+        let list = vms::VmList { vms };
         Ok(orders::inventory(&list, &rows, &self.handles.mailbox.snapshot().load().intent))
     }
+
+    /// Orders something of the agent beside `backend`.
+    pub(super) async fn order(
+        &self,
+        backend: &str,
+        order: orders::AgentOrder,
+    ) -> Result<orders::OrderRow, failure::Failure> {
+        let peers = self.handles.mailbox.peers();
+        let vm = peers.iter().find(|vm| vm.name == backend && vm.kind != vms::VmKind::Entry);
+        let vm = vm.ok_or_else(|| failure::Failure::NameUnknown(backend.to_owned()))?;
+        let row = orders::OrderRow {
+            id: uuid::Uuid::new_v4().simple().to_string(),
+            fence: 0,
+            backend: backend.to_owned(),
+            zone: vm.zone.clone(),
+            action: order.into(),
+            state: orders::OrderState::Open,
+            made: wall::Wall::system().seconds(),
+        };
+        orders::order_agent(&self.handles.holder, &self.source, row).await
+    }
 }
--- a/crates/control/src/membership/service.rs
+++ b/crates/control/src/membership/service.rs
@@ -23,8 +23,8 @@
 /// How long a greeting may go unanswered.
 const GREETING: time::Duration = time::Duration::from_millis(700);
 
-/// The service "membership"; offers a [`directory::Directory`]. An entry greets the listed VMs; an
-/// agent only reads the list, to find its peers, and answers greetings.
+/// The service "membership"; offers a [`directory::Directory`]. An entry reads the list of VMs and
+/// greets them; an agent only answers greetings.
 #[must_use]
 pub fn service(
     process: process::Process,
@@ -40,8 +40,10 @@
             let directory = directory::Directory::default();
             answer_greetings(&mailbox, process);
             registry.offer(directory::Directory::NAME, directory.clone());
-            let vms = vms::Vms::http(&platform.vms, platform.timeout);
-            tasks.spawn(keep(mailbox.as_ref().clone(), vms, directory));
+            if mailbox.process().peer.role == control::Role::Entry {
+                let vms = vms::Vms::http(&platform.vms, platform.timeout);
+                tasks.spawn(keep(mailbox.as_ref().clone(), vms, directory));
+            }
             Ok(())
         })
         .stop(move |_| async move { running.abort() })
@@ -68,10 +70,8 @@
             }
             Err(error) => tracing::warn!(%error, "VM list not read; the last one is kept"),
         }
-        if mailbox.process().peer.role == control::Role::Entry {
-            let greetings = list.vms.iter().map(|vm| greet(&mailbox, vm, &roster));
-            future::join_all(greetings).await;
-        }
+        let greetings = list.vms.iter().map(|vm| greet(&mailbox, vm, &roster));
+        future::join_all(greetings).await;
         roster.borrow_mut().expire(Instant::now());
         publish(&roster.borrow(), &mailbox, &directory);
         tokio::time::sleep(ROUND).await;
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -4,12 +4,15 @@
 //! configuration it was decided on. Then it is sent, under the same id until it is acknowledged.
 //! A successor finds the rows and goes on with the same ids under its own fencing number.
 
+mod agent;
 mod desk;
 mod gate;
 mod inventory;
 mod pace;
 mod row;
 
+pub use agent::AgentOrder;
+pub use agent::order_agent;
 pub use desk::Carriers;
 pub use desk::Desk;
 pub use gate::Admission;
--- a/crates/control/src/placement/round.rs
+++ b/crates/control/src/placement/round.rs
@@ -68,7 +68,7 @@
 
     /// Whether a start of the backend server may still be carried out.
     fn is_starting(&self, backend: &str) -> bool {
-        let open = |row: &orders::OrderRow| row.state == orders::OrderState::Open;
+        let open = |row: &orders::OrderRow| row.starts() && row.state == orders::OrderState::Open;
         self.rows.iter().any(|(_, row)| row.backend == backend && open(row))
     }
 }
--- a/crates/control/tests/intent_api.rs
+++ b/crates/control/tests/intent_api.rs
@@ -17,6 +17,7 @@
 use azuregap_core::key;
 use azuregap_core::settings;
 use azuregap_kernel::kernel;
+use azuregap_platform::vms;
 use azuregap_standins::platform;
 use azuregap_wire::control;
 use googletest::prelude::*;
@@ -74,6 +75,24 @@
         .service(intent_api::service(settings))
 }
 
+fn role() -> control::Role {
+    control::Role::Agent {
+        backend: "server".to_owned(),
+        pool: "advisor".to_owned(),
+        runs: "127.0.0.1:1".to_owned(),
+    }
+}
+
+fn listed(control: net::SocketAddr) -> vms::Vm {
+    vms::Vm {
+        name: "server".to_owned(),
+        zone: "north".to_owned(),
+        kind: vms::VmKind::Backend { pool: "advisor".to_owned() },
+        control: control.to_string(),
+        leaving: false,
+    }
+}
+
 struct Operator {
     client: awc::Client,
     base: String,
@@ -197,6 +216,53 @@
     Ok(())
 }
 
+#[gtest]
+#[actix_rt::test]
+async fn an_operator_orders_a_load_of_the_entry_in_charge() -> googletest::Result<()> {
+    let (stand_in, platform) = start_platform();
+    support::seed(&stand_in, &support::intent(1, 1));
+    let agent_control = free();
+    stand_in.vms.with(|state| state.add(listed(agent_control)));
+    let agent = process::Process::new("agent", "north", agent_control, role());
+    let mut agent = kernel::Kernel::new().service(mailbox::service(agent));
+    agent.start().await?;
+    let taken = std::sync::Arc::new(std::sync::Mutex::new(Vec::new()));
+    let log = taken.clone();
+    agent.registry().find::<mailbox::Mailbox>(mailbox::Mailbox::NAME)?.on(move |message| {
+        let control::Body::Order(order) = &message.body else { return None };
+        log.lock().unwrap().push(order.clone());
+        Some(control::Body::OrderDone { id: order.id.clone() })
+    });
+    let settings = entry_settings(platform);
+    let mut kernel = entry(&settings);
+    kernel.start().await?;
+    let base = format!("http://{}", settings.operators);
+    let operator = Operator { client: awc::Client::default(), base };
+    let load = json!({ "action": "load", "name": "advisor", "version": "2" });
+    let path = "/v1/backends/server/orders";
+    let limit = tokio::time::Instant::now() + time::Duration::from_secs(60);
+    let order = loop {
+        let (status, answer) = operator.post(path, load.clone()).await;
+        if status == 201 {
+            break answer;
+        }
+        // Nobody is in charge yet, or the list of VMs is not read yet.
+        verify_that!(answer["code"], any![eq(&json!(4005)), eq(&json!(5005))])?;
+        verify_that!(tokio::time::Instant::now() < limit, eq(true))?;
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+    };
+    while operator.get("/v1/orders").await.1[0]["state"] != json!("taken") {
+        verify_that!(tokio::time::Instant::now() < limit, eq(true))?;
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+    }
+    let taken = taken.lock().unwrap().clone();
+    verify_that!(taken.len(), eq(1))?;
+    verify_that!(json!(taken[0].id), eq(&order["id"]))?;
+    kernel.stop().await;
+    agent.stop().await;
+    Ok(())
+}
+
 #[gtest]
 #[actix_rt::test]
 async fn an_entry_finds_an_agent_and_its_next_incarnation() -> googletest::Result<()> {
@@ -207,22 +273,9 @@
     let directory =
         kernel.registry().find::<azuregap_control::directory::Directory>("directory")?;
     let control = free();
-    let role = control::Role::Agent {
-        backend: "server".to_owned(),
-        pool: "advisor".to_owned(),
-        runs: "127.0.0.1:1".to_owned(),
-    };
-    stand_in.vms.with(|state| {
-        state.add(azuregap_platform::vms::Vm {
-            name: "server".to_owned(),
-            zone: "north".to_owned(),
-            kind: azuregap_platform::vms::VmKind::Backend { pool: "advisor".to_owned() },
-            control: control.to_string(),
-            leaving: false,
-        });
-    });
+    stand_in.vms.with(|state| state.add(listed(control)));
     for _ in 0..2 {
-        let process = process::Process::new("agent", "north", control, role.clone());
+        let process = process::Process::new("agent", "north", control, role());
         let incarnation = process.peer.incarnation;
         let mut agent = kernel::Kernel::new()
             .service(mailbox::service(process.clone()))
@@ -236,6 +289,12 @@
             tokio::time::sleep(time::Duration::from_millis(50)).await;
         }
         verify_that!(directory.load().len(), eq(1))?;
+        // The agent knows its peers, and so need not read the table service itself.
+        let own = agent.registry().find::<mailbox::Mailbox>(mailbox::Mailbox::NAME)?;
+        while own.peers().is_empty() {
+            verify_that!(tokio::time::Instant::now() < limit, eq(true))?;
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
+        }
         agent.stop().await;
     }
     kernel.stop().await;
