--- a/crates/control/tests/in_charge.rs
+++ b/crates/control/tests/in_charge.rs
@@ -286,3 +286,55 @@
 async fn schedules_of_trouble_keep_the_promises_8_of_8() -> googletest::Result<()> {
     schedules(875..1000).await
 }
+/// How long until `second` may act after `first` is gone or has given the lease up.
+async fn takeover(resigns: bool) -> time::Duration {
+    let platform = platform::Platform::new();
+    let table = platform.table.client(support::TIMEOUT);
+    let terms = lease::Terms::default();
+    let first = holder::Holder::new("control", &support::entry("a", 1), terms);
+    let second = holder::Holder::new("control", &support::entry("b", 2), terms);
+    let (resign, resigned) = watch::channel(false);
+    let (_never, never) = watch::channel(false);
+    let events = async {
+        while first.may_act().is_none() {
+            tokio::time::sleep(time::Duration::from_millis(1)).await;
+        }
+        tokio::time::sleep(time::Duration::from_secs(10)).await;
+        resign.send_replace(resigns);
+        tokio::time::Instant::now()
+    };
+    let begun = async {
+        // The second comes later, so that the first takes the lease.
+        tokio::time::sleep(time::Duration::from_secs(5)).await;
+        holder::keep(second.clone(), table.clone(), never).await;
+    };
+    let mut keeping = Box::pin(holder::keep(first.clone(), table.clone(), resigned));
+    let mut begun = Box::pin(begun);
+    let both = future::select(&mut keeping, &mut begun);
+    let future::Either::Left((gone, _)) = future::select(Box::pin(events), both).await else {
+        panic!("nobody ends by itself");
+    };
+    let acts = async {
+        while second.may_act().is_none() {
+            tokio::time::sleep(time::Duration::from_millis(1)).await;
+        }
+    };
+    if resigns {
+        future::select(Box::pin(acts), future::join(keeping, begun)).await;
+    } else {
+        drop(keeping);
+        future::select(Box::pin(acts), begun).await;
+    }
+    gone.elapsed()
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_successor_takes_over_within_the_terms() -> googletest::Result<()> {
+    let terms = lease::Terms::default();
+    let (died, resigned) = (takeover(false).await, takeover(true).await);
+    println!("takeover after a death {died:?}, after giving up {resigned:?}");
+    let watched = terms.watching() + terms.send_deadline;
+    verify_that!(died, le(watched + terms.interval))?;
+    verify_that!(resigned, le(terms.send_deadline + terms.interval * 2))
+}
