--- a/crates/control/src/mailbox.rs
+++ b/crates/control/src/mailbox.rs
@@ -3,8 +3,10 @@
 //! Every message carries the sender's configuration version. A message with a newer one is
 //! published on [`Mailbox::heard`], so that the configuration service fetches it.
 
+use std::cell;
 use std::collections;
 use std::fmt;
+use std::rc;
 use std::sync;
 use std::time;
 
@@ -39,7 +41,7 @@
 struct Inner {
     process: process::Process,
     handlers: sync::RwLock<Vec<Handler>>,
-    clients: sync::Mutex<collections::HashMap<String, socket::Client>>,
+    clients: sync::Mutex<collections::HashMap<String, sync::Arc<socket::Client>>>,
     snapshot: snapshot::Handle,
     doubt: configuration::Doubt,
     peers: sync::Arc<ArcSwap<Vec<vms::Vm>>>,
@@ -173,12 +175,12 @@
         clients.retain(|address, _| keep(address));
     }
 
-    fn client(&self, address: &str) -> Result<socket::Client, socket::SocketError> {
+    fn client(&self, address: &str) -> Result<sync::Arc<socket::Client>, socket::SocketError> {
         let mut clients = self.inner.clients.lock().unwrap_or_else(sync::PoisonError::into_inner);
         if let Some(client) = clients.get(address) {
             return Ok(client.clone());
         }
-        let client = socket::Client::dial(address)?;
+        let client = sync::Arc::new(socket::Client::dial(address)?);
         clients.insert(address.to_owned(), client.clone());
         Ok(client)
     }
@@ -203,28 +205,29 @@
 /// The service "mailbox": listens at the control address of `process`.
 #[must_use]
 pub fn service(process: process::Process) -> service::Service {
-    let server: sync::Arc<sync::Mutex<Option<socket::Server>>> = sync::Arc::default();
+    let server: rc::Rc<cell::RefCell<Option<socket::Server>>> = rc::Rc::default();
     let running = server.clone();
     service::Service::new(Mailbox::NAME)
         .start(move |registry| async move {
             let mailbox = Mailbox::new(process);
-            *server.lock().unwrap_or_else(sync::PoisonError::into_inner) = Some(listen(&mailbox)?);
+            *server.borrow_mut() = Some(listen(&mailbox)?);
             registry.offer(Mailbox::NAME, mailbox);
             Ok(())
         })
         .stop(move |_| async move {
-            let mut server = running.lock().unwrap_or_else(sync::PoisonError::into_inner);
-            if let Some(server) = server.take() {
-                server.close();
+            let server = running.borrow_mut().take();
+            if let Some(server) = server {
+                server.close().await;
             }
         })
 }
 
 fn listen(mailbox: &Mailbox) -> error::KernelResult<socket::Server> {
-    let address = mailbox.process().peer.control.clone();
-    let (own, refuser) = (mailbox.clone(), mailbox.clone());
-    let answer = move |message| own.answer(&message);
-    let refuse = move |code, reason: String| refuser.message(failed(code, reason));
-    socket::Server::listen(address, answer, refuse)
+    let own = mailbox.clone();
+    let answer = move |message: Result<control::Message, socket::Refused>| match message {
+        Ok(message) => own.answer(&message),
+        Err(refused) => own.message(failed(refused.code, refused.reason)),
+    };
+    socket::Server::listen(&mailbox.process().peer.control, answer)
         .map_err(|error| error::KernelError::Failed(Mailbox::NAME.to_owned(), error.to_string()))
 }
