fix(policy): credit of a class cannot overflow

Cause: floors that sum to over 100 let the credit of a waiting class grow without end. Change: it saturates.

--- a/crates/policy/src/queue/class.rs
+++ b/crates/policy/src/queue/class.rs
@@ -82,7 +82,7 @@
 
     /// Counts a dispatch of this class or another.
     pub(super) fn count_dispatch(&mut self, own: bool) {
-        self.credit += self.floor;
+        self.credit = self.credit.saturating_add(self.floor);
         if own {
             self.credit = self.credit.saturating_sub(DISPATCH_CREDIT);
         }
