feat(bench): slopes of the configuration, of control messages and of usage records

Change: parse time and state of a configuration by teams, sizes and round trips of control messages over nng, state of a control connection, records in memory and as stored.

--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -4,7 +4,10 @@
 //! what the allocator adds. Cost is wall-clock time; both differ between machines and runs and are
 //! reported without a verdict.
 
-use std::fs;
+mod control;
+mod memory;
+mod snapshot;
+
 use std::hint;
 
 use azuregap_core::intent;
@@ -28,9 +31,6 @@
 /// Batches of which the median is taken.
 const BATCHES: usize = 101;
 
-/// Bytes of a page of memory.
-const PAGE_BYTES: u64 = 4096;
-
 /// One slope.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize)]
@@ -59,25 +59,20 @@
     slopes.extend([9, 40, 320].map(choice));
     slopes.extend(message("heartbeat frame of a running answer", &heartbeat()));
     slopes.extend(message("end frame of an answer", &end()));
+    slopes.extend(snapshot::slopes());
+    slopes.extend(control::slopes());
     slopes
 }
 
 /// Measures the state of one item, and hands out what was built so that no memory is used twice.
 fn state<T>(name: &'static str, build: impl Fn(usize) -> T) -> (Slope, T) {
-    let before = resident();
+    let before = memory::resident();
     let held = hint::black_box(build(ITEMS));
-    let grown = resident().saturating_sub(before);
+    let grown = memory::resident().saturating_sub(before);
     let value = grown as f64 / ITEMS as f64;
     (Slope { name, count: ITEMS, value, unit: "bytes" }, held)
 }
 
-/// Resident memory of this process in bytes; 0 where it cannot be read.
-fn resident() -> u64 {
-    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages = text.split_whitespace().nth(1).and_then(|pages| pages.parse::<u64>().ok());
-    pages.unwrap_or_default() * PAGE_BYTES
-}
-
 fn team(number: usize) -> String {
     format!("team-{number}")
 }
