--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -5,6 +5,7 @@
 //! reported without a verdict.
 
 mod control;
+mod members;
 mod memory;
 mod snapshot;
 
@@ -50,18 +51,21 @@
 pub fn all() -> Vec<Slope> {
     let (record, records) = control::state();
     let (mut slopes, snapshots) = snapshot::states();
+    let (members, held) = members::states();
+    slopes.extend(members);
     let (team, queue) = state("fair share of a team at an agent", queue_with_teams);
     let (limit, limits) = state("limits of a team at an entry", limits_with_teams);
     let (budget, budgets) = state("retry budget of a team at an entry", budgets_with_teams);
     let (replica, chooser) = state("replica at an entry", chooser_with);
     let (waiting, full) = state("waiting request without its body", queue_with_waiting);
-    drop((queue, limits, budgets, chooser, full, records, snapshots));
+    drop((queue, limits, budgets, chooser, full, records, snapshots, held));
     slopes.extend([record, team, limit, budget, replica, waiting]);
     slopes.extend([10, 100, 1000, 9200].map(admission));
     slopes.extend([9, 40, 320].map(choice));
     slopes.extend(message("heartbeat frame of a running answer", &heartbeat()));
     slopes.extend(message("end frame of an answer", &end()));
     slopes.extend(snapshot::slopes());
+    slopes.extend(members::slopes());
     slopes.extend(control::slopes());
     slopes
 }
--- a/crates/bench/src/slopes/control.rs
+++ b/crates/bench/src/slopes/control.rs
@@ -5,7 +5,6 @@
 use std::time;
 
 use azuregap_control::usage;
-use azuregap_platform::vms;
 use azuregap_wire::PROTOCOL;
 use azuregap_wire::codec;
 use azuregap_wire::control;
@@ -30,7 +29,7 @@
 
 /// Slopes of control messages.
 pub(super) fn slopes() -> Vec<Slope> {
-    let mut slopes = vec![stored_record(), listed()];
+    let mut slopes = vec![stored_record()];
     slopes.extend(bodies().into_iter().map(size));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let measured = runtime.and_then(|runtime| runtime.block_on(trips()));
@@ -41,17 +40,24 @@
     slopes
 }
 
-fn bodies() -> [(&'static str, control::Body); 6] {
+fn bodies() -> [(&'static str, control::Body); 8] {
     [
         ("greeting", control::Body::Hello(peer())),
         ("answer to a greeting", control::Body::Greeted { peer: peer(), known: Vec::new() }),
         ("question for the configuration", control::Body::ConfigurationWanted),
         ("answer that nothing is newer", control::Body::UpToDate { age_ms: 750 }),
+        ("question for the load left", control::Body::DrainState),
+        ("answer with the load left", draining()),
         ("usage copy of one request", control::Body::Usage(vec![record(1)])),
         ("notice that a record is durable", control::Body::UsageDurable { ids: vec![id(1)] }),
     ]
 }
 
+const fn draining() -> control::Body {
+    let load = frame::Load { running: 106, waiting: 20, slots: 128, backlog: 24_000 };
+    control::Body::Draining { load, unflushed: 425 }
+}
+
 fn size((name, body): (&'static str, control::Body)) -> Slope {
     let value = codec::encode(&message(body)).len() as f64;
     Slope { name, count: 1, value, unit: "bytes" }
@@ -77,14 +83,6 @@
     Slope { name: "usage record as stored in a batch", count: 500, value, unit: "bytes" }
 }
 
-fn listed() -> Slope {
-    let control::Peer { node: name, zone, control, .. } = peer();
-    let kind = vms::VmKind::Backend { pool: "model-12".to_owned() };
-    let vm = vms::Vm { name, zone, kind, control, leaving: false };
-    let value = serde_json::to_string(&vm).map_or(0, |text| text.len() + 1) as f64;
-    Slope { name: "VM in the list of VMs", count: 1, value, unit: "bytes" }
-}
-
 async fn trips() -> io::Result<Vec<Slope>> {
     let (server, address) = serve()?;
     let dial = || socket::Client::dial(&address).map_err(io::Error::other);
--- a/crates/bench/src/slopes/snapshot.rs
+++ b/crates/bench/src/slopes/snapshot.rs
@@ -78,7 +78,8 @@
     Slope { name: "digest and look-up of a key, by keys", count: 9200, value, unit: "ns" }
 }
 
-fn median_micros(mut step: impl FnMut()) -> f64 {
+/// Median time of a long step in microseconds.
+pub(super) fn median_micros(mut step: impl FnMut()) -> f64 {
     let mut times: Vec<f64> = (0..ROUNDS)
         .map(|_| {
             let start = time::Instant::now();
