--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -5,6 +5,7 @@
 use actix::Actor as _;
 use azuregap_control::configuration;
 use azuregap_control::mailbox;
+use azuregap_control::metrics;
 use azuregap_control::process;
 use azuregap_control::snapshot;
 use azuregap_control::usage;
@@ -76,6 +77,7 @@
     let start = move |registry: registry::Registry| async move {
         let mailbox = registry.find::<mailbox::Mailbox>(mailbox::Mailbox::NAME)?;
         let orders = orders::Orders::default();
+        let metrics = metrics::Metrics::new(&settings.node, settings.statsd);
         let parts = desk::Parts {
             engine: engine::Engine::new(&settings.engine, settings.model),
             settings,
@@ -83,6 +85,7 @@
             configuration: (*registry.find::<snapshot::Handle>(snapshot::Handle::NAME)?).clone(),
             recorder: (*registry.find::<usage::Recorder>(usage::Recorder::NAME)?).clone(),
             load,
+            metrics,
             orders: orders.clone(),
         };
         let desk = desk::Desk::new(parts).start();
--- a/crates/agent/src/desk.rs
+++ b/crates/agent/src/desk.rs
@@ -11,6 +11,7 @@
 use actix::AsyncContext as _;
 use actix::fut;
 use actix::fut::ActorFutureExt as _;
+use azuregap_control::metrics;
 use azuregap_control::process;
 use azuregap_control::snapshot;
 use azuregap_control::usage;
@@ -40,6 +41,9 @@
 /// retransmits, so that a request that arrives late on an old connection is not run.
 const REFUSED_KEEP: time::Duration = time::Duration::from_secs(20 * 60);
 
+/// Time between two reports of the queue's length.
+const METRICS: time::Duration = time::Duration::from_secs(1);
+
 /// Time between two looks at deadlines and abandoned runs.
 const SWEEP: time::Duration = time::Duration::from_millis(100);
 
@@ -60,6 +64,8 @@
     pub load: SharedLoad,
     /// Outcomes of orders.
     pub orders: orders::Orders,
+    /// Sends metrics.
+    pub metrics: metrics::Metrics,
 }
 
 /// The actor that holds the queue and the runs of one agent.
@@ -299,11 +305,21 @@
     }
 }
 
+impl Desk {
+    fn send_metrics(&self) {
+        let metrics = &self.parts.metrics;
+        metrics.gauge("agent.running", self.queue.running() as u64);
+        metrics.gauge("agent.waiting", self.queue.waiting() as u64);
+        metrics.gauge("agent.unflushed", self.parts.recorder.unflushed());
+    }
+}
+
 impl actix::Actor for Desk {
     type Context = actix::Context<Self>;
 
     fn started(&mut self, ctx: &mut Self::Context) {
         self.update_load();
         ctx.run_interval(SWEEP, Self::sweep);
+        ctx.run_interval(METRICS, |desk, _| desk.send_metrics());
     }
 }
--- a/crates/agent/src/desk/messages.rs
+++ b/crates/agent/src/desk/messages.rs
@@ -27,6 +27,8 @@
         let (id, team, class) = (request.id, request.team.clone(), request.class.clone());
         let result = self.submit(request, ctx);
         let refusal = result.as_ref().err();
+        let code = refusal.map_or(0, |refusal| refusal.code.number());
+        self.parts.metrics.count("agent.requests", &class, code);
         tracing::info!(
             request = format!("{id:032x}"),
             team,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod keys;
 pub mod mailbox;
 pub mod membership;
+pub mod metrics;
 pub mod orders;
 pub mod placement;
 pub mod plans;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -6,6 +6,7 @@
 use azuregap_control::intent_api;
 use azuregap_control::mailbox;
 use azuregap_control::membership;
+use azuregap_control::metrics;
 use azuregap_control::placement;
 use azuregap_control::process;
 use azuregap_control::reports;
@@ -54,6 +55,7 @@
             router: router::Router::new(&settings.node, &settings.zone),
             copies: (*registry.find::<usage::Copies>(usage::Copies::NAME)?).clone(),
             windows: usage::Windows::system(settings.window),
+            metrics: metrics::Metrics::new(&settings.node, settings.statsd),
             silence: settings.silence,
         };
         let server = http::serve(shared, &settings)
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -94,6 +94,7 @@
     /// Runs the job to its end.
     pub async fn run(mut self, stores: claims::Stores) {
         if let Err(refusal) = self.shared.router.admit(&self.job.team) {
+            self.shared.metrics.count("requests", &self.job.class.name, refusal.code.number());
             let _ = self.out.send(Event::Failed(refusal)).await;
             return;
         }
@@ -106,6 +107,8 @@
             }
         };
         self.shared.router.release(&self.job.team);
+        let code = failure.as_ref().map_or(0, |refusal| refusal.code.number());
+        self.shared.metrics.count("requests", &self.job.class.name, code);
         if let Some(refusal) = failure {
             let _ = self.out.send(Event::Failed(refusal)).await;
         }
@@ -310,6 +313,7 @@
             if failures > 1 {
                 tokio::time::sleep(RESUME_PAUSE).await;
             }
+            self.shared.metrics.count("resumes", &self.job.class.name, 0);
             tracing::info!(
                 request = self.id_text(),
                 decision = "resume",
@@ -382,6 +386,9 @@
                 if offset != self.offset {
                     return cut("a piece of the answer is missing");
                 }
+                if self.offset == 0 {
+                    self.shared.metrics.time("first_byte", &self.job.class.name, sight.age());
+                }
                 sight.data(&bytes);
                 self.offset += bytes.len() as u64;
                 return Ok(self.take_data(bytes).await);
@@ -507,6 +514,7 @@
     }
 
     fn log_failure(&self, agent: &directory::Agent, refusal: &refusal::Refusal) {
+        self.shared.metrics.count("failed_tries", &self.job.class.name, refusal.code.number());
         tracing::info!(
             request = self.id_text(),
             team = self.job.team,
--- a/crates/entry/src/dispatch/shared.rs
+++ b/crates/entry/src/dispatch/shared.rs
@@ -4,6 +4,7 @@
 
 use azuregap_control::directory;
 use azuregap_control::mailbox;
+use azuregap_control::metrics;
 use azuregap_control::snapshot;
 use azuregap_control::usage;
 use azuregap_core::ids;
@@ -28,6 +29,8 @@
     pub copies: usage::Copies,
     /// Numbers of usage windows.
     pub windows: usage::Windows,
+    /// Sends metrics.
+    pub metrics: metrics::Metrics,
     /// How long an answer may be silent before the entry asks again.
     pub silence: time::Duration,
 }
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -10,6 +10,7 @@
 use azuregap_control::snapshot;
 use azuregap_core::code;
 use azuregap_core::ids;
+use azuregap_core::intent;
 use azuregap_core::refusal;
 use azuregap_policy::choice;
 use azuregap_policy::estimate;
@@ -28,6 +29,8 @@
     version: ids::Version,
     agents: sync::Arc<Vec<directory::Agent>>,
     choosers: collections::HashMap<ids::PoolId, choice::Chooser>,
+    /// Lowest tier that comes to each pool.
+    lowest: collections::HashMap<ids::PoolId, ids::Tier>,
     limits: limits::TeamLimits,
     budgets: retry::Budgets,
     estimator: estimate::Estimator,
@@ -70,6 +73,7 @@
 
     fn take_agents(&self, state: &mut State, configuration: &snapshot::Snapshot) {
         let agents = state.agents.clone();
+        state.lowest = lowest_tiers(&configuration.intent);
         for pool in &configuration.intent.pools {
             let members: Vec<_> = agents.iter().filter(|agent| agent.pool == pool.name).collect();
             let names: Vec<_> = members.iter().map(|agent| agent.node.as_str()).collect();
@@ -107,12 +111,14 @@
         job: &job::Job,
         tried: &[ids::NodeId],
     ) -> Result<(directory::Agent, choice::Choice), refusal::Refusal> {
-        let mut request = choice::Request::new().probe(job.route.idempotent);
+        let mut state = self.lock();
+        // A replica that was left out is probed by work that can bear it.
+        let lowest = state.lowest.get(&job.route.pool).is_none_or(|tier| job.class.tier >= *tier);
+        let mut request = choice::Request::new().probe(job.route.idempotent && lowest);
         if job.model {
             request = request.prefix(job.prefix);
         }
         request.avoid.extend(tried.iter().cloned());
-        let mut state = self.lock();
         let chooser = state.choosers.get_mut(&job.route.pool).ok_or_else(|| no_replica(job))?;
         let choice = chooser.choose(time::Instant::now(), &request, &mut rand::rng())?;
         let found = state.agents.iter().find(|agent| agent.node == choice.node);
@@ -170,6 +176,16 @@
     }
 }
 
+fn lowest_tiers(intent: &intent::Intent) -> collections::HashMap<ids::PoolId, ids::Tier> {
+    let mut lowest = collections::HashMap::new();
+    for route in &intent.routes {
+        let Some(class) = intent.class(&route.class) else { continue };
+        let tier: &mut ids::Tier = lowest.entry(route.pool.clone()).or_default();
+        *tier = (*tier).max(class.tier);
+    }
+    lowest
+}
+
 fn no_replica(job: &job::Job) -> refusal::Refusal {
     let text = format!("no backend server of pool '{}' takes work", job.route.pool);
     refusal::Refusal::not_run(code::Code::NoReplica, text).retry_after(COME_BACK)
