--- a/crates/core/src/findings.rs
+++ b/crates/core/src/findings.rs
@@ -12,8 +12,8 @@
 /// Longest name of anything, in bytes.
 const MAX_NAME: usize = 64;
 
-/// What a name must look like.
-const NAME_EXPECTED: &str = "1 to 64 ASCII letters, digits, '-', '_' or '.'";
+/// Longest name of a backend server, in bytes: pool, availability zone and a mark of its own.
+const MAX_BACKEND: usize = 160;
 
 /// The faults found so far.
 #[derive(Debug, Default)]
@@ -70,9 +70,19 @@
 
     /// Requires a name that is safe in paths, table keys and log lines.
     pub(crate) fn name(&mut self, name: &str, path: impl fmt::Display) {
+        self.name_within(name, MAX_NAME, path);
+    }
+
+    /// Requires the name of a backend server, which holds those of its pool and zone.
+    pub(crate) fn backend(&mut self, name: &str, path: impl fmt::Display) {
+        self.name_within(name, MAX_BACKEND, path);
+    }
+
+    fn name_within(&mut self, name: &str, longest: usize, path: impl fmt::Display) {
         let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
-        let sound = !name.is_empty() && name.len() <= MAX_NAME && name.chars().all(allowed);
-        self.require(sound, path, NAME_EXPECTED);
+        let sound = (1..=longest).contains(&name.len()) && name.chars().all(allowed);
+        let expected = format!("1 to {longest} ASCII letters, digits, '-', '_' or '.'");
+        self.require(sound, path, expected);
     }
 
     /// Requires that no value comes twice; `path` names the one at an index.
--- a/crates/core/src/intent/check.rs
+++ b/crates/core/src/intent/check.rs
@@ -30,7 +30,7 @@
 
 fn check_leaving(intent: &Intent, findings: &mut findings::Findings) {
     for (i, backend) in intent.leaving.iter().enumerate() {
-        findings.name(backend, format_args!("leaving[{i}]"));
+        findings.backend(backend, format_args!("leaving[{i}]"));
     }
     findings.unique(&intent.leaving, |i| format!("leaving[{i}]"));
 }
--- a/crates/core/tests/intent.rs
+++ b/crates/core/tests/intent.rs
@@ -54,6 +54,15 @@
     expect_that!(intent::Intent::default().check(), is_empty());
 }
 
+#[gtest]
+fn a_backend_server_named_by_the_longest_pool_and_zone_may_leave() {
+    let (pool, zone) = ("p".repeat(64), "z".repeat(64));
+    let leaving = json!([format!("{pool}-{zone}-0123456789ab")]);
+    expect_that!(changed(&[("/leaving", leaving)]).unwrap().check(), is_empty());
+    let leaving = json!(["p".repeat(161)]);
+    expect_that!(changed(&[("/leaving", leaving)]).unwrap().check(), len(eq(1)));
+}
+
 #[gtest]
 fn fields_and_units() {
     let told = report(&[
