fix(control): a plan made at any entry counts with the demand there is

Cause: only the process in charge took the reported loads into its estimates; a plan made at another entry saw no demand and listed stops. Change: every entry estimates as it looks at the loads, and once more when a plan is made; a pool that was never looked at begins with what keeps its replicas.

--- a/crates/control/src/intent_api/routes.rs
+++ b/crates/control/src/intent_api/routes.rs
@@ -9,6 +9,7 @@
 use azuregap_core::key;
 use azuregap_core::settings;
 use serde::de;
+use tokio::time::Instant;
 
 use super::answer;
 use super::caller;
@@ -58,7 +59,9 @@
         let by = operator(&request, &state)?;
         let declared: intent::Intent = read(&body)?;
         let backends = state.backends().await?;
-        let demand = state.handles.board.demand(&declared);
+        let board = &state.handles.board;
+        board.observe(&declared, &backends, Instant::now());
+        let demand = board.demand(&declared);
         let id = uuid::Uuid::new_v4().simple().to_string();
         state.desk.make(&by, id, &declared, &backends, &demand).await
     };
--- a/crates/control/src/placement/service.rs
+++ b/crates/control/src/placement/service.rs
@@ -10,6 +10,7 @@
 use azuregap_platform::vms;
 use azuregap_wire::control;
 use futures::future;
+use tokio::time::Instant;
 
 use super::board;
 use super::round;
@@ -110,6 +111,10 @@
         });
         future::join_all(asked).await;
         board.retain(|backend| peers.iter().any(|vm| vm.name == backend));
+        let snapshot = mailbox.snapshot().load();
+        let list = vms::VmList { vms: peers.as_ref().clone() };
+        let backends = orders::inventory(&list, &[], &snapshot.intent);
+        board.observe(&snapshot.intent, &backends, Instant::now());
         tokio::time::sleep(LOADS).await;
     }
 }
--- a/crates/control/tests/placement.rs
+++ b/crates/control/tests/placement.rs
@@ -17,6 +17,7 @@
 use azuregap_core::code;
 use azuregap_platform::error;
 use azuregap_platform::orders as calls;
+use azuregap_policy::plan;
 use azuregap_standins::platform;
 use azuregap_wire::control;
 use azuregap_wire::frame;
@@ -191,6 +192,48 @@
     control::Order { id: id.to_owned(), fence, action }
 }
 
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn demand_begins_with_what_there_is_and_falls_slowly() -> googletest::Result<()> {
+    let mut intent = support::intent(1, 9);
+    intent.pools[0].max_replicas = 9;
+    intent.routes.push(azuregap_core::intent::Route {
+        name: "chat".to_owned(),
+        prefix: "/v1/".to_owned(),
+        methods: Vec::new(),
+        pool: "advisor".to_owned(),
+        class: "chat".to_owned(),
+        open: false,
+        idempotent: true,
+        require_key: false,
+        max_body: 1,
+    });
+    let there: Vec<_> = (0..4)
+        .map(|i| plan::Backend {
+            name: i.to_string(),
+            pool: "advisor".to_owned(),
+            zone: "north".to_owned(),
+            state: plan::BackendState::Running,
+        })
+        .collect();
+    let board = placement::Board::default();
+    let stops = || {
+        board.observe(&intent, &there, Instant::now());
+        let demand = board.demand(&intent);
+        let inputs = plan::Inputs::new(&intent).backends(&there).demand(&demand);
+        plan::plan(&inputs).steps.len()
+    };
+    verify_that!(stops(), eq(0))?;
+    tokio::time::advance(time::Duration::from_secs(60)).await;
+    verify_that!(stops(), eq(0))?;
+    tokio::time::advance(time::Duration::from_secs(3_600)).await;
+    verify_that!(stops(), eq(3))?;
+    let load = frame::Load { running: 8, waiting: 16, slots: 8, backlog: 0 };
+    board.report("0", "advisor", load);
+    board.observe(&intent, &there, Instant::now());
+    verify_that!(board.demand(&intent)[0].rate, near(3_000.0, 1.0))
+}
+
 #[gtest]
 fn the_gate_of_an_agent_refuses_old_numbers_and_runs_an_order_once() -> googletest::Result<()> {
     let mut gate = orders::Gate::default();
