--- a/crates/control/src/mailbox.rs
+++ b/crates/control/src/mailbox.rs
@@ -3,9 +3,6 @@
 //! Every message carries the sender's configuration version. A message with a newer one is
 //! published on [`Mailbox::heard`], so that the configuration service fetches it.
 
-mod client;
-mod server;
-
 use std::cell;
 use std::collections;
 use std::fmt;
@@ -44,7 +41,7 @@
 struct Inner {
     process: process::Process,
     handlers: sync::RwLock<Vec<Handler>>,
-    clients: sync::Mutex<collections::HashMap<String, sync::Arc<client::Client>>>,
+    clients: sync::Mutex<collections::HashMap<String, sync::Arc<socket::Client>>>,
     snapshot: snapshot::Handle,
     doubt: configuration::Doubt,
     peers: sync::Arc<ArcSwap<Vec<vms::Vm>>>,
@@ -178,12 +175,12 @@
         clients.retain(|address, _| keep(address));
     }
 
-    fn client(&self, address: &str) -> Result<sync::Arc<client::Client>, socket::SocketError> {
+    fn client(&self, address: &str) -> Result<sync::Arc<socket::Client>, socket::SocketError> {
         let mut clients = self.inner.clients.lock().unwrap_or_else(sync::PoisonError::into_inner);
         if let Some(client) = clients.get(address) {
             return Ok(client.clone());
         }
-        let client = sync::Arc::new(client::Client::dial(address)?);
+        let client = sync::Arc::new(socket::Client::dial(address)?);
         clients.insert(address.to_owned(), client.clone());
         Ok(client)
     }
@@ -208,7 +205,7 @@
 /// The service "mailbox": listens at the control address of `process`.
 #[must_use]
 pub fn service(process: process::Process) -> service::Service {
-    let server: rc::Rc<cell::RefCell<Option<server::Server>>> = rc::Rc::default();
+    let server: rc::Rc<cell::RefCell<Option<socket::Server>>> = rc::Rc::default();
     let running = server.clone();
     service::Service::new(Mailbox::NAME)
         .start(move |registry| async move {
@@ -225,12 +222,12 @@
         })
 }
 
-fn listen(mailbox: &Mailbox) -> error::KernelResult<server::Server> {
+fn listen(mailbox: &Mailbox) -> error::KernelResult<socket::Server> {
     let own = mailbox.clone();
-    let answer = move |message: Result<control::Message, server::Refused>| match message {
+    let answer = move |message: Result<control::Message, socket::Refused>| match message {
         Ok(message) => own.answer(&message),
         Err(refused) => own.message(failed(refused.code, refused.reason)),
     };
-    server::Server::listen(&mailbox.process().peer.control, answer)
+    socket::Server::listen(&mailbox.process().peer.control, answer)
         .map_err(|error| error::KernelError::Failed(Mailbox::NAME.to_owned(), error.to_string()))
 }
--- a/crates/daemon/tests/support/detour.rs
+++ b/crates/daemon/tests/support/detour.rs
@@ -18,7 +18,7 @@
 pub(crate) struct Detour {
     pub(crate) proxy: silent::Proxy,
     control: net::SocketAddr,
-    server: socket::Server,
+    _server: socket::Server,
 }
 
 impl Detour {
@@ -34,16 +34,8 @@
                 *runs = proxy.address().to_string();
             }
         }
-        let refused = greeted.clone();
-        let server = socket::Server::listen(
-            control.to_string(),
-            move |_| greeted.clone(),
-            move |code, message| control::Message {
-                body: control::Body::Failed { code, message },
-                ..refused.clone()
-            },
-        );
-        Self { proxy, control, server: server.unwrap() }
+        let server = socket::Server::listen(&control.to_string(), move |_| greeted.clone());
+        Self { proxy, control, _server: server.unwrap() }
     }
 
     /// Where it answers greetings.
@@ -52,12 +44,6 @@
     }
 }
 
-impl Drop for Detour {
-    fn drop(&mut self) {
-        self.server.close();
-    }
-}
-
 /// The agent's own answer to a greeting.
 async fn greet(address: net::SocketAddr) -> control::Message {
     let hello = control::Message {
@@ -75,7 +61,7 @@
     };
     let mut greeted = None;
     caller::eventually("the agent answers a greeting", async || {
-        let client = socket::Client::dial(address.to_string()).unwrap();
+        let client = socket::Client::dial(&address.to_string()).unwrap();
         let reply = client.ask(&hello, GREETING).await.ok();
         greeted = reply.filter(|reply| matches!(reply.body, control::Body::Greeted { .. }));
         greeted.is_some()
--- a/crates/control/src/mailbox/client.rs
+++ b/crates/wire/src/socket/client.rs
@@ -10,11 +10,12 @@
 use std::sync::atomic;
 use std::time;
 
-use azuregap_wire::codec;
-use azuregap_wire::control;
-use azuregap_wire::socket;
 use tokio::sync::oneshot;
 
+use super::error;
+use crate::codec;
+use crate::control;
+
 /// Hands the bytes of a reply over, or drops the sender when there is none.
 type Slot = sync::Arc<sync::Mutex<Option<oneshot::Sender<Vec<u8>>>>>;
 
@@ -28,7 +29,7 @@
 }
 
 /// Asks one peer; several questions may be under way.
-pub(super) struct Client {
+pub struct Client {
     socket: nng::Socket,
     address: String,
     calls: sync::Mutex<Vec<Call>>,
@@ -45,10 +46,10 @@
     ///
     /// # Errors
     ///
-    /// [`socket::SocketError::Address`] when the address is malformed.
-    pub(super) fn dial(address: &str) -> Result<Self, socket::SocketError> {
+    /// [`error::SocketError::Address`] when the address is malformed.
+    pub fn dial(address: &str) -> Result<Self, error::SocketError> {
         let fail =
-            |error: nng::Error| socket::SocketError::Address(address.to_owned(), error.to_string());
+            |error: nng::Error| error::SocketError::Address(address.to_owned(), error.to_string());
         let socket = nng::Socket::new(nng::Protocol::Req0).map_err(fail)?;
         socket.dial_async(&format!("tcp://{address}")).map_err(fail)?;
         Ok(Self { socket, address: address.to_owned(), calls: sync::Mutex::default() })
@@ -58,14 +59,14 @@
     ///
     /// # Errors
     ///
-    /// [`socket::SocketError::Silent`] when no reply came, [`socket::SocketError::Codec`] when it
+    /// [`error::SocketError::Silent`] when no reply came, [`error::SocketError::Codec`] when it
     /// was unreadable.
-    pub(super) async fn ask(
+    pub async fn ask(
         &self,
         message: &control::Message,
         timeout: time::Duration,
-    ) -> Result<control::Message, socket::SocketError> {
-        let silent = || socket::SocketError::Silent(self.address.clone());
+    ) -> Result<control::Message, error::SocketError> {
+        let silent = || error::SocketError::Silent(self.address.clone());
         let call = self.take().map_err(|_| silent())?;
         let asking = Asking { client: self, call: Some(call) };
         let reply = asking.send(message, timeout).map_err(|_| silent())?;
--- a/crates/control/src/mailbox/server.rs
+++ b/crates/wire/src/socket/server.rs
@@ -11,9 +11,10 @@
 use std::time;
 
 use azuregap_core::code;
-use azuregap_wire::codec;
-use azuregap_wire::control;
-use azuregap_wire::socket;
+
+use super::error;
+use crate::codec;
+use crate::control;
 
 /// Messages answered at once.
 const WORKERS: usize = 8;
@@ -29,11 +30,11 @@
 
 /// Why bytes were not taken as a message.
 #[derive(Clone, Debug)]
-pub(super) struct Refused {
+pub struct Refused {
     /// Numbered code.
-    pub(super) code: code::Code,
+    pub code: code::Code,
     /// What was seen.
-    pub(super) reason: String,
+    pub reason: String,
 }
 
 /// One message at a time.
@@ -43,7 +44,7 @@
 }
 
 /// Answers peers until it is closed.
-pub(super) struct Server {
+pub struct Server {
     socket: nng::Socket,
     workers: Vec<Worker>,
     closing: sync::Arc<atomic::AtomicBool>,
@@ -60,13 +61,13 @@
     ///
     /// # Errors
     ///
-    /// [`socket::SocketError::Address`] when the address cannot be listened on.
-    pub(super) fn listen(
+    /// [`error::SocketError::Address`] when the address cannot be listened on.
+    pub fn listen(
         address: &str,
         answer: impl Fn(Result<control::Message, Refused>) -> control::Message + Send + Sync + 'static,
-    ) -> Result<Self, socket::SocketError> {
+    ) -> Result<Self, error::SocketError> {
         let fail =
-            |error: nng::Error| socket::SocketError::Address(address.to_owned(), error.to_string());
+            |error: nng::Error| error::SocketError::Address(address.to_owned(), error.to_string());
         let socket = nng::Socket::new(nng::Protocol::Rep0).map_err(fail)?;
         socket.listen(&format!("tcp://{address}")).map_err(fail)?;
         let answer: sync::Arc<Answer> = sync::Arc::new(answer);
@@ -79,7 +80,7 @@
     }
 
     /// Lets answers under way end, and stops listening.
-    pub(super) async fn close(self) {
+    pub async fn close(self) {
         self.closing.store(true, atomic::Ordering::Release);
         let limit = tokio::time::Instant::now() + CLOSING;
         while !self.is_idle() && tokio::time::Instant::now() < limit {
@@ -97,6 +98,14 @@
     }
 }
 
+/// A server that is dropped without being closed goes on listening until the process ends.
+impl Drop for Server {
+    fn drop(&mut self) {
+        mem::forget(self.socket.clone());
+        mem::forget(mem::take(&mut self.workers));
+    }
+}
+
 /// Starts one worker.
 fn work(
     socket: &nng::Socket,
@@ -127,9 +136,8 @@
 fn read(bytes: &[u8]) -> Result<control::Message, Refused> {
     let message: control::Message = codec::decode(bytes)
         .map_err(|error| Refused { code: error.code(), reason: error.to_string() })?;
-    if message.protocol != azuregap_wire::PROTOCOL {
-        let reason =
-            format!("protocol {} here, {} there", azuregap_wire::PROTOCOL, message.protocol);
+    if message.protocol != crate::PROTOCOL {
+        let reason = format!("protocol {} here, {} there", crate::PROTOCOL, message.protocol);
         return Err(Refused { code: code::Code::ProtocolMismatch, reason });
     }
     Ok(message)
--- a/crates/wire/tests/socket.rs
+++ b/crates/wire/tests/socket.rs
@@ -16,12 +16,13 @@
 
 fn serve() -> (socket::Server, String) {
     let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let server = socket::Server::listen(
-        free.to_string(),
-        |request| message(PROTOCOL, request.body),
-        |code, reason| message(PROTOCOL, control::Body::Failed { code, message: reason }),
-    )
-    .unwrap();
+    let answer = |request: std::result::Result<control::Message, socket::Refused>| match request {
+        Ok(request) => message(PROTOCOL, request.body),
+        Err(socket::Refused { code, reason }) => {
+            message(PROTOCOL, control::Body::Failed { code, message: reason })
+        }
+    };
+    let server = socket::Server::listen(&free.to_string(), answer).unwrap();
     (server, free.to_string())
 }
 
@@ -32,7 +33,7 @@
     let client = socket::Client::dial(&address)?;
     let reply = client.ask(&message(PROTOCOL, control::Body::DrainState), WAIT).await?;
     verify_that!(reply.body, eq(&control::Body::DrainState))?;
-    server.close();
+    server.close().await;
     Ok(())
 }
 
@@ -44,7 +45,7 @@
     let reply = client.ask(&message(PROTOCOL + 1, control::Body::DrainState), WAIT).await?;
     let control::Body::Failed { code, .. } = reply.body else { panic!("taken: {reply:?}") };
     verify_that!(code, eq(code::Code::ProtocolMismatch))?;
-    server.close();
+    server.close().await;
     Ok(())
 }
 
@@ -66,7 +67,7 @@
         client.ask(&message(PROTOCOL, control::Body::DrainState), WAIT).await?;
         drop(client);
     }
-    server.close();
+    server.close().await;
     Ok(())
 }
 
@@ -91,6 +92,6 @@
         let _ =
             tokio::time::timeout(time::Duration::from_micros(50), client.ask(&request, WAIT)).await;
     }
-    server.close();
+    server.close().await;
     Ok(())
 }
