feat(agent): orders are taken only after the fencing number in force was read

Cause: a restarted agent had forgotten the fencing numbers it had seen, so that an earlier holder's order could still be carried out there. Change: the agent reads the lease row at start and takes no order before. Conclusion: what remains open is an order under way while the lease changes.

--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -4,6 +4,7 @@
 
 use actix::Actor as _;
 use azuregap_control::configuration;
+use azuregap_control::holder;
 use azuregap_control::mailbox;
 use azuregap_control::metrics;
 use azuregap_control::process;
@@ -14,6 +15,7 @@
 use azuregap_kernel::kernel;
 use azuregap_kernel::registry;
 use azuregap_kernel::service;
+use azuregap_platform::table;
 use azuregap_wire::control;
 
 use crate::desk;
@@ -88,6 +90,7 @@
             metrics,
             orders: orders.clone(),
         };
+        actix_rt::spawn(read_fence(parts.settings.platform.clone(), orders.clone()));
         let desk = desk::Desk::new(parts).start();
         registry.offer(DESK, desk.clone());
         mailbox.on(move |message| match &message.body {
@@ -109,6 +112,19 @@
         .stop(stop)
 }
 
+/// Reads the fencing number in force, so that a restarted agent takes no order from an earlier
+/// holder of the lease.
+async fn read_fence(platform: settings::PlatformSettings, orders: orders::Orders) {
+    let table = table::Table::http(&platform.table, platform.timeout);
+    loop {
+        match holder::fence(&table).await {
+            Ok(fence) => return orders.open(fence),
+            Err(error) => tracing::warn!(%error, "lease not read yet; no orders are taken"),
+        }
+        tokio::time::sleep(platform.timeout).await;
+    }
+}
+
 fn runs_service(
     settings: settings::AgentSettings,
     process: process::Process,
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -25,7 +25,8 @@
 
 #[derive(Debug, Default)]
 struct State {
-    gate: orders::Gate,
+    /// None until the newest fencing number was read; no order is taken before.
+    gate: Option<orders::Gate>,
     ended: collections::HashMap<ids::OrderId, Outcome>,
 }
 
@@ -36,6 +37,11 @@
 }
 
 impl Orders {
+    /// Takes orders from now on, but none with a fencing number below `fence`.
+    pub fn open(&self, fence: ids::Fence) {
+        self.lock().gate = Some(orders::Gate::new(fence));
+    }
+
     /// Answers `order`; calls `carry_out` if it is to be carried out now. The one who asked asks
     /// again under the same id until it hears the end.
     pub fn take(
@@ -44,7 +50,9 @@
         carry_out: impl Fn(control::Order),
     ) -> control::Body {
         let mut state = self.lock();
-        match state.gate.admit(order) {
+        let State { gate, ended } = &mut *state;
+        let Some(gate) = gate else { return control::Body::Done };
+        match gate.admit(order) {
             orders::Admission::Refuse(code) => {
                 let message = format!("a fencing number above {} was seen", order.fence);
                 control::Body::Failed { code, message }
@@ -53,14 +61,14 @@
                 carry_out(order.clone());
                 control::Body::Done
             }
-            orders::Admission::Repeat => match state.ended.remove(&order.id) {
+            orders::Admission::Repeat => match ended.remove(&order.id) {
                 None => control::Body::Done,
                 Some(Outcome::Done) => {
-                    state.ended.insert(order.id.clone(), Outcome::Done);
+                    ended.insert(order.id.clone(), Outcome::Done);
                     control::Body::OrderDone { id: order.id.clone() }
                 }
                 Some(Outcome::Refused(message)) => {
-                    state.gate.forget(&order.id);
+                    gate.forget(&order.id);
                     control::Body::Failed { code: code::Code::OrderRefused, message }
                 }
                 Some(Outcome::Unknown(_)) => {
--- a/crates/control/src/holder.rs
+++ b/crates/control/src/holder.rs
@@ -5,10 +5,12 @@
 //! service is carried by [`Holder::send`], which looks at the lease before each step of the call
 //! and gives the call a short deadline.
 
+mod fence;
 mod handle;
 mod keep;
 mod service;
 
+pub use fence::fence;
 pub use handle::Holder;
 pub use keep::keep;
 pub use service::service;
--- a/crates/control/src/holder/service.rs
+++ b/crates/control/src/holder/service.rs
@@ -14,7 +14,7 @@
 use crate::tasks;
 
 /// Name of the lease of the process in charge.
-const NAME: &str = "control";
+pub(super) const NAME: &str = "control";
 
 /// How long giving up the lease may take at stop.
 const RESIGNING: time::Duration = time::Duration::from_secs(3);
