fix(cli): a load tells answers that break off after an error event, and short bodies

Cause: the entry breaks the connection after an error event; whether the client library reports that break decided if its number was counted, and a body shorter than announced passed for whole.

--- a/crates/cli/src/load/call.rs
+++ b/crates/cli/src/load/call.rs
@@ -82,8 +82,9 @@
         let body = response.body().await;
         match body {
             Err(_) => Ending::Cut,
-            Ok(_) if response.status().is_success() => Ending::Whole,
-            Ok(body) => refused(&body),
+            Ok(body) if !response.status().is_success() => refused(&body),
+            Ok(body) if is_short(&body, response.headers()) => Ending::Cut,
+            Ok(_) => Ending::Whole,
         }
     }
 
@@ -100,7 +101,7 @@
         let mut events = Events::default();
         while let Some(chunk) = response.next().await {
             let Ok(chunk) = chunk else {
-                return Ending::Cut;
+                return events.code.map_or(Ending::Cut, Ending::Refused);
             };
             outcome.first.get_or_insert_with(|| due.elapsed());
             events.take(&chunk, &mut outcome.gaps);
@@ -178,6 +179,13 @@
     }
 }
 
+/// Whether a body is shorter than was announced; the client library does not tell.
+fn is_short(body: &[u8], headers: &awc::http::header::HeaderMap) -> bool {
+    let length = headers.get(awc::http::header::CONTENT_LENGTH);
+    let length = length.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
+    length.is_some_and(|length| body.len() < length)
+}
+
 fn refused(body: &[u8]) -> Ending {
     Ending::Refused(code_of(body).unwrap_or_default())
 }
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -1,18 +1,25 @@
 //! A small fake entry for the tests, and a way to run the command line.
 
+use std::io;
 use std::process;
 use std::sync;
 use std::thread;
+use std::time;
 
 use actix_web::HttpRequest;
 use actix_web::HttpResponse;
 use actix_web::web;
+use futures::stream;
+use futures::stream::StreamExt as _;
 use serde_json::Value;
 use serde_json::json;
 
 /// Key of the operator that the fake knows.
 pub(crate) const OPERATOR_KEY: &str = "operator-key-of-the-test";
 
+/// Time between the last byte of a broken answer and its break.
+const BREAK: time::Duration = time::Duration::from_millis(20);
+
 /// What a finished command said.
 pub(crate) struct Said {
     pub(crate) exit: Option<i32>,
@@ -172,8 +179,22 @@
     match class {
         "whole" => HttpResponse::Ok().body(format!("{}{}data: [DONE]\n\n", event("a"), event("b"))),
         "cut" => HttpResponse::Ok().body(event("a")),
-        "failed" => HttpResponse::Ok()
-            .body(format!("{}data: {{\"error\":{{\"code\":3003}}}}\n\n", event("a"))),
+        "failed" => {
+            let text = format!("{}event: error\ndata: {{\"code\":3003}}\n\n", event("a"));
+            HttpResponse::Ok().streaming(broken(text))
+        }
         _ => refuse(503, 2002, "queue full"),
     }
 }
+
+/// A body that breaks off after `text`, as that of an entry does after an error event.
+fn broken(text: String) -> impl stream::Stream<Item = io::Result<web::Bytes>> {
+    stream::iter([Ok(text.into()), Err(io::ErrorKind::ConnectionReset.into())]).then(
+        |part: io::Result<web::Bytes>| async move {
+            if part.is_err() {
+                tokio::time::sleep(BREAK).await;
+            }
+            part
+        },
+    )
+}
