--- /dev/null
+++ b/crates/core/tests/metrics.rs
@@ -0,0 +1,43 @@
+//! The page on metrics names exactly the metrics that the code sends.
+
+use std::collections;
+use std::fs;
+use std::path;
+
+use googletest::prelude::*;
+
+const PAGE: &str = include_str!("../../../docs/METRICS.md");
+
+/// Calls that send a metric; the name is their first argument.
+const CALLS: [&str; 3] = [".count(\"", ".time(\"", ".gauge(\""];
+
+fn listed() -> collections::BTreeSet<String> {
+    let rows = PAGE.lines().filter_map(|line| line.strip_prefix("| `azuregap."));
+    rows.filter_map(|row| row.split('`').next()).map(str::to_owned).collect()
+}
+
+fn collect(folder: &path::Path, names: &mut collections::BTreeSet<String>) {
+    for entry in fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            collect(&path, names);
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            let text = fs::read_to_string(&path).unwrap();
+            for call in CALLS {
+                let found = text.split(call).skip(1).filter_map(|rest| rest.split('"').next());
+                names.extend(found.map(str::to_owned));
+            }
+        }
+    }
+}
+
+#[gtest]
+fn the_page_lists_every_metric() {
+    let crates = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let mut sent = collections::BTreeSet::new();
+    for package in ["agent", "control", "entry"] {
+        collect(&crates.join(package).join("src"), &mut sent);
+    }
+    expect_that!(listed(), eq(&sent));
+    expect_that!(sent, not(is_empty()));
+}
