fix(daemon): faulty settings are refused before anything starts

Cause: azuregapd read its settings and never checked them; the entry matched routes by rules of its own and answered 'model unknown' before the first configuration. Change: settings are checked with the path, number and expectation of each fault (exit code 2); routes are matched by core; 1010 without a configuration; refusals counted. The test harness's settings got the operator key that the check asks for. Conclusion: one rule for routes, one for settings.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -7,6 +7,8 @@
 use std::path;
 use std::process;
 
+use azuregap_core::code;
+use azuregap_core::intent;
 use azuregap_core::settings;
 use azuregap_kernel::kernel;
 use clap::Parser as _;
@@ -50,13 +52,12 @@
         .with_env_filter(filter())
         .with_writer(std::io::stderr)
         .init();
-    let kernel =
-        match Arguments::parse().role {
-            Role::Entry { settings } => read::<settings::EntrySettings>(&settings)
-                .map(|it| azuregap_entry::daemon::kernel(&it)),
-            Role::Agent { settings } => read::<settings::AgentSettings>(&settings)
-                .map(|it| azuregap_agent::daemon::kernel(&it)),
-        };
+    let kernel = match Arguments::parse().role {
+        Role::Entry { settings } => read(&settings, settings::EntrySettings::check)
+            .map(|settings| azuregap_entry::daemon::kernel(&settings)),
+        Role::Agent { settings } => read(&settings, settings::AgentSettings::check)
+            .map(|settings| azuregap_agent::daemon::kernel(&settings)),
+    };
     match kernel {
         Ok(kernel) => actix_rt::System::new().block_on(run(kernel)),
         Err(reason) => {
@@ -71,9 +72,25 @@
         .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"))
 }
 
-fn read<T: de::DeserializeOwned>(path: &path::Path) -> Result<T, String> {
-    let text = fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
-    settings::from_text(&text).map_err(|error| format!("{}: {error}", path.display()))
+/// Reads a settings file; every fault is told, with its path, number and what is expected.
+fn read<T: de::DeserializeOwned>(
+    path: &path::Path,
+    check: impl Fn(&T) -> Vec<intent::Fault>,
+) -> Result<T, String> {
+    let text = fs::read_to_string(path).map_err(|error| {
+        format!("{}: {}: {error}", code::Code::FileUnreadable.number(), path.display())
+    })?;
+    let settings: T =
+        settings::from_text(&text).map_err(|error| format!("{}: {error}", path.display()))?;
+    let faults = check(&settings);
+    if faults.is_empty() {
+        return Ok(settings);
+    }
+    let tell = |fault: &intent::Fault| {
+        format!("{}: at '{}': expected {}", fault.code.number(), fault.path, fault.expected)
+    };
+    let faults: Vec<_> = faults.iter().map(tell).collect();
+    Err(format!("{}: {}", path.display(), faults.join("; ")))
 }
 
 /// Runs until asked to stop, then stops gracefully.
--- a/crates/daemon/tests/support/documents.rs
+++ b/crates/daemon/tests/support/documents.rs
@@ -54,7 +54,8 @@
     Document(json!({
         "node": format!("entry-{i}"), "zone": "perth-north",
         "listen": free_address(), "operators": free_address(), "control": free_address(),
-        "platform": platform(platform_at), "operator_keys": [], "workers": 1,
+        "platform": platform(platform_at), "workers": 1,
+        "operator_keys": [{"name": "test", "digest": key::Digest::of("operator-key")}],
         "silence_ms": 1000, "max_stale_ms": 3000, "window_s": 60,
     }))
 }
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -23,9 +23,6 @@
 use crate::link;
 use crate::reply;
 
-/// Largest body read from a caller whatever the route allows, in bytes.
-const MAX_BODY: usize = 16 * 1024 * 1024;
-
 /// Pieces of an answer that wait for a slow caller.
 const PIECES: usize = 64;
 
@@ -60,7 +57,7 @@
         let worker = Worker { shared: shared.clone(), clients, stores, max_stale };
         actix_web::App::new()
             .app_data(web::Data::new(worker))
-            .app_data(web::PayloadConfig::new(MAX_BODY))
+            .app_data(web::PayloadConfig::new(intent::MAX_BODY))
             .route("/healthz", web::get().to(actix_web::HttpResponse::Ok))
             .route("/readyz", web::get().to(ready))
             .route("/v1/models", web::get().to(models))
@@ -134,7 +131,10 @@
         .and_then(|job| if job.key.is_some() { fresh(&worker, job) } else { Ok(job) });
     let job = match job {
         Ok(job) => job,
-        Err(refusal) => return refused(&refusal, rand::random()),
+        Err(refusal) => {
+            worker.shared.metrics.count("refusals", "none", refusal.code.number());
+            return refused(&refusal, rand::random());
+        }
     };
     let id = job.id;
     let (out, events) = mpsc::channel(PIECES);
--- a/crates/entry/src/identify.rs
+++ b/crates/entry/src/identify.rs
@@ -87,6 +87,10 @@
     now: time::Instant,
     estimate: impl Fn(&str, &str, u64, Option<u64>) -> u64,
 ) -> Result<job::Job, refusal::Refusal> {
+    if configuration.version == 0 {
+        let text = "this entry has no configuration yet";
+        return Err(refusal::Refusal::not_run(code::Code::ConfigurationStale, text));
+    }
     let completion = read_completion(incoming)?;
     let route = find_route(&configuration.intent, incoming, completion.as_ref())?;
     let grant = find_grant(configuration, incoming, route)?;
@@ -173,33 +177,21 @@
     incoming: &Incoming,
     completion: Option<&Completion>,
 ) -> Result<&'a intent::Route, refusal::Refusal> {
-    let takes = |route: &&intent::Route| {
-        let method = route.methods.is_empty() || route.methods.contains(&incoming.method);
-        method && has_prefix(&incoming.path, &route.prefix)
-    };
-    let matching = intent.routes.iter().filter(takes);
+    let Incoming { method, path, .. } = incoming;
     let Some(completion) = completion else {
-        let longest = matching.max_by_key(|route| route.prefix.len());
-        return longest.ok_or_else(|| {
-            let text = format!("no route for {} {}", incoming.method, incoming.path);
+        return intent.plain_route(path, method).ok_or_else(|| {
+            let text = format!("no route for {method} {path}");
             refusal::Refusal::not_run(code::Code::RouteUnknown, text)
         });
     };
-    let of_model: Vec<_> = matching.filter(|route| route.pool == completion.model).collect();
-    let wanted = incoming.header(CLASS_HEADER);
-    let named = of_model.iter().find(|route| wanted == Some(route.class.as_str()));
-    named.or_else(|| of_model.first()).copied().ok_or_else(|| {
-        let text = format!("no route serves model '{}' at {}", completion.model, incoming.path);
+    let class = incoming.header(CLASS_HEADER);
+    let route = intent.model_route(path, &completion.model, class);
+    route.filter(|route| route.takes(method)).ok_or_else(|| {
+        let text = format!("no route serves model '{}' at {method} {path}", completion.model);
         refusal::Refusal::not_run(code::Code::ModelUnknown, text)
     })
 }
 
-/// Whether `path` is `prefix` or lies below it.
-fn has_prefix(path: &str, prefix: &str) -> bool {
-    let Some(rest) = path.strip_prefix(prefix) else { return false };
-    rest.is_empty() || rest.starts_with('/') || prefix.ends_with('/')
-}
-
 fn kept(headers: &[run::Header]) -> Vec<run::Header> {
     let hops: Vec<String> = headers
         .iter()
