--- /dev/null
+++ b/crates/agent/tests/desk.rs
@@ -0,0 +1,204 @@
+//! What the desk runs, joins and refuses.
+
+use std::time;
+
+use actix::Actor as _;
+use azuregap_agent::answer;
+use azuregap_agent::desk;
+use azuregap_agent::engine;
+use azuregap_control::process;
+use azuregap_core::code;
+use azuregap_core::refusal;
+use azuregap_core::settings;
+use azuregap_standins::plain;
+use azuregap_wire::control;
+use azuregap_wire::run;
+use googletest::prelude::*;
+use serde_json::json;
+
+type Taken = std::result::Result<std::sync::Arc<answer::Answer>, refusal::Refusal>;
+
+/// How long an ended run is kept.
+const KEEP: time::Duration = time::Duration::from_secs(10);
+
+/// Longer than ids that must not run are remembered.
+const LONG: time::Duration = time::Duration::from_secs(21 * 60);
+
+/// A desk before a plain service that counts its runs.
+struct Bench {
+    desk: actix::Addr<desk::Desk>,
+    plain: plain::Plain,
+    incarnation: u64,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let plain = plain::Plain::new();
+        let (_, address) = plain.serve("127.0.0.1:0".parse().unwrap()).unwrap();
+        let base = format!("http://{address}");
+        let settings: settings::AgentSettings = serde_json::from_value(json!({
+            "node": "agent", "zone": "perth-north", "backend": "billing-0", "pool": "billing-app",
+            "engine": base, "model": false, "checks_fence": false,
+            "listen": "127.0.0.1:1", "control": "127.0.0.1:2",
+            "platform": { "table": base, "objects": base, "orders": base, "usage": base,
+                "vms": base, "timeout_ms": 1000 },
+            "slots": 1, "queue": 4, "heartbeat_ms": 500, "keep_ms": KEEP.as_millis() as u64,
+            "window_s": 60
+        }))
+        .unwrap();
+        let process = process::Process::new("agent", "perth-north", "", control::Role::Entry);
+        let incarnation = process.peer.incarnation;
+        let parts = desk::Parts {
+            engine: engine::Engine::new(base, false),
+            settings,
+            process,
+            configuration: Default::default(),
+            recorder: Default::default(),
+            load: Default::default(),
+            orders: Default::default(),
+            metrics: azuregap_control::metrics::Metrics::new("agent", None),
+        };
+        Self { desk: desk::Desk::new(parts).start(), plain, incarnation }
+    }
+
+    fn request(&self, id: u128) -> run::RunRequest {
+        run::RunRequest {
+            protocol: azuregap_wire::PROTOCOL,
+            id,
+            incarnation: self.incarnation,
+            entry: "entry".into(),
+            version: 0,
+            team: "team".into(),
+            class: "credits".into(),
+            tier: 0,
+            route: "credits".into(),
+            idempotent: false,
+            cost: 1,
+            deadline: LONG * 2,
+            offset: 0,
+            method: "POST".into(),
+            path: "/credits".into(),
+            headers: Vec::new(),
+            body: id.to_string().into(),
+        }
+    }
+
+    async fn submit(&self, id: u128) -> Taken {
+        self.desk.send(desk::Submit(self.request(id))).await.unwrap()
+    }
+
+    async fn resume(&self, id: u128, recent: bool) -> Taken {
+        let (protocol, incarnation) = (azuregap_wire::PROTOCOL, self.incarnation);
+        let request = run::ResumeRequest { protocol, id, incarnation, offset: 0, recent };
+        self.desk.send(desk::Resume(request)).await.unwrap()
+    }
+
+    /// Submits a request and waits for its end.
+    async fn complete(&self, id: u128) -> std::sync::Arc<answer::Answer> {
+        let answer = self.submit(id).await.unwrap();
+        let mut changed = answer.watch();
+        while !answer.is_ended() {
+            changed.changed().await.unwrap();
+        }
+        answer
+    }
+
+    fn runs(&self) -> u64 {
+        self.plain.counters().total
+    }
+}
+
+/// Code of a refusal, and whether it says that nothing ran.
+fn told(taken: Taken) -> Option<(code::Code, bool)> {
+    taken.err().map(|refusal| (refusal.code, refusal.not_run))
+}
+
+/// Lets virtual time pass, from now on.
+async fn pass(span: time::Duration) {
+    tokio::time::pause();
+    tokio::time::sleep(span).await;
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn the_same_id_joins_one_run() -> Result<()> {
+    let bench = Bench::new();
+    let (first, second) = futures::join!(bench.complete(1), bench.complete(1));
+    verify_that!(std::sync::Arc::ptr_eq(&first, &second), eq(true))?;
+    let third = bench.submit(1).await.unwrap();
+    let rest = bench.resume(1, false).await.unwrap();
+    for other in [third, rest] {
+        verify_that!(std::sync::Arc::ptr_eq(&first, &other), eq(true))?;
+    }
+    verify_that!(bench.runs(), eq(1))
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn an_id_that_was_called_not_run_is_refused_when_it_arrives_later() -> Result<()> {
+    let bench = Bench::new();
+    verify_that!(told(bench.resume(1, true).await), some(eq((code::Code::RunUnknown, true))))?;
+    verify_that!(told(bench.submit(1).await), some(eq((code::Code::RunUnknown, true))))?;
+    verify_that!(told(bench.resume(1, false).await), some(eq((code::Code::RunUnknown, true))))?;
+    verify_that!(bench.runs(), eq(0))
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn another_incarnation_runs_nothing_and_does_not_know_what_ran() -> Result<()> {
+    let mut bench = Bench::new();
+    bench.incarnation ^= 1;
+    verify_that!(told(bench.submit(1).await), some(eq((code::Code::RunUnknown, true))))?;
+    verify_that!(told(bench.resume(1, true).await), some(eq((code::Code::RunUnknown, false))))?;
+    verify_that!(bench.runs(), eq(0))
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn of_an_id_that_ran_and_was_dropped_the_outcome_is_unknown() -> Result<()> {
+    let bench = Bench::new();
+    bench.complete(1).await;
+    pass(KEEP * 2).await;
+    let unknown = (code::Code::OutcomeUnknown, false);
+    verify_that!(told(bench.resume(1, true).await), some(eq(unknown)))
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn an_id_that_ran_and_was_dropped_is_never_called_not_run() -> Result<()> {
+    let bench = Bench::new();
+    bench.complete(1).await;
+    pass(KEEP * 2).await;
+    let unknown = (code::Code::OutcomeUnknown, false);
+    verify_that!(told(bench.submit(1).await), some(eq(unknown)))?;
+    verify_that!(bench.runs(), eq(1))
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn a_desk_that_forgot_an_id_says_not_run_of_recent_ones_only() -> Result<()> {
+    let bench = Bench::new();
+    bench.complete(1).await;
+    pass(KEEP + LONG).await;
+    let unknown = (code::Code::OutcomeUnknown, false);
+    verify_that!(told(bench.resume(1, false).await), some(eq(unknown)))?;
+    verify_that!(told(bench.resume(2, false).await), some(eq(unknown)))?;
+    verify_that!(told(bench.resume(3, true).await), some(eq((code::Code::RunUnknown, true))))
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn a_cancelled_request_that_waited_never_runs_and_one_that_runs_once_goes_on() -> Result<()> {
+    let bench = Bench::new();
+    bench.plain.set_faults(plain::PlainFaults { freeze: true, ..Default::default() });
+    let first = bench.submit(1).await.unwrap();
+    let second = bench.submit(2).await.unwrap();
+    for id in [1, 2] {
+        bench.desk.send(desk::Cancel(id)).await.unwrap();
+    }
+    verify_that!((first.is_ended(), second.is_ended()), eq((false, true)))?;
+    verify_that!((first.may_have_run(), second.may_have_run()), eq((true, false)))?;
+    bench.plain.set_faults(plain::PlainFaults::default());
+    bench.complete(1).await;
+    verify_that!(bench.runs(), eq(1))
+}
--- /dev/null
+++ b/crates/agent/tests/orders.rs
@@ -0,0 +1,78 @@
+//! Orders that come to an agent for its backend server.
+
+use std::cell;
+
+use azuregap_agent::orders;
+use azuregap_core::code;
+use azuregap_wire::control;
+use googletest::prelude::*;
+
+fn order(id: &str, fence: u64) -> control::Order {
+    control::Order { id: id.into(), fence, action: control::Action::Role("decode".into()) }
+}
+
+/// An agent's orders, and the ids that were carried out.
+#[derive(Default)]
+struct Agent {
+    orders: orders::Orders,
+    carried: cell::RefCell<Vec<String>>,
+}
+
+impl Agent {
+    fn take(&self, id: &str, fence: u64) -> control::Body {
+        let carry_out = |order: control::Order| self.carried.borrow_mut().push(order.id);
+        self.orders.take(&order(id, fence), carry_out)
+    }
+
+    fn settle(&self, id: &str, outcome: orders::Outcome) {
+        self.orders.settle(&id.to_owned(), outcome);
+    }
+}
+
+fn failed(body: &control::Body) -> Option<code::Code> {
+    let control::Body::Failed { code, .. } = body else { return None };
+    Some(*code)
+}
+
+#[gtest]
+fn an_order_is_carried_out_once_and_its_end_is_told_again() -> Result<()> {
+    let agent = Agent::default();
+    verify_that!(agent.take("a", 1), eq(&control::Body::Done))?;
+    verify_that!(agent.take("a", 1), eq(&control::Body::Done))?;
+    agent.settle("a", orders::Outcome::Done);
+    for _ in 0..2 {
+        verify_that!(agent.take("a", 2), eq(&control::Body::OrderDone { id: "a".into() }))?;
+    }
+    verify_that!(*agent.carried.borrow(), elements_are![eq("a")])
+}
+
+#[gtest]
+fn an_old_fencing_number_is_refused_also_for_a_known_order() -> Result<()> {
+    let agent = Agent::default();
+    agent.take("a", 1);
+    agent.take("b", 2);
+    for id in ["a", "c"] {
+        verify_that!(failed(&agent.take(id, 1)), some(eq(code::Code::FenceOld)))?;
+    }
+    verify_that!(*agent.carried.borrow(), elements_are![eq("a"), eq("b")])
+}
+
+#[gtest]
+fn an_order_of_unknown_end_is_sent_again_under_its_id() -> Result<()> {
+    let agent = Agent::default();
+    agent.take("a", 1);
+    agent.settle("a", orders::Outcome::Unknown("no answer".into()));
+    agent.take("a", 1);
+    verify_that!(agent.take("a", 1), eq(&control::Body::Done))?;
+    verify_that!(*agent.carried.borrow(), elements_are![eq("a"), eq("a")])
+}
+
+#[gtest]
+fn a_refused_order_had_no_effect_and_may_be_ordered_again() -> Result<()> {
+    let agent = Agent::default();
+    agent.take("a", 1);
+    agent.settle("a", orders::Outcome::Refused("busy".into()));
+    verify_that!(failed(&agent.take("a", 1)), some(eq(code::Code::OrderRefused)))?;
+    verify_that!(agent.take("a", 1), eq(&control::Body::Done))?;
+    verify_that!(*agent.carried.borrow(), elements_are![eq("a"), eq("a")])
+}
--- /dev/null
+++ b/crates/entry/tests/identify.rs
@@ -0,0 +1,172 @@
+//! What becomes of a caller's request, case by case.
+
+use std::collections;
+use std::time;
+
+use azuregap_control::snapshot;
+use azuregap_core::intent;
+use azuregap_core::key;
+use azuregap_core::refusal;
+use azuregap_core::settings;
+use azuregap_entry::claims;
+use azuregap_entry::identify;
+use azuregap_entry::job;
+use azuregap_wire::run;
+use googletest::prelude::*;
+
+const INTENT: &str = include_str!("../../../examples/swan-coastal/intent.json");
+
+const MODEL: &str = r#"{"model":"advisor-model","max_tokens":50}"#;
+
+const CHAT: &str = "POST /v1/chat/completions";
+
+const LOOKUP: &str = "GET /billing-app/accounts/7";
+
+const CREDIT: &str = "POST /billing-app/credits";
+
+const NOTES: &str = "GET /billing-app/notes/1";
+
+const AUTH: (&str, &str) = ("authorization", "Bearer good");
+
+/// One case: its name, the call, its headers and its body.
+type Case<'a> = (&'a str, &'a str, &'a [(&'a str, &'a str)], &'a str);
+
+fn configuration() -> snapshot::Snapshot {
+    let mut intent: intent::Intent = settings::from_text(INTENT).unwrap();
+    let keys = [("good", "kelp-robotics", false), ("old", "harbour-freight", true)];
+    for (key, team, withdrawn) in keys {
+        let digest = key::Digest::of(key);
+        intent.keys.push(intent::KeyGrant { digest, team: team.into(), withdrawn });
+    }
+    assert!(intent.check().is_empty());
+    snapshot::Snapshot::new(1, intent)
+}
+
+fn incoming(call: &str, headers: &[(&str, &str)], body: &str) -> identify::Incoming {
+    let (method, target) = call.split_once(' ').unwrap();
+    let header = |(name, value): &(&str, &str)| {
+        let (name, value) = ((*name).to_owned(), (*value).to_owned());
+        run::Header { name, value }
+    };
+    identify::Incoming {
+        method: method.into(),
+        path: target.split('?').next().unwrap().into(),
+        target: target.into(),
+        headers: headers.iter().map(header).collect(),
+        body: body.to_owned().into(),
+    }
+}
+
+fn identified(incoming: &identify::Incoming) -> std::result::Result<job::Job, refusal::Refusal> {
+    let estimate = |_: &str, _: &str, bytes, limit: Option<u64>| bytes + limit.unwrap_or(1000);
+    identify::identify(&configuration(), incoming, tokio::time::Instant::now(), estimate)
+}
+
+/// What a case becomes, in one line.
+fn told((name, call, headers, body): &Case<'_>) -> String {
+    match identified(&incoming(call, headers, body)) {
+        Ok(job) => {
+            let (team, route, class) = (&job.team, &job.route.name, &job.class.name);
+            let claim = job.claim.as_deref().unwrap_or("-");
+            let (cost, path) = (job.cost, &job.path);
+            format!("{name}: {route}/{class}, team '{team}', cost {cost}, claim {claim}, {path}")
+        }
+        Err(refusal) => {
+            let (code, status) = (refusal.code, refusal.code.status());
+            let (not_run, message) = (refusal.not_run, &refusal.message);
+            format!("{name}: {status} {code:?}, not_run {not_run}, {message}")
+        }
+    }
+}
+
+fn table(cases: &[Case<'_>]) -> String {
+    cases.iter().map(told).collect::<Vec<_>>().join("\n")
+}
+
+#[gtest]
+fn a_model_request_takes_the_route_of_its_model_and_class() {
+    let own = identify::CLASS_HEADER;
+    insta::assert_snapshot!(table(&[
+        ("first route of the model", CHAT, &[AUTH], MODEL),
+        ("class by header", "POST /v1/chat/completions?a=1", &[AUTH, (own, "summary")], MODEL),
+        ("class that no route has", CHAT, &[AUTH, (own, "ledger")], MODEL),
+        ("other model path", "POST /v1/completions", &[AUTH], MODEL),
+        ("model unknown", CHAT, &[AUTH], r#"{"model":"other"}"#),
+        ("plain pool as model", CHAT, &[AUTH], r#"{"model":"billing-app"}"#),
+        ("not json", CHAT, &[AUTH], "{"),
+        ("method of no route", "PUT /v1/chat/completions", &[AUTH], MODEL),
+        ("no limit of output", CHAT, &[AUTH], r#"{"model":"advisor-model"}"#),
+        ("key missing", CHAT, &[], MODEL),
+    ]));
+}
+
+#[gtest]
+fn a_plain_request_takes_the_route_of_its_path_and_method() {
+    let claim = ("idempotency-key", "c-1");
+    let large = "x".repeat(16_385);
+    insta::assert_snapshot!(table(&[
+        ("lookup", "GET /billing-app/accounts/7?full=1", &[AUTH], ""),
+        ("prefix itself", "HEAD /billing-app/accounts", &[AUTH], ""),
+        ("prefix of a longer word", "GET /billing-app/accounts-old", &[AUTH], ""),
+        ("method of no route", "DELETE /billing-app/accounts/7", &[AUTH], ""),
+        ("path of no route", "GET /", &[AUTH], ""),
+        ("lookup by method", "GET /billing-app/tariffs/1", &[AUTH], ""),
+        ("change by method", "PUT /billing-app/tariffs/1", &[AUTH, claim], ""),
+        ("claim key missing", CREDIT, &[AUTH], ""),
+        ("claim key", CREDIT, &[AUTH, claim], ""),
+        ("open to all", NOTES, &[], ""),
+        ("open, with a key", NOTES, &[AUTH], ""),
+        ("key missing", LOOKUP, &[], ""),
+        ("key of another scheme", LOOKUP, &[("authorization", "Basic good")], ""),
+        ("key unknown", LOOKUP, &[("authorization", "Bearer bad")], ""),
+        ("key withdrawn", LOOKUP, &[("authorization", "Bearer old")], ""),
+        ("body at the limit", LOOKUP, &[AUTH], &large[1..]),
+        ("body over the limit", LOOKUP, &[AUTH], &large),
+    ]));
+}
+
+#[gtest]
+fn key_cookies_own_headers_and_those_of_the_connection_go_no_further() -> Result<()> {
+    let dropped = "cookie proxy-authorization x-api-key host te x-priority x-request-id \
+                   x-resume-offset x-azuregap-anything keep-alive x-hop x-skip";
+    let mut headers = vec![AUTH, ("connection", "close, X-Hop"), ("connection", "x-skip")];
+    headers.extend(dropped.split(' ').map(|name| (name, "good")));
+    headers.extend(["content-type", "x-call-id", "x-hopper"].map(|name| (name, "1")));
+    let job = identified(&incoming(LOOKUP, &headers, ""))?;
+    let kept: Vec<_> = job.headers.iter().map(|header| header.name.as_str()).collect();
+    verify_that!(kept, elements_are![eq(&"content-type"), eq(&"x-call-id"), eq(&"x-hopper")])
+}
+
+#[gtest]
+fn the_deadline_is_that_of_the_class_and_ids_differ() -> Result<()> {
+    let call = incoming(NOTES, &[], "");
+    let now = tokio::time::Instant::now();
+    let job = || identify::identify(&configuration(), &call, now, |_, _, _, _| 1);
+    let (a, b) = (job()?, job()?);
+    verify_that!(a.deadline, eq(now + time::Duration::from_secs(5)))?;
+    verify_that!(a.id, not(eq(b.id)))
+}
+
+#[gtest]
+fn claims_have_a_row_for_each_team_and_key_that_does_not_show_the_key() -> Result<()> {
+    let owners = [("kelp-robotics", "a"), ("kelp-robotics", "b"), ("open", "a"), ("", "a")];
+    let row = |(team, claim): (&str, &str)| {
+        let mut job = identified(&incoming(NOTES, &[], "")).unwrap();
+        job.team = team.into();
+        claims::row_key(&job, claim)
+    };
+    let rows: collections::BTreeSet<_> = owners.into_iter().map(row).collect();
+    verify_that!(rows.len(), eq(owners.len()))?;
+    verify_that!(rows.iter().any(|row| row.ends_with("/a")), eq(false))
+}
+
+/// A service that resolves dot segments would answer such a request from another route's path.
+#[gtest]
+fn dot_segments_do_not_lead_out_of_an_open_route() -> Result<()> {
+    for step in ["..", "%2e%2e", "%2E.", "."] {
+        let call = format!("GET /billing-app/notes/{step}/accounts/7");
+        verify_that!(identified(&incoming(&call, &[], "")).is_err(), eq(true))
+            .with_failure_message(|| format!("{call} was taken without a key"))?;
+    }
+    Ok(())
+}
