test(agent): an order waits for the end of the one before it

Cause: nothing showed in which order two admitted orders reach an engine that does not check. Change: two orders through the desk, the first one slow.

--- a/crates/agent/tests/desk.rs
+++ b/crates/agent/tests/desk.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use actix::Actor as _;
+use actix_web::web;
 use azuregap_agent::answer;
 use azuregap_agent::desk;
 use azuregap_agent::engine;
@@ -35,7 +36,10 @@
     fn new() -> Self {
         let plain = plain::Plain::new();
         let (_, address) = plain.serve("127.0.0.1:0".parse().unwrap()).unwrap();
-        let base = format!("http://{address}");
+        Self::before(plain, &format!("http://{address}"))
+    }
+
+    fn before(plain: plain::Plain, base: &str) -> Self {
         let settings: settings::AgentSettings = serde_json::from_value(json!({
             "node": "agent", "zone": "perth-north", "backend": "billing-0", "pool": "billing-app",
             "engine": base, "model": false, "checks_fence": false,
@@ -202,3 +206,34 @@
     bench.complete(1).await;
     verify_that!(bench.runs(), eq(1))
 }
+
+/// The backend server does not check fencing numbers, so only the order of arrival helps.
+#[gtest]
+#[actix_rt::test]
+async fn an_order_waits_for_the_end_of_the_one_before_it() -> Result<()> {
+    let taken: std::sync::Arc<std::sync::Mutex<Vec<u64>>> = Default::default();
+    let seen = taken.clone();
+    let server = actix_web::HttpServer::new(move || {
+        let seen = seen.clone();
+        let order = move |order: web::Json<control::Order>| {
+            let seen = seen.clone();
+            async move {
+                let slow = if order.fence == 1 { 300 } else { 0 };
+                tokio::time::sleep(time::Duration::from_millis(slow)).await;
+                seen.lock().unwrap().push(order.fence);
+                actix_web::HttpResponse::Ok()
+            }
+        };
+        actix_web::App::new().route("/orders", web::post().to(order))
+    });
+    let server = server.workers(1).disable_signals().bind("127.0.0.1:0").unwrap();
+    let bench = Bench::before(plain::Plain::new(), &format!("http://{}", server.addrs()[0]));
+    actix_rt::spawn(server.run());
+    let orders = [1, 2].map(|fence| {
+        let action = control::Action::Role("decode".into());
+        bench.desk.send(desk::CarryOut(control::Order { id: fence.to_string(), fence, action }))
+    });
+    futures::future::join_all(orders).await;
+    let taken = taken.lock().unwrap().clone();
+    verify_that!(taken, elements_are![eq(&1), eq(&2)])
+}
