--- a/crates/agent/tests/desk.rs
+++ b/crates/agent/tests/desk.rs
@@ -221,7 +221,7 @@
                 let slow = if order.fence == 1 { 300 } else { 0 };
                 tokio::time::sleep(time::Duration::from_millis(slow)).await;
                 seen.lock().unwrap().push(order.fence);
-                actix_web::HttpResponse::Ok()
+                actix_web::HttpResponse::Ok().finish()
             }
         };
         actix_web::App::new().route("/orders", web::post().to(order))
