--- /dev/null
+++ b/crates/entry/tests/support/mod.rs
@@ -0,0 +1,184 @@
+//! Agents that answer by script, and an entry before them.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use actix_web::web;
+use azuregap_control::directory;
+use azuregap_control::mailbox;
+use azuregap_control::metrics;
+use azuregap_control::process;
+use azuregap_control::snapshot;
+use azuregap_control::usage;
+use azuregap_core::code;
+use azuregap_core::refusal;
+use azuregap_core::settings;
+use azuregap_entry::claims;
+use azuregap_entry::dispatch;
+use azuregap_entry::identify;
+use azuregap_entry::job;
+use azuregap_entry::link;
+use azuregap_entry::router;
+use azuregap_standins::platform;
+use azuregap_wire::codec;
+use azuregap_wire::control;
+use azuregap_wire::frame;
+use azuregap_wire::run;
+use tokio::sync::mpsc;
+
+const INTENT: &str = include_str!("../../../../examples/swan-coastal/intent.json");
+
+const INCARNATION: u64 = 7;
+
+const LIMIT: time::Duration = time::Duration::from_secs(1);
+
+/// Frames that answer the call of this number, counted over all agents; `None` for a resume. No
+/// frames mean that no answer comes.
+pub(crate) type Script = fn(Option<usize>, u128) -> Vec<frame::Frame>;
+
+/// What came to the agents.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Calls {
+    pub(crate) runs: usize,
+    pub(crate) resumes: usize,
+}
+
+type SharedCalls = sync::Arc<sync::Mutex<Calls>>;
+
+async fn reply(frames: Vec<frame::Frame>) -> actix_web::HttpResponse {
+    if frames.is_empty() {
+        std::future::pending::<()>().await;
+    }
+    let body: Vec<_> = frames.iter().map(|frame| codec::write_frame(frame).unwrap()).collect();
+    actix_web::HttpResponse::Ok().body(body.concat())
+}
+
+fn serve(script: Script, calls: SharedCalls) -> net::SocketAddr {
+    let server = actix_web::HttpServer::new(move || {
+        let (runs, resumes) = (calls.clone(), calls.clone());
+        let take = move |body: web::Bytes| {
+            let request: run::RunRequest = codec::decode(&body).unwrap();
+            let mut calls = runs.lock().unwrap();
+            calls.runs += 1;
+            reply(script(Some(calls.runs), request.id))
+        };
+        let resume = move |body: web::Bytes| {
+            let request: run::ResumeRequest = codec::decode(&body).unwrap();
+            resumes.lock().unwrap().resumes += 1;
+            reply(script(None, request.id))
+        };
+        actix_web::App::new()
+            .route(run::RUN_PATH, web::post().to(take))
+            .route(run::RESUME_PATH, web::post().to(resume))
+    });
+    let server = server.workers(1).disable_signals().shutdown_timeout(0);
+    let server = server.bind("127.0.0.1:0").unwrap();
+    let address = server.addrs()[0];
+    actix_rt::spawn(server.run());
+    address
+}
+
+/// An entry before agents of the pool `billing-app`, all with one script.
+pub(crate) struct Entry {
+    pub(crate) shared: dispatch::Shared,
+    pub(crate) platform: platform::Platform,
+    calls: SharedCalls,
+}
+
+impl Entry {
+    pub(crate) fn new(names: &[&str], script: Script) -> Self {
+        let calls = SharedCalls::default();
+        let agents = names.iter().map(|name| directory::Agent {
+            node: (*name).into(),
+            incarnation: INCARNATION,
+            zone: "perth-north".into(),
+            backend: (*name).into(),
+            pool: "billing-app".into(),
+            runs: serve(script, calls.clone()).to_string(),
+            control: String::new(),
+            leaving: false,
+        });
+        let process = process::Process::new("entry", "perth-north", "", control::Role::Entry);
+        let shared = dispatch::Shared {
+            node: "entry".into(),
+            configuration: snapshot::Handle::default(),
+            directory: directory::Directory::default(),
+            mailbox: mailbox::Mailbox::new(process),
+            router: router::Router::new("entry", "perth-north"),
+            copies: usage::Copies::default(),
+            windows: usage::Windows::system(time::Duration::from_secs(60)),
+            silence: LIMIT,
+            metrics: metrics::Metrics::new("entry", None),
+        };
+        let intent = settings::from_text(INTENT).unwrap();
+        shared.configuration.advance(snapshot::Snapshot::new(1, intent));
+        shared.directory.replace(agents.collect());
+        Self { shared, platform: platform::Platform::new(), calls }
+    }
+
+    /// An open lookup, which may run more than once.
+    pub(crate) fn job(&self) -> job::Job {
+        let path = "/billing-app/notes/1";
+        let incoming = identify::Incoming {
+            method: "GET".into(),
+            path: path.into(),
+            target: path.into(),
+            headers: Vec::new(),
+            body: web::Bytes::new(),
+        };
+        let now = tokio::time::Instant::now();
+        let configuration = self.shared.configuration.load();
+        identify::identify(&configuration, &incoming, now, |_, _, _, _| 1).unwrap()
+    }
+
+    /// Follows `job` to its end; gives the last thing that its caller is told.
+    pub(crate) async fn follow(&self, job: job::Job) -> dispatch::Event {
+        let (out, mut events) = mpsc::channel(16);
+        let clients = link::Clients::default();
+        let dispatch = dispatch::Dispatch::new(self.shared.clone(), clients, job, out);
+        let table = self.platform.table.client(LIMIT);
+        let objects = self.platform.objects.client(LIMIT);
+        dispatch.run(claims::Stores { table, objects }).await;
+        let mut last = None;
+        while let Some(event) = events.recv().await {
+            last = Some(event);
+        }
+        last.unwrap()
+    }
+
+    pub(crate) fn calls(&self) -> Calls {
+        *self.calls.lock().unwrap()
+    }
+}
+
+const LOAD: frame::Load = frame::Load { running: 1, waiting: 0, slots: 64, backlog: 0 };
+
+pub(crate) const fn accepted(id: u128) -> frame::Frame {
+    frame::Frame::Accepted { id, incarnation: INCARNATION, version: 1, load: LOAD }
+}
+
+pub(crate) fn answered(id: u128, text: &'static str, length: u64) -> Vec<frame::Frame> {
+    let bytes = web::Bytes::from_static(text.as_bytes());
+    let usage = frame::Usage::default();
+    vec![
+        accepted(id),
+        frame::Frame::Head { status: 200, headers: Vec::new() },
+        frame::Frame::Data { offset: 0, bytes },
+        frame::Frame::End { length, usage, load: LOAD },
+    ]
+}
+
+pub(crate) fn refused(refusal: refusal::Refusal) -> frame::Frame {
+    frame::Frame::Refused { refusal, load: LOAD }
+}
+
+pub(crate) fn broken() -> refusal::Refusal {
+    refusal::Refusal::may_have_run(code::Code::BackendFailed, "the service crashed")
+}
+
+/// Code and truth of a failure; none for anything else.
+pub(crate) fn failure(event: &dispatch::Event) -> Option<(code::Code, bool)> {
+    let dispatch::Event::Failed(refusal) = event else { return None };
+    Some((refusal.code, refusal.not_run))
+}
