--- a/crates/entry/tests/dispatch.rs
+++ b/crates/entry/tests/dispatch.rs
@@ -123,3 +123,17 @@
     }
     verify_that!(fill(&entry), eq(before))
 }
+
+#[gtest]
+#[actix_rt::test]
+async fn an_agent_that_said_it_leaves_is_chosen_no_more() -> Result<()> {
+    let script: Script = |run, id| match run {
+        Some(1) => vec![refused(refusal::Refusal::not_run(code::Code::Leaving, "leaving"))],
+        _ => answered(id, "notes", 5),
+    };
+    let entry = Entry::new(&["a", "b"], script);
+    verify_that!(failure(&entry.follow(entry.job()).await), none())?;
+    let choose = |_| entry.shared.router.choose(&entry.job(), &[]).unwrap().0.node;
+    let chosen: std::collections::BTreeSet<_> = (0..40).map(choose).collect();
+    verify_that!(chosen.len(), eq(1))
+}
