fix: eight faults that the focused tests of entry and agent showed

Cause: (1) an id that ran and was dropped was called not run when it came again; (2) usage of a document over 1 MiB was not read; (3) dot segments led out of an open route; (4) what ran at one agent was called not run when the next refused it; (5) a resume that was only accepted was repeated without pause or end; (6) orders ran side by side at one engine; (7) attempts dropped at their deadline and (8) choices that came to nothing counted as load for good. Ruled out: the policy (each decision was right for the input it got). Change: the past of an id is told; one document is read whole; such paths are refused; the final refusal knows whether anything ran; only progress resets the count; orders take turns; an attempt withdraws what it leaves behind.

--- a/crates/agent/src/desk.rs
+++ b/crates/agent/src/desk.rs
@@ -5,6 +5,7 @@
 mod run;
 
 use std::collections;
+use std::rc;
 use std::sync;
 use std::time;
 
@@ -79,6 +80,8 @@
     runs: collections::HashMap<ids::RequestId, run::Run>,
     /// Ids that must not run any more.
     refused: collections::HashMap<ids::RequestId, run::Past>,
+    /// Lets one order at a time through to the backend server, in the order of their admission.
+    ordering: rc::Rc<tokio::sync::Mutex<()>>,
     /// Whether an id that ended long ago was dropped, so that an unknown id may have run.
     forgets: bool,
     stopping: bool,
@@ -92,7 +95,17 @@
         let queue = queue::Queue::new(queue::Limits::new(settings.slots, settings.queue));
         let windows = usage::Windows::system(settings.window);
         let (runs, refused) = (collections::HashMap::new(), collections::HashMap::new());
-        Self { parts, windows, queue, version: 0, runs, refused, forgets: false, stopping: false }
+        Self {
+            parts,
+            windows,
+            queue,
+            version: 0,
+            runs,
+            refused,
+            ordering: rc::Rc::default(),
+            forgets: false,
+            stopping: false,
+        }
     }
 
     const fn incarnation(&self) -> ids::Incarnation {
@@ -127,8 +140,18 @@
         if request.incarnation != self.incarnation() {
             return refuse(code::Code::RunUnknown, "the agent was restarted");
         }
-        if self.refused.contains_key(&request.id) {
-            return refuse(code::Code::RunUnknown, "the request was given up before it arrived");
+        match self.refused.get(&request.id) {
+            Some(past) if past.ran => {
+                let text = "the request ran before; its answer is not kept any more";
+                return Err(refusal::Refusal::may_have_run(code::Code::OutcomeUnknown, text));
+            }
+            Some(_) => {
+                return refuse(
+                    code::Code::RunUnknown,
+                    "the request was given up before it arrived",
+                );
+            }
+            None => {}
         }
         let backend = &self.parts.settings.backend;
         if self.stopping || self.parts.configuration.load().intent.is_leaving(backend) {
--- a/crates/agent/src/desk/messages.rs
+++ b/crates/agent/src/desk/messages.rs
@@ -99,7 +99,9 @@
 
     fn handle(&mut self, CarryOut(order): CarryOut, _: &mut Self::Context) -> Self::Result {
         let (engine, orders) = (self.parts.engine.clone(), self.parts.orders.clone());
+        let ordering = self.ordering.clone();
         let work = async move {
+            let _turn = ordering.lock().await;
             let result = engine.order(&order).await;
             orders.settle(&order.id, result);
         };
--- a/crates/agent/src/meter.rs
+++ b/crates/agent/src/meter.rs
@@ -3,13 +3,15 @@
 use azuregap_wire::frame;
 use serde::Deserialize;
 
+use crate::answer;
+
 /// Start of a line of a server-sent event that carries data.
 const DATA: &[u8] = b"data:";
 
 /// Data of the event that ends a stream of completions.
 const DONE: &[u8] = b"[DONE]";
 
-/// Longest line that is looked at, in bytes.
+/// Longest line of a stream that is looked at, in bytes; one document is looked at as a whole.
 const MAX_LINE: usize = 1024 * 1024;
 
 /// What a completion or one of its chunks says of usage.
@@ -84,7 +86,8 @@
     }
 
     fn keep(&mut self, bytes: &[u8]) {
-        if self.line.len() + bytes.len() <= MAX_LINE {
+        let most = if self.stream { MAX_LINE } else { answer::MAX_ANSWER };
+        if self.line.len() + bytes.len() <= most {
             self.line.extend_from_slice(bytes);
         }
     }
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -72,6 +72,8 @@
     let mut claim = claim::Claim::new(job.id, digest, target(&first));
     let mut agent = first;
     let mut refused = None;
+    // Whether the agent was chosen and not sent the request yet.
+    let mut pending = true;
     let mut event = claim::Event::Start;
     loop {
         event = match claim.handle(event) {
@@ -81,6 +83,7 @@
             }
             claim::Action::Dispatch(_) => {
                 tried.push(agent.node.clone());
+                pending = false;
                 match dispatch.once(&agent).await {
                     dispatch::Once::Whole(answer) => store_answer(stores, &job, answer).await,
                     dispatch::Once::Lost => claim::Event::Lost,
@@ -88,6 +91,7 @@
                         let next = dispatch.next_agent(&refusal, &tried).await;
                         refused = Some(refusal);
                         let named = next.as_ref().map(target);
+                        pending = next.is_some();
                         agent = next.unwrap_or(agent);
                         claim::Event::NotRun(named)
                     }
@@ -97,6 +101,9 @@
                 claim::Event::Asked(ask(dispatch, request, &target).await)
             }
             claim::Action::Settled(verdict) => {
+                if pending {
+                    dispatch.withdraw(&agent);
+                }
                 return tell(dispatch, stores, verdict, refused).await;
             }
             claim::Action::Pending => {
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -9,6 +9,7 @@
 use azuregap_core::code;
 use azuregap_core::ids;
 use azuregap_core::refusal;
+use azuregap_policy::choice;
 use azuregap_policy::retry;
 use azuregap_wire::control;
 use azuregap_wire::frame;
@@ -164,6 +165,11 @@
         Ok(agent)
     }
 
+    /// Takes back a choice that came to nothing.
+    pub fn withdraw(&self, agent: &directory::Agent) {
+        self.shared.router.observe(agent, choice::Outcome::Withdrawn);
+    }
+
     /// Another agent for a claimed job that was refused, if the retry policy allows one.
     pub async fn next_agent(
         &self,
@@ -222,13 +228,14 @@
     async fn attempts(&mut self) -> Option<refusal::Refusal> {
         let mut tried = Vec::new();
         let mut last = None;
+        let mut ran = false;
         loop {
             let agent = match self.choose(&tried) {
                 Ok(agent) => agent,
                 Err(refusal) => return Some(last.unwrap_or(refusal)),
             };
             tried.push(agent.node.clone());
-            let refusal = match self.attempt(&agent).await {
+            let mut refusal = match self.attempt(&agent).await {
                 Attempt::Done => return None,
                 Attempt::CallerGone => {
                     self.cancel(&agent).await;
@@ -241,6 +248,9 @@
                 }
             };
             self.log_failure(&agent, &refusal);
+            // What ran at one agent did run, whatever the next one says.
+            ran |= !refusal.not_run;
+            refusal.not_run = !ran;
             // What went out of a plain service's answer cannot be continued by another replica.
             if self.committed && !self.job.model {
                 return Some(self.final_failure(refusal));
@@ -343,7 +353,9 @@
     ) -> Result<Attempt, link::LinkError> {
         loop {
             let frame = link.next_frame().await?;
-            *failures = 0;
+            if !matches!(frame, frame::Frame::Accepted { .. } | frame::Frame::Head { .. }) {
+                *failures = 0;
+            }
             if self.key_withdrawn() {
                 self.cancel(agent).await;
                 let code = code::Code::KeyWithdrawnRunning;
--- a/crates/entry/src/identify.rs
+++ b/crates/entry/src/identify.rs
@@ -178,6 +178,10 @@
     completion: Option<&Completion>,
 ) -> Result<&'a intent::Route, refusal::Refusal> {
     let Incoming { method, path, .. } = incoming;
+    if path.split(['/', '\\']).any(is_step) {
+        let text = format!("the path {path} has dot segments");
+        return Err(refusal::Refusal::not_run(code::Code::RouteUnknown, text));
+    }
     let Some(completion) = completion else {
         return intent.plain_route(path, method).ok_or_else(|| {
             let text = format!("no route for {method} {path}");
@@ -192,6 +196,13 @@
     })
 }
 
+/// Whether a path segment leads elsewhere than below its prefix, once a server has decoded it.
+fn is_step(segment: &str) -> bool {
+    let decoded = segment.to_ascii_lowercase().replace("%2e", ".");
+    let hides = ["%2f", "%5c"].iter().any(|slash| decoded.contains(slash));
+    matches!(decoded.as_str(), "." | "..") || (hides && decoded.contains(".."))
+}
+
 fn kept(headers: &[run::Header]) -> Vec<run::Header> {
     let hops: Vec<String> = headers
         .iter()
--- a/crates/entry/src/sight.rs
+++ b/crates/entry/src/sight.rs
@@ -21,13 +21,15 @@
     accepted: Option<Instant>,
     /// When the last observation of progress was made; none before the first byte.
     moved: Option<Instant>,
+    /// Whether the end was told.
+    ended: bool,
 }
 
 impl Sight {
     /// Starts with a request that was just sent to `agent`.
     #[must_use]
     pub const fn new(router: router::Router, agent: directory::Agent) -> Self {
-        Self { router, agent, accepted: None, moved: None }
+        Self { router, agent, accepted: None, moved: None, ended: false }
     }
 
     /// The agent took the request.
@@ -65,16 +67,14 @@
     }
 
     /// The answer is whole, or its caller went away.
-    pub fn done(&self) {
-        self.accepted.map_or_else(
-            || self.tell(choice::Outcome::Unreachable),
-            |_| self.tell(choice::Outcome::Done),
-        );
+    pub fn done(&mut self) {
+        let known = self.accepted.is_some();
+        self.end(if known { choice::Outcome::Done } else { choice::Outcome::Unreachable });
     }
 
     /// The agent refused the request or its run failed.
-    pub fn refused(&self, refusal: &refusal::Refusal) {
-        let outcome = match (self.accepted.is_some(), refusal.not_run) {
+    pub fn refused(&mut self, refusal: &refusal::Refusal) {
+        self.end(match (self.accepted.is_some(), refusal.not_run) {
             (true, true) => choice::Outcome::Done,
             (true, false) => choice::Outcome::Broken,
             (false, _) => match refusal.code {
@@ -84,14 +84,13 @@
                 }
                 _ => choice::Outcome::Refused,
             },
-        };
-        self.tell(outcome);
+        });
     }
 
     /// The agent cannot be reached any more.
-    pub fn lost(&self) {
+    pub fn lost(&mut self) {
         let known = self.accepted.is_some();
-        self.tell(if known { choice::Outcome::Broken } else { choice::Outcome::Unreachable });
+        self.end(if known { choice::Outcome::Broken } else { choice::Outcome::Unreachable });
     }
 
     /// Time since the agent took the request.
@@ -103,4 +102,19 @@
     fn tell(&self, outcome: choice::Outcome) {
         self.router.observe(&self.agent, outcome);
     }
+
+    fn end(&mut self, outcome: choice::Outcome) {
+        if !self.ended {
+            self.ended = true;
+            self.tell(outcome);
+        }
+    }
+}
+
+/// An attempt that is given up, as at its deadline, leaves no load behind.
+impl Drop for Sight {
+    fn drop(&mut self) {
+        let known = self.accepted.is_some();
+        self.end(if known { choice::Outcome::Done } else { choice::Outcome::Withdrawn });
+    }
 }
--- a/crates/policy/src/choice/known.rs
+++ b/crates/policy/src/choice/known.rs
@@ -65,6 +65,7 @@
                 self.pending = self.pending.saturating_sub(1);
                 self.own += 1;
             }
+            outcome::Outcome::Withdrawn => self.pending = self.pending.saturating_sub(1),
             outcome::Outcome::Refused => self.answered(),
             outcome::Outcome::Leaving => {
                 self.answered();
--- a/crates/policy/src/choice/outcome.rs
+++ b/crates/policy/src/choice/outcome.rs
@@ -4,12 +4,15 @@
 
 /// What an entry observed of a request that it sent to a replica.
 ///
-/// After a choice exactly one of `Accepted`, `Refused` and `Unreachable` follows. After
+/// After a choice exactly one of `Accepted`, `Withdrawn`, `Refused`, `Leaving` and
+/// `Unreachable` follows. After
 /// `Accepted` come any of `FirstByte` and `Progress`, then one of `Done` and `Broken`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
     /// The agent took the request.
     Accepted,
+    /// It was not sent after all, or what became of it was not waited for.
+    Withdrawn,
     /// The agent refused it for load or order; the replica is well.
     Refused,
     /// The agent refuses new work because it is leaving.
