--- a/crates/agent/src/desk.rs
+++ b/crates/agent/src/desk.rs
@@ -5,12 +5,14 @@
 mod run;
 
 use std::collections;
+use std::rc;
 use std::sync;
 use std::time;
 
 use actix::AsyncContext as _;
 use actix::fut;
 use actix::fut::ActorFutureExt as _;
+use azuregap_control::metrics;
 use azuregap_control::process;
 use azuregap_control::snapshot;
 use azuregap_control::usage;
@@ -40,6 +42,9 @@
 /// retransmits, so that a request that arrives late on an old connection is not run.
 const REFUSED_KEEP: time::Duration = time::Duration::from_secs(20 * 60);
 
+/// Time between two reports of the queue's length.
+const METRICS: time::Duration = time::Duration::from_secs(1);
+
 /// Time between two looks at deadlines and abandoned runs.
 const SWEEP: time::Duration = time::Duration::from_millis(100);
 
@@ -60,6 +65,8 @@
     pub load: SharedLoad,
     /// Outcomes of orders.
     pub orders: orders::Orders,
+    /// Sends metrics.
+    pub metrics: metrics::Metrics,
 }
 
 /// The actor that holds the queue and the runs of one agent.
@@ -73,6 +80,8 @@
     runs: collections::HashMap<ids::RequestId, run::Run>,
     /// Ids that must not run any more.
     refused: collections::HashMap<ids::RequestId, run::Past>,
+    /// Lets one order at a time through to the backend server, in the order of their admission.
+    ordering: rc::Rc<tokio::sync::Mutex<()>>,
     /// Whether an id that ended long ago was dropped, so that an unknown id may have run.
     forgets: bool,
     stopping: bool,
@@ -86,7 +95,17 @@
         let queue = queue::Queue::new(queue::Limits::new(settings.slots, settings.queue));
         let windows = usage::Windows::system(settings.window);
         let (runs, refused) = (collections::HashMap::new(), collections::HashMap::new());
-        Self { parts, windows, queue, version: 0, runs, refused, forgets: false, stopping: false }
+        Self {
+            parts,
+            windows,
+            queue,
+            version: 0,
+            runs,
+            refused,
+            ordering: rc::Rc::default(),
+            forgets: false,
+            stopping: false,
+        }
     }
 
     const fn incarnation(&self) -> ids::Incarnation {
@@ -121,8 +140,18 @@
         if request.incarnation != self.incarnation() {
             return refuse(code::Code::RunUnknown, "the agent was restarted");
         }
-        if self.refused.contains_key(&request.id) {
-            return refuse(code::Code::RunUnknown, "the request was given up before it arrived");
+        match self.refused.get(&request.id) {
+            Some(past) if past.ran => {
+                let text = "the request ran before; its answer is not kept any more";
+                return Err(refusal::Refusal::may_have_run(code::Code::OutcomeUnknown, text));
+            }
+            Some(_) => {
+                return refuse(
+                    code::Code::RunUnknown,
+                    "the request was given up before it arrived",
+                );
+            }
+            None => {}
         }
         let backend = &self.parts.settings.backend;
         if self.stopping || self.parts.configuration.load().intent.is_leaving(backend) {
@@ -299,11 +328,21 @@
     }
 }
 
+impl Desk {
+    fn send_metrics(&self) {
+        let metrics = &self.parts.metrics;
+        metrics.gauge("agent.running", self.queue.running() as u64);
+        metrics.gauge("agent.waiting", self.queue.waiting() as u64);
+        metrics.gauge("agent.unflushed", self.parts.recorder.unflushed());
+    }
+}
+
 impl actix::Actor for Desk {
     type Context = actix::Context<Self>;
 
     fn started(&mut self, ctx: &mut Self::Context) {
         self.update_load();
         ctx.run_interval(SWEEP, Self::sweep);
+        ctx.run_interval(METRICS, |desk, _| desk.send_metrics());
     }
 }
--- a/crates/agent/src/desk/messages.rs
+++ b/crates/agent/src/desk/messages.rs
@@ -27,6 +27,8 @@
         let (id, team, class) = (request.id, request.team.clone(), request.class.clone());
         let result = self.submit(request, ctx);
         let refusal = result.as_ref().err();
+        let code = refusal.map_or(0, |refusal| refusal.code.number());
+        self.parts.metrics.count("agent.requests", &class, code);
         tracing::info!(
             request = format!("{id:032x}"),
             team,
@@ -97,7 +99,9 @@
 
     fn handle(&mut self, CarryOut(order): CarryOut, _: &mut Self::Context) -> Self::Result {
         let (engine, orders) = (self.parts.engine.clone(), self.parts.orders.clone());
+        let ordering = self.ordering.clone();
         let work = async move {
+            let _turn = ordering.lock().await;
             let result = engine.order(&order).await;
             orders.settle(&order.id, result);
         };
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -9,6 +9,7 @@
 use azuregap_core::code;
 use azuregap_core::ids;
 use azuregap_core::refusal;
+use azuregap_policy::choice;
 use azuregap_policy::retry;
 use azuregap_wire::control;
 use azuregap_wire::frame;
@@ -94,6 +95,7 @@
     /// Runs the job to its end.
     pub async fn run(mut self, stores: claims::Stores) {
         if let Err(refusal) = self.shared.router.admit(&self.job.team) {
+            self.shared.metrics.count("requests", &self.job.class.name, refusal.code.number());
             let _ = self.out.send(Event::Failed(refusal)).await;
             return;
         }
@@ -106,6 +108,8 @@
             }
         };
         self.shared.router.release(&self.job.team);
+        let code = failure.as_ref().map_or(0, |refusal| refusal.code.number());
+        self.shared.metrics.count("requests", &self.job.class.name, code);
         if let Some(refusal) = failure {
             let _ = self.out.send(Event::Failed(refusal)).await;
         }
@@ -161,6 +165,11 @@
         Ok(agent)
     }
 
+    /// Takes back a choice that came to nothing.
+    pub fn withdraw(&self, agent: &directory::Agent) {
+        self.shared.router.observe(agent, choice::Outcome::Withdrawn);
+    }
+
     /// Another agent for a claimed job that was refused, if the retry policy allows one.
     pub async fn next_agent(
         &self,
@@ -219,13 +228,14 @@
     async fn attempts(&mut self) -> Option<refusal::Refusal> {
         let mut tried = Vec::new();
         let mut last = None;
+        let mut ran = false;
         loop {
             let agent = match self.choose(&tried) {
                 Ok(agent) => agent,
                 Err(refusal) => return Some(last.unwrap_or(refusal)),
             };
             tried.push(agent.node.clone());
-            let refusal = match self.attempt(&agent).await {
+            let mut refusal = match self.attempt(&agent).await {
                 Attempt::Done => return None,
                 Attempt::CallerGone => {
                     self.cancel(&agent).await;
@@ -238,6 +248,9 @@
                 }
             };
             self.log_failure(&agent, &refusal);
+            // What ran at one agent did run, whatever the next one says.
+            ran |= !refusal.not_run;
+            refusal.not_run = !ran;
             // What went out of a plain service's answer cannot be continued by another replica.
             if self.committed && !self.job.model {
                 return Some(self.final_failure(refusal));
@@ -310,6 +323,7 @@
             if failures > 1 {
                 tokio::time::sleep(RESUME_PAUSE).await;
             }
+            self.shared.metrics.count("resumes", &self.job.class.name, 0);
             tracing::info!(
                 request = self.id_text(),
                 decision = "resume",
@@ -339,7 +353,9 @@
     ) -> Result<Attempt, link::LinkError> {
         loop {
             let frame = link.next_frame().await?;
-            *failures = 0;
+            if !matches!(frame, frame::Frame::Accepted { .. } | frame::Frame::Head { .. }) {
+                *failures = 0;
+            }
             if self.key_withdrawn() {
                 self.cancel(agent).await;
                 let code = code::Code::KeyWithdrawnRunning;
@@ -382,6 +398,9 @@
                 if offset != self.offset {
                     return cut("a piece of the answer is missing");
                 }
+                if self.offset == 0 {
+                    self.shared.metrics.time("first_byte", &self.job.class.name, sight.age());
+                }
                 sight.data(&bytes);
                 self.offset += bytes.len() as u64;
                 return Ok(self.take_data(bytes).await);
@@ -507,6 +526,7 @@
     }
 
     fn log_failure(&self, agent: &directory::Agent, refusal: &refusal::Refusal) {
+        self.shared.metrics.count("failed_tries", &self.job.class.name, refusal.code.number());
         tracing::info!(
             request = self.id_text(),
             team = self.job.team,
