--- a/crates/agent/tests/orders.rs
+++ b/crates/agent/tests/orders.rs
@@ -19,6 +19,13 @@
 }
 
 impl Agent {
+    /// An agent that read the fencing number in force.
+    fn open(fence: u64) -> Self {
+        let agent = Self::default();
+        agent.orders.open(fence);
+        agent
+    }
+
     fn take(&self, id: &str, fence: u64) -> control::Body {
         let carry_out = |order: control::Order| self.carried.borrow_mut().push(order.id);
         self.orders.take(&order(id, fence), carry_out)
@@ -36,7 +43,7 @@
 
 #[gtest]
 fn an_order_is_carried_out_once_and_its_end_is_told_again() -> Result<()> {
-    let agent = Agent::default();
+    let agent = Agent::open(0);
     verify_that!(agent.take("a", 1), eq(&control::Body::Done))?;
     verify_that!(agent.take("a", 1), eq(&control::Body::Done))?;
     agent.settle("a", orders::Outcome::Done);
@@ -48,7 +55,7 @@
 
 #[gtest]
 fn an_old_fencing_number_is_refused_also_for_a_known_order() -> Result<()> {
-    let agent = Agent::default();
+    let agent = Agent::open(0);
     agent.take("a", 1);
     agent.take("b", 2);
     for id in ["a", "c"] {
@@ -59,7 +66,7 @@
 
 #[gtest]
 fn an_order_of_unknown_end_is_sent_again_under_its_id() -> Result<()> {
-    let agent = Agent::default();
+    let agent = Agent::open(0);
     agent.take("a", 1);
     agent.settle("a", orders::Outcome::Unknown("no answer".into()));
     agent.take("a", 1);
@@ -69,10 +76,21 @@
 
 #[gtest]
 fn a_refused_order_had_no_effect_and_may_be_ordered_again() -> Result<()> {
-    let agent = Agent::default();
+    let agent = Agent::open(0);
     agent.take("a", 1);
     agent.settle("a", orders::Outcome::Refused("busy".into()));
     verify_that!(failed(&agent.take("a", 1)), some(eq(code::Code::OrderRefused)))?;
     verify_that!(agent.take("a", 1), eq(&control::Body::Done))?;
     verify_that!(*agent.carried.borrow(), elements_are![eq("a"), eq("a")])
 }
+
+#[gtest]
+fn a_restarted_agent_takes_no_order_before_it_read_the_fencing_number_in_force() -> Result<()> {
+    let agent = Agent::default();
+    verify_that!(agent.take("a", 1), eq(&control::Body::Done))?;
+    agent.orders.open(2);
+    verify_that!(failed(&agent.take("a", 1)), some(eq(code::Code::FenceOld)))?;
+    verify_that!(*agent.carried.borrow(), elements_are![])?;
+    agent.take("b", 2);
+    verify_that!(*agent.carried.borrow(), elements_are![eq("b")])
+}
