fix(entry): only progress makes up for a lost connection

Cause: any piece reset the count of failures, also one at a wrong offset, so that an agent that sent such pieces was asked again 7,463 times in 5 s. Change: a heartbeat or a grown offset resets it. The stand-ins of the daemon tests bind any port and tell it, as a port picked beforehand was taken in 2 of 4 runs.

--- a/crates/daemon/tests/support/cluster.rs
+++ b/crates/daemon/tests/support/cluster.rs
@@ -69,7 +69,7 @@
         let platform_at = cluster.serve_platform();
         for i in 0..shape.engines {
             let engine = engine::Engine::start(shape.settings.clone());
-            let (server, address) = engine.serve(documents::free_address()).unwrap();
+            let (server, address) = engine.serve(documents::any_port()).unwrap();
             let name = format!("engine-{i}");
             let settings = documents::agent(&name, documents::MODEL, address, platform_at);
             cluster.servers.push(server);
@@ -78,7 +78,7 @@
         }
         for i in 0..shape.plains {
             let plain = plain::Plain::new();
-            let (server, address) = plain.serve(documents::free_address()).unwrap();
+            let (server, address) = plain.serve(documents::any_port()).unwrap();
             let name = format!("plain-{i}");
             let settings = documents::agent(&name, "billing-app", address, platform_at);
             cluster.servers.push(server);
@@ -182,7 +182,7 @@
     }
 
     fn serve_platform(&mut self) -> net::SocketAddr {
-        let at = documents::free_address();
+        let at = documents::any_port();
         let (server, address) = platform::serve(at, self.platform.clone()).unwrap();
         self.servers.push(server);
         address
--- a/crates/daemon/tests/support/documents.rs
+++ b/crates/daemon/tests/support/documents.rs
@@ -121,8 +121,7 @@
 /// An address on loopback that is free now and was not given before, on an IP number of this
 /// process's own.
 pub(crate) fn free_address() -> net::SocketAddr {
-    let [_, a, b, c] = std::process::id().to_be_bytes();
-    let host = net::Ipv4Addr::new(127, 64 | a, b, c.max(1));
+    let host = host();
     let mut given = GIVEN.lock().unwrap();
     loop {
         let listener = net::TcpListener::bind((host, 0)).unwrap();
@@ -132,3 +131,14 @@
         }
     }
 }
+
+/// Any port on this process's own IP number, for a server that tells which one it got.
+pub(crate) fn any_port() -> net::SocketAddr {
+    (host(), 0).into()
+}
+
+/// An IP number on loopback that belongs to this process alone.
+fn host() -> net::Ipv4Addr {
+    let [_, a, b, c] = std::process::id().to_be_bytes();
+    net::Ipv4Addr::new(127, 64 | a, b, c)
+}
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -353,9 +353,7 @@
     ) -> Result<Attempt, link::LinkError> {
         loop {
             let frame = link.next_frame().await?;
-            if !matches!(frame, frame::Frame::Accepted { .. } | frame::Frame::Head { .. }) {
-                *failures = 0;
-            }
+            let (before, alive) = (self.offset, matches!(frame, frame::Frame::Heartbeat { .. }));
             if self.key_withdrawn() {
                 self.cancel(agent).await;
                 let code = code::Code::KeyWithdrawnRunning;
@@ -365,6 +363,9 @@
             if let Some(end) = self.take(frame, agent, sight).await? {
                 return Ok(end);
             }
+            if alive || self.offset > before {
+                *failures = 0;
+            }
         }
     }
 
