--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! Sees one job through: attempts, lost connections, resumes and retries.
 
 mod event;
+mod outlet;
 mod shared;
 
 use std::time;
@@ -14,12 +15,11 @@
 use azuregap_wire::control;
 use azuregap_wire::frame;
 use azuregap_wire::run;
-use bytes::Bytes;
-use bytes::BytesMut;
 use tokio::sync::mpsc;
 
 pub use event::Event;
 pub use event::Whole;
+pub use outlet::MAX_HELD;
 pub use shared::Shared;
 
 use crate::claims;
@@ -27,9 +27,6 @@
 use crate::link;
 use crate::sight;
 
-/// Largest answer that is held back until it is whole, in bytes.
-pub const MAX_HELD: usize = 1024 * 1024;
-
 /// Attempts to reach an agent again that holds an answer.
 const RESUMES: u32 = 3;
 
@@ -66,17 +63,7 @@
     shared: Shared,
     clients: link::Clients,
     job: job::Job,
-    out: mpsc::Sender<Event>,
-    /// Head of the answer, while it is held back.
-    held: Option<(u16, Vec<run::Header>)>,
-    /// Bytes held back.
-    kept: BytesMut,
-    /// The whole answer of a claimed job.
-    whole: Option<Whole>,
-    /// Whether the head went out to the caller.
-    committed: bool,
-    /// Bytes of the answer received so far.
-    offset: u64,
+    outlet: outlet::Outlet,
 }
 
 impl Dispatch {
@@ -88,18 +75,18 @@
         job: job::Job,
         out: mpsc::Sender<Event>,
     ) -> Self {
-        let (held, kept, whole) = (None, BytesMut::new(), None);
-        Self { shared, clients, job, out, held, kept, whole, committed: false, offset: 0 }
+        let outlet = outlet::Outlet::new(out, claim_key(&job).is_some());
+        Self { shared, clients, job, outlet }
     }
 
     /// Runs the job to its end.
     pub async fn run(mut self, stores: claims::Stores) {
         if let Err(refusal) = self.shared.router.admit(&self.job.team) {
             self.shared.metrics.count("requests", &self.job.class.name, refusal.code.number());
-            let _ = self.out.send(Event::Failed(refusal)).await;
+            self.outlet.fail(refusal).await;
             return;
         }
-        let failure = match self.claim_key() {
+        let failure = match claim_key(&self.job) {
             Some(key) => claims::run(&mut self, &stores, &key).await,
             None => {
                 let deadline = self.job.deadline;
@@ -111,7 +98,7 @@
         let code = failure.as_ref().map_or(0, |refusal| refusal.code.number());
         self.shared.metrics.count("requests", &self.job.class.name, code);
         if let Some(refusal) = failure {
-            let _ = self.out.send(Event::Failed(refusal)).await;
+            self.outlet.fail(refusal).await;
         }
     }
 
@@ -187,7 +174,7 @@
 
     /// Makes the single attempt of a claimed job.
     pub async fn once(&mut self, agent: &directory::Agent) -> Once {
-        self.restart();
+        self.outlet.restart();
         let deadline = self.job.deadline;
         if tokio::time::Instant::now() >= deadline {
             let text = "the deadline passed before the request was sent";
@@ -195,7 +182,7 @@
         }
         let attempt = tokio::time::timeout_at(deadline, self.attempt(agent)).await;
         match attempt {
-            Ok(Attempt::Done) => self.whole.take().map_or(Once::Lost, Once::Whole),
+            Ok(Attempt::Done) => self.outlet.take_whole().map_or(Once::Lost, Once::Whole),
             Ok(Attempt::Refused(refusal)) if refusal.not_run => {
                 self.log_failure(agent, &refusal);
                 Once::NotRun(refusal)
@@ -207,12 +194,7 @@
     /// Gives the caller the answer of an earlier request.
     pub async fn repeat(&self, whole: Whole) {
         tracing::info!(request = self.id_text(), decision = "repeated", "routing decision");
-        let _ = self.out.send(Event::Whole(whole)).await;
-    }
-
-    /// The key of the claim, for a job that must run at most once and carries one.
-    fn claim_key(&self) -> Option<String> {
-        if self.job.route.idempotent { None } else { self.job.claim.clone() }
+        self.outlet.repeat(whole).await;
     }
 
     fn late(&self) -> refusal::Refusal {
@@ -252,14 +234,14 @@
             ran |= !refusal.not_run;
             refusal.not_run = !ran;
             // What went out of a plain service's answer cannot be continued by another replica.
-            if self.committed && !self.job.model {
+            if self.outlet.is_committed() && !self.job.model {
                 return Some(self.final_failure(refusal));
             }
             match self.verdict(refusal.clone(), tried.len()) {
                 retry::Verdict::Retry { after } => tokio::time::sleep(after).await,
                 retry::Verdict::GiveUp { refusal } => return Some(self.final_failure(refusal)),
             }
-            self.restart();
+            self.outlet.restart();
             last = Some(refusal);
         }
     }
@@ -278,15 +260,6 @@
         refusal::Refusal { code: code::Code::OutcomeUnknown, retry_after: None, ..refusal }
     }
 
-    /// Forgets what was held back of a failed attempt.
-    fn restart(&mut self) {
-        if !self.committed {
-            self.held = None;
-            self.kept.clear();
-            self.offset = 0;
-        }
-    }
-
     /// Sends the job to `agent` and follows its answer, over new connections if need be.
     async fn attempt(&mut self, agent: &directory::Agent) -> Attempt {
         let mut sight = sight::Sight::new(self.shared.router.clone(), agent.clone());
@@ -328,7 +301,7 @@
                 request = self.id_text(),
                 decision = "resume",
                 agent = agent.node,
-                offset = self.offset,
+                offset = self.outlet.offset(),
                 why = reason,
                 "routing decision"
             );
@@ -336,7 +309,7 @@
                 protocol: azuregap_wire::PROTOCOL,
                 id: self.job.id,
                 incarnation: agent.incarnation,
-                offset: self.offset,
+                offset: self.outlet.offset(),
                 recent: true,
             };
             link = self.clients.resume(&agent.runs, &resume, silence).await;
@@ -353,7 +326,8 @@
     ) -> Result<Attempt, link::LinkError> {
         loop {
             let frame = link.next_frame().await?;
-            let (before, alive) = (self.offset, matches!(frame, frame::Frame::Heartbeat { .. }));
+            let (before, alive) =
+                (self.outlet.offset(), matches!(frame, frame::Frame::Heartbeat { .. }));
             if self.key_withdrawn() {
                 self.cancel(agent).await;
                 let code = code::Code::KeyWithdrawnRunning;
@@ -363,7 +337,7 @@
             if let Some(end) = self.take(frame, agent, sight).await? {
                 return Ok(end);
             }
-            if alive || self.offset > before {
+            if alive || self.outlet.offset() > before {
                 *failures = 0;
             }
         }
@@ -388,32 +362,32 @@
             frame::Frame::Heartbeat { load } => {
                 self.shared.router.report(agent, load);
                 sight.waited();
-                return Ok(self.caller_gone().then_some(Attempt::CallerGone));
+                return Ok(self.outlet.is_unwanted().then_some(Attempt::CallerGone));
             }
             frame::Frame::Head { status, headers } => {
-                if !self.committed && self.held.is_none() {
-                    return Ok(self.take_head(status, headers).await);
-                }
+                let there = self.outlet.head(status, headers).await;
+                return Ok((!there).then_some(Attempt::CallerGone));
             }
             frame::Frame::Data { offset, bytes } => {
-                if offset != self.offset {
+                if offset != self.outlet.offset() {
                     return cut("a piece of the answer is missing");
                 }
-                if self.offset == 0 {
+                if self.outlet.offset() == 0 {
                     self.shared.metrics.time("first_byte", &self.job.class.name, sight.age());
                 }
                 sight.data(&bytes);
-                self.offset += bytes.len() as u64;
-                return Ok(self.take_data(bytes).await);
+                let there = self.outlet.data(bytes).await;
+                return Ok((!there).then_some(Attempt::CallerGone));
             }
             frame::Frame::End { length, usage, load } => {
                 self.shared.router.report(agent, load);
-                if length != self.offset {
+                if length != self.outlet.offset() {
                     return cut("the answer is shorter than announced");
                 }
                 self.keep_record(agent, usage);
                 self.shared.router.learn(&self.job, usage);
-                return Ok(Some(self.take_end().await));
+                self.outlet.end().await;
+                return Ok(Some(Attempt::Done));
             }
             frame::Frame::Refused { refusal, load } => {
                 self.shared.router.report(agent, load);
@@ -423,57 +397,6 @@
         Ok(None)
     }
 
-    /// Streams of events go out at once, anything else is held back until it is whole. So is
-    /// every answer of a claimed job, which is stored for repeats.
-    async fn take_head(&mut self, status: u16, headers: Vec<run::Header>) -> Option<Attempt> {
-        let stream = headers.iter().any(|header| {
-            header.name == "content-type" && header.value.starts_with("text/event-stream")
-        });
-        if stream && self.claim_key().is_none() {
-            self.committed = true;
-            return self.tell(Event::Head { status, headers }).await;
-        }
-        self.held = Some((status, headers));
-        None
-    }
-
-    async fn take_data(&mut self, bytes: Bytes) -> Option<Attempt> {
-        if self.held.is_none() {
-            return self.tell(Event::Data(bytes)).await;
-        }
-        self.kept.extend_from_slice(&bytes);
-        if self.kept.len() <= MAX_HELD || self.claim_key().is_some() {
-            return None;
-        }
-        let (status, headers) = self.held.take()?;
-        self.committed = true;
-        let gone = self.tell(Event::Head { status, headers }).await;
-        let kept = self.kept.split().freeze();
-        if gone.is_some() { gone } else { self.tell(Event::Data(kept)).await }
-    }
-
-    async fn take_end(&mut self) -> Attempt {
-        let event = match self.held.take() {
-            Some((status, headers)) => {
-                let whole = Whole { status, headers, body: self.kept.split().freeze() };
-                self.whole = self.claim_key().map(|_| whole.clone());
-                Event::Whole(whole)
-            }
-            None => Event::End,
-        };
-        let _ = self.out.send(event).await;
-        Attempt::Done
-    }
-
-    async fn tell(&self, event: Event) -> Option<Attempt> {
-        self.out.send(event).await.is_err().then_some(Attempt::CallerGone)
-    }
-
-    /// A claimed job is followed to its end also without its caller, for repeats.
-    fn caller_gone(&self) -> bool {
-        self.out.is_closed() && self.claim_key().is_none()
-    }
-
     /// A withdrawn key ends what may be run again; a call that may not is let end.
     fn key_withdrawn(&self) -> bool {
         let Some(key) = &self.job.key else { return false };
@@ -518,7 +441,7 @@
             idempotent: job.route.idempotent,
             cost: job.cost,
             deadline: job.deadline.saturating_duration_since(tokio::time::Instant::now()),
-            offset: self.offset,
+            offset: self.outlet.offset(),
             method: job.method.clone(),
             path: job.path.clone(),
             headers: job.headers.clone(),
@@ -542,3 +465,8 @@
         );
     }
 }
+
+/// The key of the claim, for a job that must run at most once and carries one.
+fn claim_key(job: &job::Job) -> Option<String> {
+    if job.route.idempotent { None } else { job.claim.clone() }
+}
