fix: the scheme of a key is read in any case; ends of orders are forgotten in turn

Cause: 'bearer KEY' was refused as a missing key although schemes have no case; an agent kept the end of every order for good. Change: compare the scheme without case; keep as many ends as the gate keeps ids. Conclusion: both were small, both are closed.

--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -23,11 +23,16 @@
     Unknown(String),
 }
 
+/// Orders whose end is remembered; as many as the gate knows the ids of.
+const REMEMBERED: usize = 1_024;
+
 #[derive(Debug, Default)]
 struct State {
     /// None until the newest fencing number was read; no order is taken before.
     gate: Option<orders::Gate>,
     ended: collections::HashMap<ids::OrderId, Outcome>,
+    /// Ids in `ended`, the oldest first.
+    order: collections::VecDeque<ids::OrderId>,
 }
 
 /// Admits orders and remembers how they ended; clones share both.
@@ -50,7 +55,7 @@
         carry_out: impl Fn(control::Order),
     ) -> control::Body {
         let mut state = self.lock();
-        let State { gate, ended } = &mut *state;
+        let State { gate, ended, .. } = &mut *state;
         let Some(gate) = gate else { return control::Body::Done };
         match gate.admit(order) {
             orders::Admission::Refuse(code) => {
@@ -82,7 +87,15 @@
     /// Notes how an order ended.
     pub fn settle(&self, id: &ids::OrderId, outcome: Outcome) {
         tracing::info!(order = id, outcome = ?outcome, "order decision");
-        self.lock().ended.insert(id.clone(), outcome);
+        let mut state = self.lock();
+        if state.ended.insert(id.clone(), outcome).is_none() {
+            state.order.push_back(id.clone());
+        }
+        if state.order.len() > REMEMBERED
+            && let Some(oldest) = state.order.pop_front()
+        {
+            state.ended.remove(&oldest);
+        }
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, State> {
--- a/crates/entry/src/identify.rs
+++ b/crates/entry/src/identify.rs
@@ -139,7 +139,7 @@
     header: Option<&str>,
 ) -> Result<&'a intent::KeyGrant, refusal::Refusal> {
     let refuse = |code, text: &str| Err(refusal::Refusal::not_run(code, text));
-    let Some(key) = header.and_then(|value| value.strip_prefix("Bearer ")) else {
+    let Some(key) = header.and_then(bearer) else {
         return refuse(code::Code::KeyMissing, "no key came with the request");
     };
     let digest = key::Digest::of(key.trim());
@@ -152,6 +152,12 @@
     }
 }
 
+/// The key behind the scheme, whose name is written in any case.
+fn bearer(header: &str) -> Option<&str> {
+    let (scheme, key) = header.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then_some(key)
+}
+
 fn find_grant<'a>(
     configuration: &'a snapshot::Snapshot,
     incoming: &Incoming,
--- a/crates/entry/tests/identify.rs
+++ b/crates/entry/tests/identify.rs
@@ -161,6 +161,18 @@
 }
 
 /// A service that resolves dot segments would answer such a request from another route's path.
+#[gtest]
+fn the_scheme_of_a_key_is_read_in_any_case() -> Result<()> {
+    let (name, value) = AUTH;
+    let lower = value.replace("Bearer", "bearer");
+    let team = |value| {
+        let job = identified(&incoming(CHAT, &[(name, value)], MODEL));
+        job.map(|job| job.team).ok()
+    };
+    verify_that!(team(value).is_some(), eq(true))?;
+    verify_that!(team(&lower), eq(&team(value)))
+}
+
 #[gtest]
 fn dot_segments_do_not_lead_out_of_an_open_route() -> Result<()> {
     for step in ["..", "%2e%2e", "%2E.", "."] {
