refactor(standins): one way to start a server

Cause: the engine, the plain service and the platform each set their server up with the same ten lines. Ruled out: a behaviour that differs (workers, shutdown and half-closed were alike). Change: http::serve takes the state and its routes; 24 lines in place of 40. Conclusion: what a stand-in's server does at stop is decided in one place.

--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -3,10 +3,8 @@
 use std::io;
 use std::net;
 
-use actix_web::App;
 use actix_web::HttpRequest;
 use actix_web::HttpResponse;
-use actix_web::HttpServer;
 use actix_web::body;
 use actix_web::dev;
 use actix_web::web;
@@ -54,16 +52,7 @@
         &self,
         listen: net::SocketAddr,
     ) -> io::Result<(dev::ServerHandle, net::SocketAddr)> {
-        let engine = self.clone();
-        let app = move || App::new().app_data(web::Data::new(engine.clone())).configure(routes);
-        let server = HttpServer::new(app)
-            .workers(1)
-            .disable_signals()
-            .shutdown_timeout(0)
-            .h1_allow_half_closed(false)
-            .bind(listen)?;
-        let addresses = server.addrs();
-        http::start(server.run(), &addresses)
+        http::serve(self.clone(), routes, listen)
     }
 }
 
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -3,9 +3,12 @@
 use std::io;
 use std::net;
 
+use actix_web::App;
 use actix_web::HttpResponse;
+use actix_web::HttpServer;
 use actix_web::body;
 use actix_web::dev;
+use actix_web::web;
 use azuregap_platform::error;
 use bytes::Bytes;
 use futures::stream;
@@ -29,12 +32,25 @@
     }
 }
 
-/// Starts `server` and gives its handle and the first address it listens at.
-pub(crate) fn start(
-    server: dev::Server,
-    addresses: &[net::SocketAddr],
+/// Serves `state` at `listen` until the handle stops it; gives the address it listens at.
+///
+/// # Errors
+///
+/// When `listen` cannot be bound.
+pub(crate) fn serve<T: Clone + Send + 'static>(
+    state: T,
+    routes: fn(&mut web::ServiceConfig),
+    listen: net::SocketAddr,
 ) -> io::Result<(dev::ServerHandle, net::SocketAddr)> {
-    let address = *addresses.first().ok_or(io::ErrorKind::AddrNotAvailable)?;
+    let app = move || App::new().app_data(web::Data::new(state.clone())).configure(routes);
+    let server = HttpServer::new(app)
+        .workers(1)
+        .disable_signals()
+        .shutdown_timeout(0)
+        .h1_allow_half_closed(false)
+        .bind(listen)?;
+    let address = *server.addrs().first().ok_or(io::ErrorKind::AddrNotAvailable)?;
+    let server = server.run();
     let handle = server.handle();
     tokio::spawn(server);
     Ok((handle, address))
--- a/crates/standins/src/plain.rs
+++ b/crates/standins/src/plain.rs
@@ -7,10 +7,8 @@
 use std::sync;
 use std::time;
 
-use actix_web::App;
 use actix_web::HttpRequest;
 use actix_web::HttpResponse;
-use actix_web::HttpServer;
 use actix_web::body;
 use actix_web::dev;
 use actix_web::http::StatusCode;
@@ -135,16 +133,7 @@
         &self,
         listen: net::SocketAddr,
     ) -> io::Result<(dev::ServerHandle, net::SocketAddr)> {
-        let plain = self.clone();
-        let app = move || App::new().app_data(web::Data::new(plain.clone())).configure(routes);
-        let server = HttpServer::new(app)
-            .workers(1)
-            .disable_signals()
-            .shutdown_timeout(0)
-            .h1_allow_half_closed(false)
-            .bind(listen)?;
-        let addresses = server.addrs();
-        http::start(server.run(), &addresses)
+        http::serve(self.clone(), routes, listen)
     }
 
     /// Counts one run of a call; answers how often it ran by now.
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -4,9 +4,7 @@
 use std::net;
 use std::time;
 
-use actix_web::App;
 use actix_web::HttpResponse;
-use actix_web::HttpServer;
 use actix_web::dev;
 use actix_web::web;
 use azuregap_platform::objects as object_calls;
@@ -84,15 +82,7 @@
     listen: net::SocketAddr,
     platform: Platform,
 ) -> io::Result<(dev::ServerHandle, net::SocketAddr)> {
-    let app = move || App::new().app_data(web::Data::new(platform.clone())).configure(routes);
-    let server = HttpServer::new(app)
-        .workers(1)
-        .disable_signals()
-        .shutdown_timeout(0)
-        .h1_allow_half_closed(false)
-        .bind(listen)?;
-    let addresses = server.addrs();
-    http::start(server.run(), &addresses)
+    http::serve(platform, routes, listen)
 }
 
 fn routes(config: &mut web::ServiceConfig) {
