feat(gateway): serve the platform's traffic through one adapter

Change: crates/gateway admits, places and relays requests over hyper connections, follows configuration and backend servers in the store, shares load by datagrams and reports usage under a lease; platform/ decodes and encodes the platform's names; azuregapd hosted runs both. Ruled out: actix-web and awc on the data path, which hide a caller that leaves during its request and end a cut chunked answer like a whole one.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -14,6 +14,7 @@
 use clap::Parser as _;
 use serde::de;
 use tokio::signal::unix;
+use tracing_appender::non_blocking;
 
 /// Routes language-model traffic with service levels and priorities.
 #[derive(Debug)]
@@ -40,19 +41,18 @@
         #[arg(long)]
         settings: path::PathBuf,
     },
+    /// Serves as a gateway on the platform, which names the settings file.
+    Hosted,
 }
 
 /// Exit code on wrong settings.
 const EXIT_SETTINGS: u8 = 2;
 
 fn main() -> process::ExitCode {
-    tracing_subscriber::fmt()
-        .json()
-        .flatten_event(true)
-        .with_env_filter(filter())
-        .with_writer(std::io::stderr)
-        .init();
-    let kernel = match Arguments::parse().role {
+    let role = Arguments::parse().role;
+    let _guard = start_logs(&role);
+    let kernel = match role {
+        Role::Hosted => return hosted(),
         Role::Entry { settings } => read(&settings, settings::EntrySettings::check)
             .map(|settings| azuregap_entry::daemon::kernel(&settings)),
         Role::Agent { settings } => read(&settings, settings::AgentSettings::check)
@@ -67,6 +67,42 @@
     }
 }
 
+/// Lines that wait for a reader of standard output; more are dropped, never waited for.
+const LINES_WAITING: usize = 4_096;
+
+/// Logs go to standard output on the platform, which collects it, else to standard error.
+fn start_logs(role: &Role) -> Option<non_blocking::WorkerGuard> {
+    let lines = tracing_subscriber::fmt().json().flatten_event(true).with_env_filter(filter());
+    if !matches!(role, Role::Hosted) {
+        lines.with_writer(std::io::stderr).init();
+        return None;
+    }
+    let (writer, guard) = non_blocking::NonBlockingBuilder::default()
+        .buffered_lines_limit(LINES_WAITING)
+        .lossy(true)
+        .finish(std::io::stdout());
+    lines.with_writer(writer).init();
+    Some(guard)
+}
+
+/// Runs a gateway on the platform.
+fn hosted() -> process::ExitCode {
+    let settings = match azuregap_host::run::read_settings() {
+        Ok(settings) => settings,
+        Err(error) => {
+            tracing::error!(reason = error.to_string(), "the settings were not taken");
+            return process::ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    match actix_rt::System::new().block_on(azuregap_host::run::gateway(settings)) {
+        Ok(code) => code,
+        Err(error) => {
+            tracing::error!(reason = error.to_string(), "start failed");
+            process::ExitCode::FAILURE
+        }
+    }
+}
+
 fn filter() -> tracing_subscriber::EnvFilter {
     tracing_subscriber::EnvFilter::try_from_default_env()
         .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"))
--- /dev/null
+++ b/crates/gateway/src/configuration.rs
@@ -0,0 +1,14 @@
+//! The operator's configuration, as the gateway uses it.
+
+mod limits;
+mod route;
+mod service;
+mod snapshot;
+
+pub use limits::Limits;
+pub use route::Kind;
+pub use route::Route;
+pub use route::Share;
+pub use service::Service;
+pub use snapshot::Configuration;
+pub use snapshot::Team;
--- /dev/null
+++ b/crates/gateway/src/configuration/route.rs
@@ -0,0 +1,86 @@
+//! A route from a host and path to a service.
+
+use std::time::Duration;
+
+use azuregap_core::ids;
+use smallvec::SmallVec;
+
+/// What may be repeated on a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// May run more than once.
+    Idempotent,
+    /// Runs at most once.
+    Once,
+    /// Answered by a stream of events; runs at most once unless it is resumable.
+    Stream {
+        /// Whether another backend server may go on after the last event.
+        resumable: bool,
+        /// Longest pause between events that is still on time.
+        pause: Duration,
+    },
+}
+
+impl Kind {
+    /// Whether a request may be run again after an attempt whose outcome is unknown.
+    #[must_use]
+    pub const fn may_repeat(self) -> bool {
+        matches!(self, Self::Idempotent | Self::Stream { resumable: true, .. })
+    }
+
+    /// Whether the answer is a stream of events.
+    #[must_use]
+    pub const fn is_stream(self) -> bool {
+        matches!(self, Self::Stream { .. })
+    }
+}
+
+/// A service's share of a route's traffic.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// The service.
+    pub service: ids::PoolId,
+    /// Its weight.
+    pub weight: u32,
+}
+
+/// A route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// Name given by the operator.
+    pub name: String,
+    /// Host that callers name.
+    pub host: String,
+    /// Start of the path; begins and ends with a slash.
+    pub prefix: String,
+    /// What may be repeated.
+    pub kind: Kind,
+    /// Services that answer.
+    pub shares: SmallVec<[Share; 2]>,
+    /// Longest time that a request may take.
+    pub timeout: Duration,
+    /// Time within which an answer is on time; streams: the first event.
+    pub goal: Duration,
+    /// Tier, unless the team has its own.
+    pub tier: ids::Tier,
+    /// Most backend servers on which one request may run.
+    pub attempts: u32,
+    /// Whether no key is needed.
+    pub open: bool,
+}
+
+impl Route {
+    /// The service for a request; `draw` is spread evenly over all requests.
+    #[must_use]
+    pub fn service(&self, draw: u64) -> Option<&ids::PoolId> {
+        let total: u64 = self.shares.iter().map(|share| u64::from(share.weight)).sum();
+        let mut point = if total == 0 { 0 } else { draw % total };
+        for share in &self.shares {
+            if point < u64::from(share.weight) {
+                return Some(&share.service);
+            }
+            point -= u64::from(share.weight);
+        }
+        self.shares.first().map(|share| &share.service)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/configuration/service.rs
@@ -0,0 +1,14 @@
+//! A service and what its backend servers can bear.
+
+use azuregap_core::ids;
+
+/// A service: backend servers that answer the same requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Service {
+    /// Name given by the operator.
+    pub name: ids::PoolId,
+    /// Connections that one backend server accepts from all callers together.
+    pub connections: u32,
+    /// Tokens that a model engine keeps in memory; none for a plain service.
+    pub cache_tokens: Option<u64>,
+}
--- /dev/null
+++ b/crates/gateway/src/decision.rs
@@ -0,0 +1,10 @@
+//! Decisions of a gateway, without I/O.
+
+pub mod cache;
+pub mod freshness;
+pub mod placement;
+pub mod refusal;
+pub mod repeats;
+pub mod standing;
+pub mod true_time;
+pub mod windows;
--- /dev/null
+++ b/crates/gateway/src/decision/freshness.rs
@@ -0,0 +1,50 @@
+//! Whether what the gateway knows of keys and routes is recent enough to act on.
+
+use std::time::Duration;
+
+use tokio::time;
+
+/// Part of the revocation bound that is left for a request on its way to a backend server.
+const MARGIN: Duration = Duration::from_millis(500);
+
+/// A "no such route" or "no such key" is only given if the configuration was confirmed this
+/// recently. Source: half of the time in which a configuration must be in force everywhere.
+const NEGATIVE: Duration = Duration::from_millis(2_000);
+
+/// Age of the configuration, on a clock that counts the time in which the VM is suspended.
+#[derive(Clone, Copy, Debug)]
+pub struct Freshness {
+    bound: Duration,
+    confirmed: Option<time::Instant>,
+}
+
+impl Freshness {
+    /// Nothing confirmed yet; a revoked key must stop within `bound`.
+    #[must_use]
+    pub const fn new(bound: Duration) -> Self {
+        Self { bound, confirmed: None }
+    }
+
+    /// The store confirmed that nothing newer existed when it was asked at this instant.
+    pub fn confirmed(&mut self, asked: time::Instant) {
+        self.confirmed = Some(self.confirmed.map_or(asked, |known| known.max(asked)));
+    }
+
+    /// Age of the newest confirmation.
+    #[must_use]
+    pub fn age(&self, now: time::Instant) -> Option<Duration> {
+        self.confirmed.map(|at| now.saturating_duration_since(at))
+    }
+
+    /// Whether a key may be taken as valid.
+    #[must_use]
+    pub fn may_trust_keys(&self, now: time::Instant) -> bool {
+        self.age(now).is_some_and(|age| age + MARGIN < self.bound)
+    }
+
+    /// Whether a missing route or key may be told as final.
+    #[must_use]
+    pub fn may_deny(&self, now: time::Instant) -> bool {
+        self.age(now).is_some_and(|age| age < NEGATIVE)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/decision/placement.rs
@@ -0,0 +1,81 @@
+//! On which backend server a request runs.
+//!
+//! For model engines the cost of a backend server is the work that stands before the request's
+//! first token there: prompt tokens of others that are not read yet, its own that are not cached,
+//! and the slowing of each step by the requests that run. Sessions have a home by rendezvous
+//! hashing, so that gateways agree on it without a message; a home with too much work before it is
+//! passed over. This answers bursts of long prompts, where the engines are bound by prefill.
+
+use xxhash_rust::xxh3;
+
+use crate::codec;
+
+/// What a running request adds to the time to the first token, in prompt tokens. Source: the time
+/// that one more running request adds to the steps of a prefill, on the sample engines.
+const RUNNING_TOKENS: f64 = 60.0;
+
+/// Added when a backend server has no free slot, in prompt tokens for each request over.
+const FULL_TOKENS: f64 = 3_000.0;
+
+/// What crossing to another availability zone costs, in prompt tokens.
+const ZONE_TOKENS: f64 = 100.0;
+
+/// A backend server as the choice sees it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate {
+    /// Hash of its id, the same at every gateway.
+    pub hash: u32,
+    /// Requests of all gateways that run or wait there.
+    pub running: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Prompt tokens of all gateways' requests that have not produced their first event.
+    pub prefill: u64,
+    /// Prompt tokens of this request that it has to read.
+    pub uncached: u64,
+    /// How many times slower than its peers it is, at least 1.
+    pub slowness: f64,
+    /// Whether it is in the gateway's own availability zone.
+    pub near: bool,
+}
+
+impl Candidate {
+    /// Expected work before the first token, in prompt tokens.
+    #[must_use]
+    pub fn cost(&self) -> f64 {
+        let over = f64::from((self.running + 1).saturating_sub(self.slots));
+        let work = (self.prefill + self.uncached) as f64
+            + f64::from(self.running) * RUNNING_TOKENS
+            + over * FULL_TOKENS;
+        let way = if self.near { 0.0 } else { ZONE_TOKENS };
+        (work + way) * self.slowness
+    }
+}
+
+/// The position of the cheapest candidate; `draw` decides between equals.
+#[must_use]
+pub fn choose(candidates: &[Candidate], draw: u32) -> Option<usize> {
+    let order = |(_, candidate): &(usize, &Candidate)| {
+        (candidate.cost(), candidate.hash.wrapping_mul(draw | 1))
+    };
+    candidates
+        .iter()
+        .enumerate()
+        .min_by(|left, right| {
+            let (left, right) = (order(left), order(right));
+            left.0.total_cmp(&right.0).then(left.1.cmp(&right.1))
+        })
+        .map(|(position, _)| position)
+}
+
+/// The candidate at which a part of a prompt is at home.
+#[must_use]
+pub fn home(part: codec::PartId, hashes: impl Iterator<Item = u32>) -> Option<u32> {
+    let weight = |hash: &u32| {
+        let mut key = [0; 12];
+        key[..8].copy_from_slice(&part.to_le_bytes());
+        key[8..].copy_from_slice(&hash.to_le_bytes());
+        xxh3::xxh3_64(&key)
+    };
+    hashes.max_by_key(weight)
+}
--- /dev/null
+++ b/crates/gateway/src/decision/repeats.rs
@@ -0,0 +1,81 @@
+//! The budget of repeated sends that all gateways share without a message for each.
+//!
+//! In any window a service may get a share of its requests, and a fixed slack, as repeats. The
+//! share is taken from this gateway's own requests; the slack is divided by the gateways.
+
+use std::collections;
+use std::time::Duration;
+
+use azuregap_core::ids;
+use tokio::time;
+
+/// Part of the budget that is used; the rest covers gateways that this one doesn't know yet.
+const USED: f64 = 0.7;
+
+/// The terms of the budget.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Repeats allowed for each request.
+    pub ratio: f64,
+    /// Repeats allowed besides, of all gateways together.
+    pub slack: f64,
+    /// Length of the window.
+    pub window: Duration,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    requests: collections::VecDeque<time::Instant>,
+    repeats: collections::VecDeque<time::Instant>,
+}
+
+/// Requests and repeats of this gateway, by service.
+#[derive(Debug)]
+pub struct Repeats {
+    terms: Terms,
+    services: collections::HashMap<ids::PoolId, Counts>,
+}
+
+impl Repeats {
+    /// A budget of which nothing is spent.
+    #[must_use]
+    pub fn new(terms: Terms) -> Self {
+        Self { terms, services: collections::HashMap::new() }
+    }
+
+    /// Counts a request of a caller for a service.
+    pub fn request(&mut self, service: &str, now: time::Instant) {
+        let window = self.terms.window;
+        let counts = self.counts(service);
+        counts.requests.push_back(now);
+        prune(&mut counts.requests, now, window);
+    }
+
+    /// Takes one repeat for a service, if the budget allows it.
+    pub fn take(&mut self, service: &str, gateways: usize, now: time::Instant) -> bool {
+        let terms = self.terms;
+        let counts = self.counts(service);
+        prune(&mut counts.requests, now, terms.window);
+        prune(&mut counts.repeats, now, terms.window);
+        let slack = terms.slack / gateways.max(1) as f64;
+        let allowed = (terms.ratio * counts.requests.len() as f64 + slack) * USED;
+        let granted = (counts.repeats.len() as f64) < allowed.floor();
+        if granted {
+            counts.repeats.push_back(now);
+        }
+        granted
+    }
+
+    fn counts(&mut self, service: &str) -> &mut Counts {
+        if !self.services.contains_key(service) {
+            self.services.insert(service.to_owned(), Counts::default());
+        }
+        self.services.get_mut(service).expect("the service was added above")
+    }
+}
+
+fn prune(times: &mut collections::VecDeque<time::Instant>, now: time::Instant, window: Duration) {
+    while times.front().is_some_and(|at| now.saturating_duration_since(*at) > window) {
+        times.pop_front();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/decision/windows.rs
@@ -0,0 +1,82 @@
+//! Counts of requests by team and usage window.
+
+use std::collections;
+use std::time::Duration;
+
+use xxhash_rust::xxh3;
+
+/// Windows that are kept after their end.
+const KEPT: u64 = 6;
+
+/// Hash of a team's name, the same at every gateway.
+pub type TeamHash = u32;
+
+/// Hash of a team's name, as gateways name it to each other.
+#[must_use]
+pub fn team_hash(team: &str) -> TeamHash {
+    (xxh3::xxh3_64(team.as_bytes()) & u64::from(u32::MAX)) as u32
+}
+
+/// Requests that began to run, by window and team.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Windows {
+    counts: collections::BTreeMap<u64, collections::BTreeMap<TeamHash, u64>>,
+}
+
+/// The window in which a moment of true time lies.
+#[must_use]
+pub fn window_at(time: Duration, length: Duration) -> u64 {
+    let length = length.as_millis().max(1);
+    u64::try_from(time.as_millis() / length).unwrap_or(u64::MAX)
+}
+
+impl Windows {
+    /// Nothing counted yet.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts a request of a team in a window.
+    pub fn count(&mut self, window: u64, team: TeamHash) {
+        *self.counts.entry(window).or_default().entry(team).or_default() += 1;
+        self.counts.retain(|kept, _| kept + KEPT > window);
+    }
+
+    /// Raises each count to that of another copy of the same counter.
+    pub fn merge(&mut self, other: impl IntoIterator<Item = (u64, TeamHash, u64)>) {
+        for (window, team, count) in other {
+            let known = self.counts.entry(window).or_default().entry(team).or_default();
+            *known = (*known).max(count);
+        }
+        let newest = self.counts.keys().next_back().copied().unwrap_or_default();
+        self.counts.retain(|kept, _| kept + KEPT > newest);
+    }
+
+    /// Adds the counts of one window to a sum.
+    pub fn add_to(&self, window: u64, sum: &mut collections::BTreeMap<TeamHash, u64>) {
+        for (team, count) in self.counts.get(&window).into_iter().flatten() {
+            *sum.entry(*team).or_default() += count;
+        }
+    }
+
+    /// The counts of the newest windows as a list, for a message.
+    pub fn newest(&self, windows: usize) -> impl Iterator<Item = (u64, TeamHash, u64)> {
+        self.counts
+            .iter()
+            .rev()
+            .take(windows)
+            .flat_map(|(window, teams)| teams.iter().map(|(team, count)| (*window, *team, *count)))
+    }
+
+    /// Forgets windows that are no longer kept when `window` is the present one.
+    pub fn forget(&mut self, window: u64) {
+        self.counts.retain(|kept, _| kept + KEPT > window);
+    }
+
+    /// Whether nothing was counted in the windows that are kept.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.counts.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/process.rs
@@ -0,0 +1,91 @@
+//! The life of a gateway process: start, reload, stop.
+
+use std::process;
+use std::rc;
+use std::time::Duration;
+
+use tokio::net;
+use tokio::signal::unix;
+use tokio::time;
+
+use crate::clock;
+use crate::codec;
+use crate::proxy;
+use crate::service;
+use crate::settings;
+use crate::state;
+use crate::store;
+
+/// After a request to stop, callers still arrive until the balancer has noticed twice that this
+/// process isn't ready. Source: two questions, one each second, and the answers' way.
+const BALANCER_LAG: Duration = Duration::from_millis(2_600);
+
+/// Part of the grace that is left for the process to end.
+const END_MARGIN: Duration = Duration::from_millis(500);
+
+/// Pause between two looks at what is still being served.
+const DRAIN_TICK: Duration = Duration::from_millis(50);
+
+/// What a gateway runs with.
+#[derive(Debug)]
+pub struct Parts {
+    /// Settings of the process.
+    pub settings: settings::Settings,
+    /// Translation of the deployment's names.
+    pub codec: codec::Codec,
+    /// The store.
+    pub store: store::Store,
+    /// Where usage is reported.
+    pub report: service::Report,
+}
+
+/// Runs a gateway until it is asked to stop.
+///
+/// # Errors
+///
+/// If an address can't be bound or signals can't be listened for.
+pub async fn run(parts: Parts) -> std::io::Result<process::ExitCode> {
+    let Parts { settings, codec, store, report } = parts;
+    let incarnation = rand::random();
+    tracing::info!(node = settings.node, zone = settings.zone, incarnation, "start");
+    let callers = net::TcpListener::bind(settings.callers).await?;
+    let ready = net::TcpListener::bind(settings.ready).await?;
+    let metrics = net::TcpListener::bind(settings.metrics).await?;
+    let datagrams = net::UdpSocket::bind(settings.peers).await?;
+    let state = rc::Rc::new(state::State::new(settings, codec, clock::Clock::system()));
+    let store = rc::Rc::new(store);
+    actix_rt::spawn(service::serve_door(state.clone(), ready, service::Door::Ready));
+    actix_rt::spawn(service::serve_door(state.clone(), metrics, service::Door::Metrics));
+    actix_rt::spawn(service::follow_configuration(state.clone(), store.clone()));
+    actix_rt::spawn(service::follow_backends(state.clone(), store.clone()));
+    actix_rt::spawn(service::run_gossip(state.clone(), store.clone(), datagrams, incarnation));
+    actix_rt::spawn(service::run_duty(state.clone(), store, report, incarnation));
+    actix_rt::spawn(proxy::serve(state.clone(), callers));
+    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
+    let mut hangup = unix::signal(unix::SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hangup.recv() => {
+                tracing::info!("reload: the settings of a running gateway don't change");
+            }
+        }
+    }
+    stop(&state).await;
+    Ok(process::ExitCode::SUCCESS)
+}
+
+/// Finishes what was begun, but not beyond the grace.
+async fn stop(state: &state::State) {
+    let started = time::Instant::now();
+    tracing::info!(active = state.active.get(), "stop");
+    state.stopping.send_replace(true);
+    let grace = state.settings.grace.saturating_sub(END_MARGIN);
+    while started.elapsed() < grace {
+        if started.elapsed() > BALANCER_LAG && state.active.get() == 0 {
+            break;
+        }
+        time::sleep(DRAIN_TICK).await;
+    }
+    tracing::info!(active = state.active.get(), "stopped");
+}
--- /dev/null
+++ b/crates/gateway/src/proxy/admit.rs
@@ -0,0 +1,93 @@
+//! Whether a request is allowed: its route, its key, and how much the gateway may trust them.
+
+use std::rc;
+
+use azuregap_core::ids;
+use http::request;
+
+use crate::codec;
+use crate::configuration;
+use crate::state;
+
+/// A request that may run.
+#[derive(Debug)]
+pub(super) struct Admitted {
+    pub(super) ask: codec::Ask,
+    pub(super) route: rc::Rc<configuration::Route>,
+    pub(super) service: ids::PoolId,
+    pub(super) team: Option<ids::TeamId>,
+    pub(super) tier: ids::Tier,
+    pub(super) version: ids::Version,
+}
+
+/// Why a request may not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Denial {
+    /// The headers are malformed.
+    Malformed(&'static str),
+    /// No route leads anywhere.
+    NoRoute,
+    /// The key is missing or belongs to no team.
+    NoKey,
+    /// The configuration is not known, or too old to decide.
+    Stale,
+}
+
+impl Denial {
+    /// Status of the answer.
+    pub(super) const fn status(self) -> u16 {
+        match self {
+            Self::Malformed(_) => 400,
+            Self::NoRoute => 404,
+            Self::NoKey => 401,
+            Self::Stale => 503,
+        }
+    }
+
+    /// Number and text of the answer.
+    pub(super) const fn text(self) -> &'static str {
+        match self {
+            Self::Malformed(_) => "6401: a header is missing or malformed",
+            Self::NoRoute => "6402: no route has this host and path",
+            Self::NoKey => "6403: the key is missing or not valid",
+            Self::Stale => "6404: the configuration is not known well enough; come back later",
+        }
+    }
+}
+
+/// Decides whether a request may run.
+pub(super) fn admit(state: &state::State, head: &request::Parts) -> Result<Admitted, Denial> {
+    let ask = (state.codec.ask)(&head.headers).map_err(|error| match error {
+        codec::CodecError::Header(name) => Denial::Malformed(name),
+        codec::CodecError::Document(_) => Denial::Malformed("document"),
+    })?;
+    let configuration = state.configuration().ok_or(Denial::Stale)?;
+    let now = state.clock.now();
+    let freshness = *state.freshness.borrow();
+    let deny = |denial| if freshness.may_deny(now) { denial } else { Denial::Stale };
+    let host = head.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| head.uri.host()).unwrap_or_default();
+    let route = configuration
+        .find(host, head.uri.path())
+        .ok_or_else(|| deny(Denial::NoRoute))?;
+    let team = if configuration.needs_key(&route) {
+        if !freshness.may_trust_keys(now) {
+            return Err(Denial::Stale);
+        }
+        let key = ask.key.as_deref().unwrap_or_default();
+        Some(configuration.team_of(key).ok_or_else(|| deny(Denial::NoKey))?)
+    } else {
+        ask.key.as_deref().and_then(|key| configuration.team_of(key))
+    };
+    let draw = xxhash_rust::xxh3::xxh3_64(ask.id.as_bytes());
+    let service = route.service(draw).ok_or(Denial::Stale)?.clone();
+    let tier = team.as_ref().and_then(|team| team.tier).unwrap_or(route.tier);
+    Ok(Admitted {
+        service,
+        team: team.map(|team| team.name.clone()),
+        tier,
+        version: configuration.version,
+        ask,
+        route,
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -0,0 +1,323 @@
+//! Sends a request to backend servers until one answers or it is given up.
+
+use std::rc;
+use std::time::Duration;
+
+use azuregap_core::ids;
+use bytes::Bytes;
+use http::request;
+use smallvec::SmallVec;
+use tokio::time;
+
+use super::admit;
+use super::attempt;
+use super::ticket;
+use crate::codec;
+use crate::decision::placement;
+use crate::decision::refusal;
+use crate::decision::standing;
+use crate::state;
+
+/// Sends of one request, those that reached no backend server included.
+const MOST_SENDS: u32 = 4;
+
+/// A request with less time left than this is not sent any more. Source: the shortest work of the
+/// sample deployments.
+const LEAST_LEFT: Duration = Duration::from_millis(10);
+
+/// Time to wait for a backend server if a service has none.
+const NO_BACKEND_WAIT: Duration = Duration::from_millis(300);
+
+/// When to come back if a service has no backend server.
+const NO_BACKEND_RETRY: Duration = Duration::from_secs(1);
+
+/// When to come back if the backend servers have no room.
+const FULL_RETRY: Duration = Duration::from_millis(400);
+
+/// A request on its way.
+#[derive(Clone, Debug)]
+pub(super) struct Job {
+    pub(super) state: rc::Rc<state::State>,
+    pub(super) admitted: rc::Rc<admit::Admitted>,
+    pub(super) head: rc::Rc<request::Parts>,
+    pub(super) body: Bytes,
+    pub(super) started: time::Instant,
+    pub(super) deadline: time::Instant,
+    /// Sends after which the request may have run.
+    pub(super) runs: u32,
+    /// Number of the last event that was relayed.
+    pub(super) last_event: Option<u64>,
+    sends: u32,
+    arrivals: u32,
+    tried: SmallVec<[ids::BackendId; 4]>,
+}
+
+/// A backend server's answer, with the place that the request takes there.
+#[derive(Debug)]
+pub(super) struct Obtained {
+    pub(super) target: attempt::Target,
+    pub(super) ticket: ticket::Ticket,
+    pub(super) answer: attempt::Answer,
+    pub(super) sent: time::Instant,
+}
+
+/// A request that was given up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct GivenUp {
+    pub(super) fate: refusal::Fate,
+    /// When room is expected.
+    pub(super) room: Duration,
+    pub(super) reason: String,
+}
+
+impl Job {
+    pub(super) fn new(
+        state: rc::Rc<state::State>,
+        admitted: admit::Admitted,
+        head: request::Parts,
+        body: Bytes,
+        started: time::Instant,
+    ) -> Self {
+        let timeout = admitted.route.timeout;
+        let patience = admitted.ask.patience.map_or(timeout, |patience| patience.min(timeout));
+        Self {
+            deadline: started + patience,
+            last_event: admitted.ask.last_event,
+            state,
+            admitted: rc::Rc::new(admitted),
+            head: rc::Rc::new(head),
+            body,
+            started,
+            runs: 0,
+            sends: 0,
+            arrivals: 0,
+            tried: SmallVec::new(),
+        }
+    }
+
+    /// Time until the request must be answered.
+    pub(super) fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(time::Instant::now())
+    }
+
+    /// Whether another backend server may run the request after one may have.
+    pub(super) fn may_rerun(&self) -> bool {
+        self.admitted.route.kind.may_repeat()
+            && self.runs < self.admitted.route.attempts
+            && self.left() > LEAST_LEFT
+    }
+
+    /// Takes the outcome of the request at a backend server.
+    pub(super) fn observe(&self, target: &attempt::Target, outcome: standing::Outcome) {
+        let label = match outcome {
+            standing::Outcome::Good => "good",
+            standing::Outcome::Faulty => "faulty",
+            standing::Outcome::Unreachable => "unreachable",
+            standing::Outcome::Full => "full",
+        };
+        self.state.metrics.attempts.with_label_values(&[label]).inc();
+        let mut directory = self.state.directory.borrow_mut();
+        let known = directory.get_mut(&target.id);
+        if let Some(known) = known.filter(|known| known.backend.born == target.born) {
+            known.standing.observe(outcome, time::Instant::now());
+        }
+    }
+
+    /// Sends the request until a backend server answers.
+    pub(super) async fn obtain(&mut self) -> Result<Obtained, GivenUp> {
+        let mut reason = "no backend server".to_owned();
+        let mut room = NO_BACKEND_RETRY;
+        loop {
+            if self.left() < LEAST_LEFT {
+                return Err(self.given_up(room, "the time is over".to_owned()));
+            }
+            let Some(target) = self.find().await else {
+                return Err(self.given_up(room, reason));
+            };
+            if self.sends >= MOST_SENDS || !self.may_send() {
+                return Err(self.given_up(room, reason));
+            }
+            let sent = time::Instant::now();
+            let ticket =
+                ticket::Ticket::new(&self.state, target.id.clone(), target.born, target.uncached);
+            self.sends += 1;
+            self.tried.push(target.id.clone());
+            match self.send(&target).await {
+                attempt::Sent::Answer(answer) => {
+                    self.arrivals += 1;
+                    self.runs += 1;
+                    return Ok(Obtained { target, ticket, answer: *answer, sent });
+                }
+                attempt::Sent::NotRun => {
+                    self.arrivals += 1;
+                    self.observe(&target, standing::Outcome::Full);
+                    (room, reason) = (FULL_RETRY, "the backend server has no room".to_owned());
+                }
+                attempt::Sent::Unsent(cause) => {
+                    self.observe(&target, standing::Outcome::Unreachable);
+                    reason = cause;
+                }
+                attempt::Sent::Unknown(cause) => {
+                    self.arrivals += 1;
+                    self.runs += 1;
+                    self.observe(&target, standing::Outcome::Unreachable);
+                    reason = cause;
+                    if !self.may_rerun() {
+                        return Err(self.given_up(room, reason));
+                    }
+                }
+            }
+            self.log_attempt(&target, &reason);
+        }
+    }
+
+    /// A send after the first that arrived takes from the shared budget.
+    fn may_send(&self) -> bool {
+        let state = &self.state;
+        self.arrivals == 0
+            || state.repeats.borrow_mut().take(
+                &self.admitted.service,
+                state.gateways(),
+                time::Instant::now(),
+            )
+    }
+
+    async fn send(&self, target: &attempt::Target) -> attempt::Sent {
+        let stamp = codec::Stamp {
+            left: self.left(),
+            backend: target.id.clone(),
+            team: self.admitted.team.clone(),
+            tier: self.admitted.tier,
+            last_event: self.last_event,
+        };
+        let id = &self.admitted.ask.id;
+        attempt::send(&self.state, target, &self.head, &self.body, &stamp, id).await
+    }
+
+    fn given_up(&self, room: Duration, reason: String) -> GivenUp {
+        let fate = match (self.runs, self.left() < LEAST_LEFT) {
+            (0, _) => refusal::Fate::NotRun,
+            (_, true) => refusal::Fate::OutOfTime,
+            (_, false) => refusal::Fate::Unknown,
+        };
+        GivenUp { fate, room, reason }
+    }
+
+    /// Chooses a backend server; waits a moment if the service has none.
+    async fn find(&self) -> Option<attempt::Target> {
+        let until = self.deadline.min(time::Instant::now() + NO_BACKEND_WAIT);
+        loop {
+            if let Some(target) = self.choose() {
+                return Some(target);
+            }
+            if !self.tried.is_empty() {
+                return None;
+            }
+            let changed = self.state.changed.notified();
+            if time::timeout_at(until, changed).await.is_err() {
+                return self.choose();
+            }
+        }
+    }
+
+    fn choose(&self) -> Option<attempt::Target> {
+        let now = time::Instant::now();
+        let state = &self.state;
+        let service = &self.admitted.service;
+        let gateways = u32::try_from(state.gateways()).unwrap_or(u32::MAX);
+        let cap = state.configuration().and_then(|configuration| {
+            configuration.service_named(service).map(|service| service.connections)
+        });
+        let cap = cap.map_or(u32::MAX, |cap| (cap / gateways).max(1));
+        let directory = state.directory.borrow();
+        let peers = state.peers.borrow();
+        let parts = &self.admitted.ask.parts;
+        let total = u64::from(self.admitted.ask.prompt_tokens);
+        let session = parts.len().checked_sub(2).map(|at| &parts[at]);
+        let untried = |known: &&crate::directory::Known| !self.tried.contains(&known.backend.id);
+        let has_way = |known: &&crate::directory::Known| {
+            let address = known.backend.address;
+            state.pool.open(address) < cap || state.pool.idle(address) > 0
+        };
+        let usable: SmallVec<[_; 64]> =
+            directory.of_service(service).filter(untried).filter(has_way).collect();
+        let any_open = usable.iter().any(|known| known.standing.is_open(now));
+        let open = usable.iter().filter(|known| !any_open || known.standing.is_open(now));
+        let open: SmallVec<[_; 64]> = open.collect();
+        let home = session
+            .and_then(|part| placement::home(part.id, open.iter().map(|known| known.hash)));
+        let boot = state.clock.now();
+        let candidates: SmallVec<[_; 64]> = open
+            .iter()
+            .map(|known| {
+                let others = peers.load(known.hash, boot);
+                let kept = if home == Some(known.hash) {
+                    parts.iter().rev().skip(1).map(|part| u64::from(part.tokens)).sum()
+                } else {
+                    known.cache.kept(parts, now)
+                };
+                placement::Candidate {
+                    hash: known.hash,
+                    running: known.load.running + others.running,
+                    slots: known.backend.slots,
+                    prefill: known.load.prefill + others.prefill,
+                    uncached: total.saturating_sub(kept),
+                    slowness: known.standing.slowness(now),
+                    near: known.backend.zone == state.settings.zone,
+                }
+            })
+            .collect();
+        let at = placement::choose(&candidates, rand::random())?;
+        let known = open[at];
+        Some(attempt::Target {
+            id: known.backend.id.clone(),
+            born: known.backend.born,
+            address: known.backend.address,
+            uncached: candidates[at].uncached,
+        })
+    }
+
+    fn log_attempt(&self, target: &attempt::Target, reason: &str) {
+        if self.state.lines.failure(time::Instant::now()) {
+            tracing::info!(
+                request = self.admitted.ask.id,
+                backend = target.id,
+                sends = self.sends,
+                runs = self.runs,
+                reason,
+                "an attempt failed"
+            );
+        }
+    }
+
+    /// Writes the line on the final answer.
+    pub(super) fn log_end(&self, status: u16, backend: &str, outcome: &str, reason: &str) {
+        let state = &self.state;
+        let now = time::Instant::now();
+        state.metrics.requests.with_label_values(&[&status.to_string()]).inc();
+        state.metrics.answered(now.saturating_duration_since(self.started));
+        let good = status < 500 && outcome == "complete";
+        let free = if good { state.lines.served(now) } else { state.lines.failure(now) };
+        if !free {
+            return;
+        }
+        let age = state.freshness.borrow().age(state.clock.now()).unwrap_or_default();
+        tracing::info!(
+            request = self.admitted.ask.id,
+            route = self.admitted.route.name,
+            team = self.admitted.team,
+            tier = self.admitted.tier,
+            service = self.admitted.service,
+            configuration = self.admitted.version,
+            configuration_age_ms = age.as_millis() as u64,
+            backend,
+            sends = self.sends,
+            runs = self.runs,
+            status,
+            outcome,
+            reason,
+            took_ms = now.saturating_duration_since(self.started).as_millis() as u64,
+            "request ended"
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/service/backends.rs
@@ -0,0 +1,69 @@
+//! Keeps the list of backend servers up to date.
+
+use std::collections;
+use std::rc;
+use std::time::Duration;
+
+use tokio::time;
+
+use super::follow;
+use crate::directory;
+use crate::state;
+use crate::store;
+
+/// A silence of the store for this long may have let entries of living backend servers lapse.
+/// Source: two of the three missed heartbeats after which an entry is removed.
+const OUTAGE: Duration = Duration::from_millis(2_400);
+
+/// Follows the entries of the backend servers for ever.
+pub async fn follow(state: rc::Rc<state::State>, store: rc::Rc<store::Store>) {
+    let shared = state.clone();
+    let mut last: Option<time::Instant> = None;
+    let take = move |news: follow::News| {
+        let now = shared.clock.now();
+        if last.is_some_and(|at| now.saturating_duration_since(at) > OUTAGE) {
+            tracing::info!("entries of backend servers may have lapsed; they are kept for a while");
+            shared.directory.borrow_mut().store_returned(now);
+        }
+        last = Some(now);
+        take_rows(&shared, &news, now);
+        for id in shared.directory.borrow_mut().expire(now) {
+            tracing::info!(backend = id, "a lapsed backend server did not come back");
+        }
+        shared.listed.set(true);
+        shared.changed.notify_waiters();
+    };
+    follow::follow(state, store, store::Table::Backends, take).await;
+}
+
+fn take_rows(state: &state::State, news: &follow::News, now: time::Instant) {
+    let mut seen = collections::HashSet::new();
+    for row in &news.rows.rows {
+        let change = take_row(state, row, now);
+        seen.insert(row.key.as_str());
+        if change != directory::Change::None {
+            tracing::info!(backend = row.key, version = row.version, ?change, "backend server");
+        }
+    }
+    if news.whole {
+        let mut directory = state.directory.borrow_mut();
+        for id in directory.ids() {
+            if !seen.contains(id.as_str()) {
+                let change = directory.missing(&id, now);
+                tracing::info!(backend = id, ?change, "a backend server is no longer listed");
+            }
+        }
+    }
+}
+
+fn take_row(state: &state::State, row: &store::Row, now: time::Instant) -> directory::Change {
+    let mut directory = state.directory.borrow_mut();
+    let Some(data) = &row.data else { return directory.missing(&row.key, now) };
+    match (state.codec.backend)(&row.key, data) {
+        Ok(backend) => directory.update(backend),
+        Err(error) => {
+            tracing::warn!(backend = row.key, reason = error.to_string(), "an entry is not usable");
+            directory.remove(&row.key)
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/service/follow.rs
@@ -0,0 +1,86 @@
+//! Follows a table of the store: reads it whole, then waits for changes.
+
+use std::rc;
+use std::time::Duration;
+
+use azuregap_coordination::ids;
+use tokio::time;
+
+use crate::state;
+use crate::store;
+
+/// Longest wait for a change; each answer proves that the store is in touch.
+const WAIT: Duration = Duration::from_millis(1_000);
+
+/// Time for an answer beyond the wait; a connection that is silent for longer is given up.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Time for a whole read.
+const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// First pause after a failed call; doubles up to [`MOST_PAUSE`].
+const FIRST_PAUSE: Duration = Duration::from_millis(40);
+
+/// Longest pause after a failed call.
+const MOST_PAUSE: Duration = Duration::from_millis(400);
+
+/// What was learnt from the store.
+pub(super) struct News {
+    pub(super) rows: store::Rows,
+    /// Whether the rows are the whole table.
+    pub(super) whole: bool,
+    /// When the store was asked; the news are at least as new.
+    pub(super) asked: time::Instant,
+}
+
+/// Follows a table for ever and hands on what changes.
+pub(super) async fn follow(
+    state: rc::Rc<state::State>,
+    store: rc::Rc<store::Store>,
+    table: store::Table,
+    mut take: impl FnMut(News),
+) {
+    let mut version: Option<ids::RowVersion> = None;
+    let mut failures = 0_u32;
+    loop {
+        let asked = state.clock.now();
+        let read = async {
+            match version {
+                Some(version) => {
+                    let watch = (store.watch)(table, version, WAIT);
+                    time::timeout(WAIT + ANSWER_TIMEOUT, watch).await
+                }
+                None => time::timeout(READ_TIMEOUT, (store.read)(table)).await,
+            }
+        };
+        let result = read.await.unwrap_or_else(|_| {
+            Err(store::StoreError::Unanswered("no answer in time".to_owned()))
+        });
+        match result {
+            Ok(rows) => {
+                if failures > 0 {
+                    tracing::info!(table = ?table, failures, "the store answers again");
+                }
+                failures = 0;
+                state.metrics.calls.with_label_values(&["answered"]).inc();
+                let whole = version.is_none();
+                version = Some(rows.version);
+                take(News { rows, whole, asked });
+            }
+            Err(store::StoreError::HistoryLost) => {
+                tracing::info!(table = ?table, version, "the history is gone; reading all again");
+                version = None;
+            }
+            Err(error) => {
+                state.metrics.calls.with_label_values(&["failed"]).inc();
+                if failures == 0 {
+                    tracing::warn!(table = ?table, reason = error.to_string(), "the store is lost");
+                }
+                failures += 1;
+                let pause = FIRST_PAUSE * 2_u32.pow(failures.min(5));
+                let spread = 0.5 + rand::random::<f64>();
+                time::sleep(pause.min(MOST_PAUSE).mul_f64(spread)).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,137 @@
+//! What the parts of one gateway share.
+
+use std::cell;
+use std::collections;
+use std::rc;
+use std::time::Duration;
+
+use azuregap_core::ids;
+use tokio::sync;
+use tokio::time;
+
+use crate::clock;
+use crate::codec;
+use crate::configuration;
+use crate::decision::freshness;
+use crate::decision::repeats;
+use crate::decision::true_time;
+use crate::decision::windows;
+use crate::directory;
+use crate::logs;
+use crate::metrics;
+use crate::peers;
+use crate::proxy::pool;
+use crate::settings;
+
+/// What the parts of one gateway share; all run on one thread.
+#[derive(Debug)]
+pub struct State {
+    /// Settings of this process.
+    pub settings: settings::Settings,
+    /// Translation of the deployment's names.
+    pub codec: codec::Codec,
+    /// Clocks of this process.
+    pub clock: clock::Clock,
+    /// Newest configuration.
+    pub configuration: cell::RefCell<Option<rc::Rc<configuration::Configuration>>>,
+    /// Age of the configuration.
+    pub freshness: cell::RefCell<freshness::Freshness>,
+    /// Backend servers.
+    pub directory: cell::RefCell<directory::Directory>,
+    /// Whether the backend servers were read since the start.
+    pub listed: cell::Cell<bool>,
+    /// Budget of repeats.
+    pub repeats: cell::RefCell<repeats::Repeats>,
+    /// Own counts of requests that began to run.
+    pub windows: cell::RefCell<windows::Windows>,
+    /// Names of the teams whose hashes may be in counts.
+    pub teams: cell::RefCell<collections::HashMap<windows::TeamHash, ids::TeamId>>,
+    /// Estimate of the true time.
+    pub true_time: cell::RefCell<true_time::TrueTime>,
+    /// Other gateways.
+    pub peers: cell::RefCell<peers::Peers>,
+    /// Connections to backend servers.
+    pub pool: pool::Pool,
+    /// Counters and histograms.
+    pub metrics: metrics::Metrics,
+    /// Bound on the lines written.
+    pub lines: logs::Lines,
+    /// Wakes requests that wait for a backend server.
+    pub changed: sync::Notify,
+    /// Whether this process is stopping.
+    pub stopping: sync::watch::Sender<bool>,
+    /// Requests that are being served.
+    pub active: cell::Cell<u32>,
+}
+
+impl State {
+    /// State of a gateway that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: settings::Settings, codec: codec::Codec, clock: clock::Clock) -> Self {
+        let now = clock.now();
+        Self {
+            configuration: cell::RefCell::new(None),
+            freshness: cell::RefCell::new(freshness::Freshness::new(settings.revocation)),
+            directory: cell::RefCell::default(),
+            listed: cell::Cell::new(false),
+            repeats: cell::RefCell::new(repeats::Repeats::new(settings.repeats)),
+            windows: cell::RefCell::default(),
+            teams: cell::RefCell::default(),
+            true_time: cell::RefCell::new(true_time::TrueTime::new(now, clock.wall())),
+            peers: cell::RefCell::default(),
+            pool: pool::Pool::new(),
+            metrics: metrics::Metrics::new(),
+            lines: logs::Lines::new(),
+            changed: sync::Notify::new(),
+            stopping: sync::watch::Sender::new(false),
+            active: cell::Cell::new(0),
+            settings,
+            codec,
+            clock,
+        }
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn configuration(&self) -> Option<rc::Rc<configuration::Configuration>> {
+        self.configuration.borrow().clone()
+    }
+
+    /// Whether this process is stopping.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+
+    /// Whether new callers should be sent here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping()
+            && self.listed.get()
+            && self.configuration.borrow().is_some()
+            && self.freshness.borrow().may_trust_keys(self.clock.now())
+    }
+
+    /// Gateways that are alive, this one included.
+    #[must_use]
+    pub fn gateways(&self) -> usize {
+        self.peers.borrow().alive(self.clock.now()) + 1
+    }
+
+    /// Counts a request of a team that began to run `ago` before now.
+    pub fn count_usage(&self, team: &str, ago: Duration) {
+        let hash = windows::team_hash(team);
+        if !self.teams.borrow().contains_key(&hash) {
+            self.teams.borrow_mut().insert(hash, team.to_owned());
+        }
+        let began = self.true_time.borrow().at(self.clock.now()).saturating_sub(ago);
+        let window = windows::window_at(began, self.settings.window);
+        self.windows.borrow_mut().count(window, hash);
+    }
+
+    /// Now, on the runtime's clock.
+    #[must_use]
+    pub fn now(&self) -> time::Instant {
+        time::Instant::now()
+    }
+}
