feat(gateway): divide model engines between long prompts and streams

Ruled out: queueing (first events were on time) and processor time (0.015 cores). Change: decision::division divides the engines of a service in proportion to the work at hand, the other side costs 8,000 tokens more.

--- a/crates/gateway/src/decision.rs
+++ b/crates/gateway/src/decision.rs
@@ -1,6 +1,7 @@
 //! Decisions of a gateway, without I/O.
 
 pub mod cache;
+pub mod division;
 pub mod freshness;
 pub mod placement;
 pub mod refusal;
--- a/crates/gateway/src/decision/placement.rs
+++ b/crates/gateway/src/decision/placement.rs
@@ -17,6 +17,9 @@
 /// Added when a backend server has no free slot, in prompt tokens for each request over.
 const FULL_TOKENS: f64 = 3_000.0;
 
+/// What it costs to disturb the other kind of requests, in prompt tokens.
+const FOREIGN_TOKENS: f64 = 8_000.0;
+
 /// What crossing to another availability zone costs, in prompt tokens.
 const ZONE_TOKENS: f64 = 100.0;
 
@@ -35,6 +38,8 @@
     pub uncached: u64,
     /// How many times slower than its peers it is, at least 1.
     pub slowness: f64,
+    /// Whether it serves the other kind of requests; see [`super::division`].
+    pub foreign: bool,
     /// Whether it is in the gateway's own availability zone.
     pub near: bool,
 }
@@ -48,7 +53,8 @@
             + f64::from(self.running) * RUNNING_TOKENS
             + over * FULL_TOKENS;
         let way = if self.near { 0.0 } else { ZONE_TOKENS };
-        (work + way) * self.slowness
+        let side = if self.foreign { FOREIGN_TOKENS } else { 0.0 };
+        (work + way + side) * self.slowness
     }
 }
 
--- a/crates/gateway/src/directory/known.rs
+++ b/crates/gateway/src/directory/known.rs
@@ -11,6 +11,8 @@
 pub struct Load {
     /// Requests sent and not finished.
     pub running: u32,
+    /// Those of them with long prompts.
+    pub long: u32,
     /// Prompt tokens of requests that have not produced their first event.
     pub prefill: u64,
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -62,7 +62,11 @@
         let Some(peer) = self.known.get_mut(&beacon.node) else { return };
         peer.heard = now;
         peer.ahead = Some((now, beacon.true_time));
-        let load = |work: &Work| directory::Load { running: work.running, prefill: work.prefill };
+        let load = |work: &Work| directory::Load {
+            running: work.running,
+            long: work.long,
+            prefill: work.prefill,
+        };
         peer.loads = beacon.work.iter().map(|work| (work.backend, load(work))).collect();
     }
 
@@ -76,6 +80,7 @@
             }
             if let Some(load) = peer.loads.get(&backend) {
                 sum.running += load.running;
+                sum.long += load.long;
                 sum.prefill += load.prefill;
             }
         }
--- a/crates/gateway/src/peers/beacon.rs
+++ b/crates/gateway/src/peers/beacon.rs
@@ -16,6 +16,8 @@
     pub backend: u32,
     /// Requests sent and not finished.
     pub running: u32,
+    /// Those of them with long prompts.
+    pub long: u32,
     /// Prompt tokens of requests that have not produced their first event.
     pub prefill: u64,
 }
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -7,6 +7,7 @@
 mod admit;
 mod attempt;
 mod body;
+mod choice;
 mod dispatch;
 mod exchange;
 mod listener;
--- /dev/null
+++ b/crates/gateway/src/proxy/choice.rs
@@ -0,0 +1,125 @@
+//! Gathers what the choice of a backend server needs and makes it.
+
+use azuregap_core::ids;
+use smallvec::SmallVec;
+use tokio::time;
+
+use super::attempt;
+use super::dispatch;
+use crate::decision::division;
+use crate::decision::placement;
+use crate::directory;
+use crate::state;
+
+/// Backend servers of one service that fit without an allocation.
+type Few<T> = SmallVec<[T; 64]>;
+
+/// A backend server for the request, none if every one is gone or was tried.
+pub(super) fn choose(job: &dispatch::Job) -> Option<attempt::Target> {
+    let now = time::Instant::now();
+    let state = &job.state;
+    let service = &job.admitted.service;
+    let directory = state.directory.borrow();
+    let usable = usable(job, &directory, now);
+    let loads = loads(state, &usable);
+    let division = divide(state, service, &usable, &loads, now);
+    let ask = &job.admitted.ask;
+    let (parts, total) = (&ask.parts, u64::from(ask.prompt_tokens));
+    let own_side =
+        |known: &directory::Known| division.is_none_or(|border| (known.hash >= border) == job.is_long());
+    let session = parts.len().checked_sub(2).map(|at| parts[at].id);
+    let home = session.and_then(|part| {
+        let side = usable.iter().filter(|known| own_side(known));
+        placement::home(part, side.map(|known| known.hash))
+    });
+    let candidate = |(known, load): (&&directory::Known, &directory::Load)| {
+        let kept = if home == Some(known.hash) {
+            parts.iter().rev().skip(1).map(|part| u64::from(part.tokens)).sum()
+        } else {
+            known.cache.kept(parts, now)
+        };
+        placement::Candidate {
+            hash: known.hash,
+            running: load.running,
+            slots: known.backend.slots,
+            prefill: load.prefill,
+            uncached: total.saturating_sub(kept),
+            slowness: known.standing.slowness(now),
+            foreign: !own_side(known),
+            near: known.backend.zone == state.settings.zone,
+        }
+    };
+    let candidates: Few<_> = usable.iter().zip(&loads).map(candidate).collect();
+    let at = placement::choose(&candidates, rand::random())?;
+    let known = usable[at];
+    Some(attempt::Target {
+        id: known.backend.id.clone(),
+        born: known.backend.born,
+        address: known.backend.address,
+        uncached: candidates[at].uncached,
+    })
+}
+
+/// Backend servers that were not tried, can be reached and are not paused after a failure.
+fn usable<'a>(
+    job: &dispatch::Job,
+    directory: &'a directory::Directory,
+    now: time::Instant,
+) -> Few<&'a directory::Known> {
+    let state = &job.state;
+    let service = &job.admitted.service;
+    let gateways = u32::try_from(state.gateways()).unwrap_or(u32::MAX);
+    let cap = state.configuration().and_then(|configuration| {
+        configuration.service_named(service).map(|service| service.connections)
+    });
+    let cap = cap.map_or(u32::MAX, |cap| (cap / gateways).max(1));
+    let untried = |known: &&directory::Known| !job.tried.contains(&known.backend.id);
+    let has_way = |known: &&directory::Known| {
+        let address = known.backend.address;
+        state.pool.open(address) < cap || state.pool.idle(address) > 0
+    };
+    let mut usable: Few<_> =
+        directory.of_service(service).filter(untried).filter(has_way).collect();
+    if usable.iter().any(|known| known.standing.is_open(now)) {
+        usable.retain(|known| known.standing.is_open(now));
+    }
+    usable
+}
+
+/// Load of all gateways at each backend server.
+fn loads(state: &state::State, usable: &[&directory::Known]) -> Few<directory::Load> {
+    let peers = state.peers.borrow();
+    let now = state.clock.now();
+    let load = |known: &&directory::Known| {
+        let others = peers.load(known.hash, now);
+        directory::Load {
+            running: known.load.running + others.running,
+            long: known.load.long + others.long,
+            prefill: known.load.prefill + others.prefill,
+        }
+    };
+    usable.iter().map(load).collect()
+}
+
+/// The hash from which on engines serve long prompts, none if all serve both kinds.
+fn divide(
+    state: &state::State,
+    service: &ids::PoolId,
+    usable: &[&directory::Known],
+    loads: &[directory::Load],
+    now: time::Instant,
+) -> Option<u32> {
+    let long: u32 = loads.iter().map(|load| load.long).sum();
+    let running: u32 = loads.iter().map(|load| load.running).sum();
+    let work = division::Work {
+        long: f64::from(long),
+        short: f64::from(running.saturating_sub(long)),
+    };
+    let slots = usable.iter().map(|known| known.backend.slots).max().unwrap_or(1);
+    let mut divisions = state.divisions.borrow_mut();
+    let division = divisions.entry(service.clone()).or_default();
+    let short = division.update(work, usable.len(), slots, now)?;
+    let mut hashes: Few<_> = usable.iter().map(|known| known.hash).collect();
+    hashes.sort_unstable();
+    hashes.get(short).copied()
+}
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -11,9 +11,10 @@
 
 use super::admit;
 use super::attempt;
+use super::choice;
 use super::ticket;
 use crate::codec;
-use crate::decision::placement;
+use crate::decision::division;
 use crate::decision::refusal;
 use crate::decision::standing;
 use crate::state;
@@ -49,7 +50,7 @@
     pub(super) last_event: Option<u64>,
     sends: u32,
     arrivals: u32,
-    tried: SmallVec<[ids::BackendId; 4]>,
+    pub(super) tried: SmallVec<[ids::BackendId; 4]>,
 }
 
 /// A backend server's answer, with the place that the request takes there.
@@ -139,7 +140,7 @@
             }
             let sent = time::Instant::now();
             let ticket =
-                ticket::Ticket::new(&self.state, target.id.clone(), target.born, target.uncached);
+                self.ticket(&target);
             self.sends += 1;
             self.tried.push(target.id.clone());
             match self.send(&target).await {
@@ -182,6 +183,16 @@
             )
     }
 
+    fn ticket(&self, target: &attempt::Target) -> ticket::Ticket {
+        let id = target.id.clone();
+        ticket::Ticket::new(&self.state, id, target.born, target.uncached, self.is_long())
+    }
+
+    /// Whether the prompt is long enough to disturb the streams beside it.
+    pub(super) fn is_long(&self) -> bool {
+        u64::from(self.admitted.ask.prompt_tokens) >= division::LONG_PROMPT
+    }
+
     async fn send(&self, target: &attempt::Target) -> attempt::Sent {
         let stamp = codec::Stamp {
             left: self.left(),
@@ -207,7 +218,7 @@
     async fn find(&self) -> Option<attempt::Target> {
         let until = self.deadline.min(time::Instant::now() + NO_BACKEND_WAIT);
         loop {
-            if let Some(target) = self.choose() {
+            if let Some(target) = choice::choose(self) {
                 return Some(target);
             }
             if !self.tried.is_empty() {
@@ -215,68 +226,11 @@
             }
             let changed = self.state.changed.notified();
             if time::timeout_at(until, changed).await.is_err() {
-                return self.choose();
+                return choice::choose(self);
             }
         }
     }
 
-    fn choose(&self) -> Option<attempt::Target> {
-        let now = time::Instant::now();
-        let state = &self.state;
-        let service = &self.admitted.service;
-        let gateways = u32::try_from(state.gateways()).unwrap_or(u32::MAX);
-        let cap = state.configuration().and_then(|configuration| {
-            configuration.service_named(service).map(|service| service.connections)
-        });
-        let cap = cap.map_or(u32::MAX, |cap| (cap / gateways).max(1));
-        let directory = state.directory.borrow();
-        let peers = state.peers.borrow();
-        let parts = &self.admitted.ask.parts;
-        let total = u64::from(self.admitted.ask.prompt_tokens);
-        let session = parts.len().checked_sub(2).map(|at| &parts[at]);
-        let untried = |known: &&crate::directory::Known| !self.tried.contains(&known.backend.id);
-        let has_way = |known: &&crate::directory::Known| {
-            let address = known.backend.address;
-            state.pool.open(address) < cap || state.pool.idle(address) > 0
-        };
-        let usable: SmallVec<[_; 64]> =
-            directory.of_service(service).filter(untried).filter(has_way).collect();
-        let any_open = usable.iter().any(|known| known.standing.is_open(now));
-        let open = usable.iter().filter(|known| !any_open || known.standing.is_open(now));
-        let open: SmallVec<[_; 64]> = open.collect();
-        let home = session
-            .and_then(|part| placement::home(part.id, open.iter().map(|known| known.hash)));
-        let boot = state.clock.now();
-        let candidates: SmallVec<[_; 64]> = open
-            .iter()
-            .map(|known| {
-                let others = peers.load(known.hash, boot);
-                let kept = if home == Some(known.hash) {
-                    parts.iter().rev().skip(1).map(|part| u64::from(part.tokens)).sum()
-                } else {
-                    known.cache.kept(parts, now)
-                };
-                placement::Candidate {
-                    hash: known.hash,
-                    running: known.load.running + others.running,
-                    slots: known.backend.slots,
-                    prefill: known.load.prefill + others.prefill,
-                    uncached: total.saturating_sub(kept),
-                    slowness: known.standing.slowness(now),
-                    near: known.backend.zone == state.settings.zone,
-                }
-            })
-            .collect();
-        let at = placement::choose(&candidates, rand::random())?;
-        let known = open[at];
-        Some(attempt::Target {
-            id: known.backend.id.clone(),
-            born: known.backend.born,
-            address: known.backend.address,
-            uncached: candidates[at].uncached,
-        })
-    }
-
     fn log_attempt(&self, target: &attempt::Target, reason: &str) {
         if self.state.lines.failure(time::Instant::now()) {
             tracing::info!(
--- a/crates/gateway/src/proxy/ticket.rs
+++ b/crates/gateway/src/proxy/ticket.rs
@@ -33,6 +33,7 @@
     backend: ids::BackendId,
     born: u64,
     prefill: u64,
+    long: u32,
 }
 
 impl Ticket {
@@ -42,12 +43,15 @@
         backend: ids::BackendId,
         born: u64,
         prefill: u64,
+        is_long: bool,
     ) -> Self {
+        let long = u32::from(is_long);
         if let Some(known) = state.directory.borrow_mut().get_mut(&backend) {
             known.load.running += 1;
+            known.load.long += long;
             known.load.prefill += prefill;
         }
-        Self { state: state.clone(), backend, born, prefill }
+        Self { state: state.clone(), backend, born, prefill, long }
     }
 
     /// The prompt was read: the first event came.
@@ -67,8 +71,9 @@
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        let prefill = self.prefill;
+        let (prefill, long) = (self.prefill, self.long);
         self.change(|load| {
+            load.long = load.long.saturating_sub(long);
             load.running = load.running.saturating_sub(1);
             load.prefill = load.prefill.saturating_sub(prefill);
         });
--- a/crates/gateway/src/service/gossip.rs
+++ b/crates/gateway/src/service/gossip.rs
@@ -127,6 +127,7 @@
     let work = |known: &directory::Known| peers::Work {
         backend: known.hash,
         running: known.load.running,
+        long: known.load.long,
         prefill: known.load.prefill,
     };
     let busy = |known: &&directory::Known| known.load.running > 0;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,6 +12,7 @@
 use crate::clock;
 use crate::codec;
 use crate::configuration;
+use crate::decision::division;
 use crate::decision::freshness;
 use crate::decision::repeats;
 use crate::decision::true_time;
@@ -40,6 +41,8 @@
     pub directory: cell::RefCell<directory::Directory>,
     /// Whether the backend servers were read since the start.
     pub listed: cell::Cell<bool>,
+    /// Division of each service's model engines.
+    pub divisions: cell::RefCell<collections::HashMap<ids::PoolId, division::Division>>,
     /// Budget of repeats.
     pub repeats: cell::RefCell<repeats::Repeats>,
     /// Own counts of requests that began to run.
@@ -74,6 +77,7 @@
             freshness: cell::RefCell::new(freshness::Freshness::new(settings.revocation)),
             directory: cell::RefCell::default(),
             listed: cell::Cell::new(false),
+            divisions: cell::RefCell::default(),
             repeats: cell::RefCell::new(repeats::Repeats::new(settings.repeats)),
             windows: cell::RefCell::default(),
             teams: cell::RefCell::default(),
