--- a/crates/gateway/src/decision.rs
+++ b/crates/gateway/src/decision.rs
@@ -8,4 +8,5 @@
 pub mod repeats;
 pub mod standing;
 pub mod true_time;
+pub mod urgency;
 pub mod windows;
--- a/crates/gateway/src/decision/placement.rs
+++ b/crates/gateway/src/decision/placement.rs
@@ -6,6 +6,9 @@
 //! hashing, so that gateways agree on it without a message; a home with too much work before it is
 //! passed over. This answers bursts of long prompts, where the engines are bound by prefill.
 
+use std::cmp;
+
+use smallvec::SmallVec;
 use xxhash_rust::xxh3;
 
 use crate::codec;
@@ -23,6 +26,13 @@
 /// What crossing to another availability zone costs, in prompt tokens.
 const ZONE_TOKENS: f64 = 100.0;
 
+/// Homes of a session.
+pub const HOMES: usize = 3;
+
+/// Part of a session's prompt that is expected to be read again at its first, second and third
+/// home.
+pub const UNSURE: [f64; HOMES] = [0.0, 0.2, 0.4];
+
 /// A backend server as the choice sees it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
@@ -74,14 +84,19 @@
         .map(|(position, _)| position)
 }
 
-/// The candidate at which a part of a prompt is at home.
+/// The candidates at which a part of a prompt is at home, the first one first.
+///
+/// A home with too much work is passed over for the next one. All gateways agree on the order, so
+/// what one of them sent there is found by the others.
 #[must_use]
-pub fn home(part: codec::PartId, hashes: impl Iterator<Item = u32>) -> Option<u32> {
+pub fn homes(part: codec::PartId, hashes: impl Iterator<Item = u32>) -> SmallVec<[u32; HOMES]> {
     let weight = |hash: &u32| {
         let mut key = [0; 12];
         key[..8].copy_from_slice(&part.to_le_bytes());
         key[8..].copy_from_slice(&hash.to_le_bytes());
         xxh3::xxh3_64(&key)
     };
-    hashes.max_by_key(weight)
+    let mut hashes: SmallVec<[u32; 64]> = hashes.collect();
+    hashes.sort_unstable_by_key(|hash| cmp::Reverse(weight(hash)));
+    hashes.into_iter().take(HOMES).collect()
 }
--- a/crates/gateway/src/proxy/admit.rs
+++ b/crates/gateway/src/proxy/admit.rs
@@ -7,6 +7,7 @@
 
 use crate::codec;
 use crate::configuration;
+use crate::decision::urgency;
 use crate::state;
 
 /// A request that may run.
@@ -81,7 +82,7 @@
     };
     let draw = xxhash_rust::xxh3::xxh3_64(ask.id.as_bytes());
     let service = route.service(draw).ok_or(Denial::Stale)?.clone();
-    let tier = team.as_ref().and_then(|team| team.tier).unwrap_or(route.tier);
+    let tier = urgency::tier(team.as_ref().and_then(|team| team.tier), route.tier);
     Ok(Admitted {
         service,
         team: team.map(|team| team.name.clone()),
--- a/crates/gateway/src/proxy/choice.rs
+++ b/crates/gateway/src/proxy/choice.rs
@@ -28,16 +28,16 @@
     let own_side =
         |known: &directory::Known| division.is_none_or(|border| (known.hash >= border) == job.is_long());
     let session = parts.len().checked_sub(2).map(|at| parts[at].id);
-    let home = session.and_then(|part| {
+    let homes = session.map(|part| {
         let side = usable.iter().filter(|known| own_side(known));
-        placement::home(part, side.map(|known| known.hash))
+        placement::homes(part, side.map(|known| known.hash))
     });
+    let homes = homes.unwrap_or_default();
+    let shared: u64 = parts.iter().rev().skip(1).map(|part| u64::from(part.tokens)).sum();
     let candidate = |(known, load): (&&directory::Known, &directory::Load)| {
-        let kept = if home == Some(known.hash) {
-            parts.iter().rev().skip(1).map(|part| u64::from(part.tokens)).sum()
-        } else {
-            known.cache.kept(parts, now)
-        };
+        let home = homes.iter().position(|hash| *hash == known.hash);
+        let likely = home.map_or(0.0, |at| shared as f64 * (1.0 - placement::UNSURE[at]));
+        let kept = known.cache.kept(parts, now).max(likely as u64);
         placement::Candidate {
             hash: known.hash,
             running: load.running,
