feat(gateway): ask the store less often; only three gateways compete for the lease

Change: longer waits for changes, a least interval between questions, three candidates for the lease; lines on requests tell the first byte and the longest pause.

--- a/crates/gateway/src/decision/freshness.rs
+++ b/crates/gateway/src/decision/freshness.rs
@@ -8,8 +8,8 @@
 const MARGIN: Duration = Duration::from_millis(500);
 
 /// A "no such route" or "no such key" is only given if the configuration was confirmed this
-/// recently. Source: half of the time in which a configuration must be in force everywhere.
-const NEGATIVE: Duration = Duration::from_millis(2_000);
+/// recently. Source: the longest wait of a healthy question to the store, and its answer.
+const NEGATIVE: Duration = Duration::from_millis(2_800);
 
 /// Age of the configuration, on a clock that counts the time in which the VM is suspended.
 #[derive(Clone, Copy, Debug)]
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -94,6 +94,17 @@
         self.known.values().filter(alive).count()
     }
 
+    /// Whether a gateway is among the first `most` of those alive, in an order that all share.
+    #[must_use]
+    pub fn is_among(&self, node: &str, most: usize, now: time::Instant) -> bool {
+        let own = directory::hash_of(node);
+        let before = |(name, peer): &(&ids::NodeId, &Peer)| {
+            let alive = now.saturating_duration_since(peer.heard) < LOAD_LIFE;
+            alive && directory::hash_of(name) < own
+        };
+        self.known.iter().filter(before).count() < most
+    }
+
     /// Addresses to tell; those not heard for long are forgotten.
     pub fn addresses(&mut self, now: time::Instant) -> Vec<net::SocketAddr> {
         self.known.retain(|_, peer| now.saturating_duration_since(peer.heard) < FORGOTTEN);
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -48,6 +48,10 @@
     pub(super) runs: u32,
     /// Number of the last event that was relayed.
     pub(super) last_event: Option<u64>,
+    /// Time to the first byte or event.
+    pub(super) first: Option<Duration>,
+    /// Longest pause between events.
+    pub(super) pause: Duration,
     sends: u32,
     arrivals: u32,
     pub(super) tried: SmallVec<[ids::BackendId; 4]>,
@@ -90,6 +94,8 @@
             body,
             started,
             runs: 0,
+            first: None,
+            pause: Duration::ZERO,
             sends: 0,
             arrivals: 0,
             tried: SmallVec::new(),
@@ -244,6 +250,13 @@
         }
     }
 
+    /// The first byte or event came.
+    pub(super) fn began(&mut self) {
+        let first = self.started.elapsed();
+        self.first = Some(first);
+        self.state.metrics.first_byte(first);
+    }
+
     /// Writes the line on the final answer.
     pub(super) fn log_end(&self, status: u16, backend: &str, outcome: &str, reason: &str) {
         let state = &self.state;
@@ -270,6 +283,8 @@
             status,
             outcome,
             reason,
+            first_ms = self.first.map(|first| first.as_millis() as u64),
+            pause_ms = self.pause.as_millis() as u64,
             took_ms = now.saturating_duration_since(self.started).as_millis() as u64,
             "request ended"
         );
--- a/crates/gateway/src/proxy/exchange.rs
+++ b/crates/gateway/src/proxy/exchange.rs
@@ -218,7 +218,7 @@
     let faulty = status.is_server_error();
     let outcome = if faulty { standing::Outcome::Faulty } else { standing::Outcome::Good };
     job.observe(&target, outcome);
-    job.state.metrics.first_byte(job.started.elapsed());
+    job.began();
     let last = !(faulty && job.may_rerun());
     if last {
         job.log_end(status.as_u16(), &target.id, "complete", "");
@@ -255,7 +255,7 @@
     {
         job.state.count_usage(team, Duration::ZERO);
     }
-    job.state.metrics.first_byte(job.started.elapsed());
+    job.began();
     remember(job, &target, sent);
     let (sender, receiver) = mpsc::channel(EVENTS_WAITING);
     let response = relayed(answer.head, answer_body::Body::Events { events: receiver, _active: active.clone() });
--- a/crates/gateway/src/proxy/relay.rs
+++ b/crates/gateway/src/proxy/relay.rs
@@ -51,8 +51,9 @@
     {
         return job.log_end(200, &stream.target.id, "caller left", "");
     }
+    let mut last = time::Instant::now();
     loop {
-        let end = pump(&job, &mut stream, &mut splitter, &events).await;
+        let end = pump(&mut job, &mut last, &mut stream, &mut splitter, &events).await;
         let backend = stream.target.id.clone();
         let reason = match end {
             End::Complete => {
@@ -111,7 +112,8 @@
 }
 
 async fn pump(
-    job: &dispatch::Job,
+    job: &mut dispatch::Job,
+    last: &mut time::Instant,
     stream: &mut Stream,
     splitter: &mut splitter::Splitter,
     events: &Events,
@@ -135,6 +137,9 @@
             }
         };
         if let Some(whole) = whole {
+            let now = time::Instant::now();
+            job.pause = job.pause.max(now.saturating_duration_since(*last));
+            *last = now;
             tokio::select! {
                 sent = events.send(Ok(whole)) => if sent.is_err() { return End::CallerLeft },
                 () = time::sleep_until(job.deadline) => return End::OutOfTime,
--- a/crates/gateway/src/service/duty.rs
+++ b/crates/gateway/src/service/duty.rs
@@ -31,6 +31,9 @@
 /// gateways, and the time of an answer to be read.
 const SETTLE: Duration = Duration::from_millis(2_500);
 
+/// Gateways that compete for the lease; the others only do if they hear of fewer.
+const CANDIDATES: usize = 3;
+
 /// Pause between two looks at what is due.
 const TICK: Duration = Duration::from_millis(250);
 
@@ -107,6 +110,11 @@
     /// Carries out what the lease asks for, then what is due.
     async fn step(&mut self) {
         let now = self.state.clock.now();
+        let node = &self.state.settings.node;
+        let competes = self.state.peers.borrow().is_among(node, CANDIDATES, now);
+        if !competes && self.lease.row_version().is_none() {
+            return time::sleep(TICK).await;
+        }
         let before = self.lease.may_act(now);
         let event = std::mem::replace(&mut self.event, lease::Event::Tick);
         match self.lease.handle(event, now) {
--- a/crates/gateway/src/service/follow.rs
+++ b/crates/gateway/src/service/follow.rs
@@ -9,8 +9,13 @@
 use crate::state;
 use crate::store;
 
-/// Longest wait for a change; each answer proves that the store is in touch.
-const WAIT: Duration = Duration::from_millis(1_000);
+/// Longest wait for a change; each answer proves that the store is in touch. Source: less than
+/// half of the time for which keys are trusted without a proof.
+const WAIT: Duration = Duration::from_millis(2_000);
+
+/// Least time from one answer to the next question, so that changes are taken together. Source:
+/// a third of the shortest time in which a leaving backend server must get no new request.
+const LEAST_INTERVAL: Duration = Duration::from_millis(600);
 
 /// Time for an answer beyond the wait; a connection that is silent for longer is given up.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
@@ -66,6 +71,8 @@
                 let whole = version.is_none();
                 version = Some(rows.version);
                 take(News { rows, whole, asked });
+                let spent = state.clock.now().saturating_duration_since(asked);
+                time::sleep(LEAST_INTERVAL.saturating_sub(spent)).await;
             }
             Err(store::StoreError::HistoryLost) => {
                 tracing::info!(table = ?table, version, "the history is gone; reading all again");
