--- a/crates/gateway/src/decision/division.rs
+++ b/crates/gateway/src/decision/division.rs
@@ -21,10 +21,10 @@
 const SHORT_FILL: f64 = 0.375;
 
 /// Time over which the work at hand is averaged.
-const AVERAGE: Duration = Duration::from_millis(1_500);
+const AVERAGE: Duration = Duration::from_millis(4_000);
 
 /// The division moves when it is off by more than this many engines.
-const SLACK: f64 = 0.75;
+const SLACK: f64 = 1.5;
 
 /// Work at hand for one service, of all gateways.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/crates/gateway/src/decision/placement.rs
+++ b/crates/gateway/src/decision/placement.rs
@@ -17,6 +17,10 @@
 /// that one more running request adds to the steps of a prefill, on the sample engines.
 const RUNNING_TOKENS: f64 = 60.0;
 
+/// What it costs, beyond the reading, to read a shared part at one more backend server: the time is
+/// lost for all requests there, and the part takes memory twice.
+const AGAIN_FACTOR: f64 = 4.0;
+
 /// Added when a backend server has no free slot, in prompt tokens for each request over.
 const FULL_TOKENS: f64 = 3_000.0;
 
@@ -46,6 +50,8 @@
     pub prefill: u64,
     /// Prompt tokens of this request that it has to read.
     pub uncached: u64,
+    /// Those of them that other requests share, and that another backend server may keep.
+    pub again: u64,
     /// How many times slower than its peers it is, at least 1.
     pub slowness: f64,
     /// Whether it serves the other kind of requests; see [`super::division`].
@@ -60,6 +66,7 @@
     pub fn cost(&self) -> f64 {
         let over = f64::from((self.running + 1).saturating_sub(self.slots));
         let work = (self.prefill + self.uncached) as f64
+            + self.again as f64 * AGAIN_FACTOR
             + f64::from(self.running) * RUNNING_TOKENS
             + over * FULL_TOKENS;
         let way = if self.near { 0.0 } else { ZONE_TOKENS };
--- a/crates/gateway/src/proxy/choice.rs
+++ b/crates/gateway/src/proxy/choice.rs
@@ -44,6 +44,7 @@
             slots: known.backend.slots,
             prefill: load.prefill,
             uncached: total.saturating_sub(kept),
+            again: shared.saturating_sub(kept),
             slowness: known.standing.slowness(now),
             foreign: !own_side(known),
             near: known.backend.zone == state.settings.zone,
@@ -57,6 +58,7 @@
         born: known.backend.born,
         address: known.backend.address,
         uncached: candidates[at].uncached,
+        home: homes.iter().position(|hash| *hash == known.hash).map_or(0, |at| at as u8 + 1),
     })
 }
 
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -55,6 +55,8 @@
     sends: u32,
     arrivals: u32,
     pub(super) tried: SmallVec<[ids::BackendId; 4]>,
+    home: u8,
+    uncached: u64,
 }
 
 /// A backend server's answer, with the place that the request takes there.
@@ -99,6 +101,8 @@
             sends: 0,
             arrivals: 0,
             tried: SmallVec::new(),
+            home: 0,
+            uncached: 0,
         }
     }
 
@@ -149,6 +153,7 @@
                 self.ticket(&target);
             self.sends += 1;
             self.tried.push(target.id.clone());
+            (self.home, self.uncached) = (target.home, target.uncached);
             match self.send(&target).await {
                 attempt::Sent::Answer(answer) => {
                     self.arrivals += 1;
@@ -278,6 +283,9 @@
             configuration = self.admitted.version,
             configuration_age_ms = age.as_millis() as u64,
             backend,
+            home = self.home,
+            uncached = self.uncached,
+            prompt = self.admitted.ask.prompt_tokens,
             sends = self.sends,
             runs = self.runs,
             status,
