--- a/crates/gateway/src/decision/placement.rs
+++ b/crates/gateway/src/decision/placement.rs
@@ -19,7 +19,7 @@
 
 /// What it costs, beyond the reading, to read a shared part at one more backend server: the time is
 /// lost for all requests there, and the part takes memory twice.
-const AGAIN_FACTOR: f64 = 4.0;
+const AGAIN_FACTOR: f64 = 12.0;
 
 /// Added when a backend server has no free slot, in prompt tokens for each request over.
 const FULL_TOKENS: f64 = 3_000.0;
@@ -35,7 +35,7 @@
 
 /// Part of a session's prompt that is expected to be read again at its first, second and third
 /// home.
-pub const UNSURE: [f64; HOMES] = [0.0, 0.2, 0.4];
+pub const UNSURE: [f64; HOMES] = [0.0, 0.15, 0.3];
 
 /// A backend server as the choice sees it.
 #[derive(Clone, Copy, Debug, PartialEq)]
