feat(gateway): late long prompts yield to those that can be on time; the higher tier's engines first

Change: a long prompt that can't be on time is sent with the lowest rank and not counted before those that can; with too few engines the higher tier gets what it wants, up to 0.7.

--- a/crates/gateway/src/decision.rs
+++ b/crates/gateway/src/decision.rs
@@ -3,6 +3,7 @@
 pub mod cache;
 pub mod division;
 pub mod freshness;
+pub mod pace;
 pub mod placement;
 pub mod refusal;
 pub mod repeats;
--- a/crates/gateway/src/decision/division.rs
+++ b/crates/gateway/src/decision/division.rs
@@ -9,6 +9,7 @@
 
 use std::time::Duration;
 
+use azuregap_core::ids;
 use tokio::time;
 
 /// A prompt from this length on is long, in tokens. Source: two chunks of the sample engines.
@@ -20,6 +21,12 @@
 /// Share of an engine's slots that short requests fill before their pauses grow.
 const SHORT_FILL: f64 = 0.375;
 
+/// Most engines that the kind of the higher tier gets when there are too few.
+const MOST_SHARE: f64 = 0.7;
+
+/// Weight of the newest request in the average tier of its kind.
+const TIER_SMOOTHING: f64 = 0.05;
+
 /// Time over which the work at hand is averaged.
 const AVERAGE: Duration = Duration::from_millis(4_000);
 
@@ -35,10 +42,30 @@
     pub short: f64,
 }
 
+/// Engines for short requests, of `engines` in all, if the kinds want `long` and `short` of them.
+///
+/// If there are too few, the kind of the higher tier gets what it wants, but leaves a part to the
+/// other, which must not starve.
+fn share(long: f64, short: f64, engines: f64, urgent_short: bool) -> f64 {
+    if long + short <= engines {
+        return engines * short / (long + short);
+    }
+    let most = engines * MOST_SHARE;
+    if urgent_short { short.min(most) } else { engines - long.min(most) }
+}
+
+/// Average tier of each kind.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tiers {
+    long: f64,
+    short: f64,
+}
+
 /// The division of one service's engines.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Division {
     work: Work,
+    tiers: Tiers,
     updated: Option<time::Instant>,
     short_engines: Option<usize>,
 }
@@ -50,6 +77,12 @@
         Self::default()
     }
 
+    /// Takes the tier of a request of one kind.
+    pub fn observe(&mut self, is_long: bool, tier: ids::Tier) {
+        let known = if is_long { &mut self.tiers.long } else { &mut self.tiers.short };
+        *known += TIER_SMOOTHING * (f64::from(tier) - *known);
+    }
+
     /// Takes the work at hand and returns how many of `engines` serve short requests, or none if
     /// all serve both.
     pub fn update(
@@ -67,7 +100,7 @@
             self.short_engines = None;
             return None;
         }
-        let wanted = engines as f64 * short / (long + short);
+        let wanted = share(long, short, engines as f64, self.tiers.short <= self.tiers.long);
         let known = self.short_engines.map(|known| known as f64);
         let moves = known.is_none_or(|known| (wanted - known).abs() > SLACK);
         if moves {
--- a/crates/gateway/src/directory/known.rs
+++ b/crates/gateway/src/directory/known.rs
@@ -15,6 +15,8 @@
     pub long: u32,
     /// Prompt tokens of requests that have not produced their first event.
     pub prefill: u64,
+    /// Those of requests that can't be on time any more.
+    pub late: u64,
 }
 
 /// A backend server with what this gateway learnt of it.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -66,6 +66,7 @@
             running: work.running,
             long: work.long,
             prefill: work.prefill,
+            late: work.late,
         };
         peer.loads = beacon.work.iter().map(|work| (work.backend, load(work))).collect();
     }
@@ -82,6 +83,7 @@
                 sum.running += load.running;
                 sum.long += load.long;
                 sum.prefill += load.prefill;
+                sum.late += load.late;
             }
         }
         sum
--- a/crates/gateway/src/peers/beacon.rs
+++ b/crates/gateway/src/peers/beacon.rs
@@ -20,6 +20,8 @@
     pub long: u32,
     /// Prompt tokens of requests that have not produced their first event.
     pub prefill: u64,
+    /// Those of requests that can't be on time any more.
+    pub late: u64,
 }
 
 /// Requests of one team that began to run in one window.
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -27,6 +27,8 @@
     pub(super) address: net::SocketAddr,
     /// Prompt tokens that it has to read.
     pub(super) uncached: u64,
+    /// Prompt tokens of others that it reads before.
+    pub(super) before: u64,
     /// Its place among the homes of the session, from 1 on; 0 if it is none of them.
     pub(super) home: u8,
 }
--- a/crates/gateway/src/proxy/choice.rs
+++ b/crates/gateway/src/proxy/choice.rs
@@ -1,6 +1,5 @@
 //! Gathers what the choice of a backend server needs and makes it.
 
-use azuregap_core::ids;
 use smallvec::SmallVec;
 use tokio::time;
 
@@ -18,11 +17,10 @@
 pub(super) fn choose(job: &dispatch::Job) -> Option<attempt::Target> {
     let now = time::Instant::now();
     let state = &job.state;
-    let service = &job.admitted.service;
     let directory = state.directory.borrow();
     let usable = usable(job, &directory, now);
     let loads = loads(state, &usable);
-    let division = divide(state, service, &usable, &loads, now);
+    let division = divide(job, &usable, &loads, now);
     let ask = &job.admitted.ask;
     let (parts, total) = (&ask.parts, u64::from(ask.prompt_tokens));
     let own_side =
@@ -58,6 +56,7 @@
         born: known.backend.born,
         address: known.backend.address,
         uncached: candidates[at].uncached,
+        before: candidates[at].prefill - loads[at].late.min(candidates[at].prefill),
         home: homes.iter().position(|hash| *hash == known.hash).map_or(0, |at| at as u8 + 1),
     })
 }
@@ -98,6 +97,7 @@
             running: known.load.running + others.running,
             long: known.load.long + others.long,
             prefill: known.load.prefill + others.prefill,
+            late: known.load.late + others.late,
         }
     };
     usable.iter().map(load).collect()
@@ -105,8 +105,7 @@
 
 /// The hash from which on engines serve long prompts, none if all serve both kinds.
 fn divide(
-    state: &state::State,
-    service: &ids::PoolId,
+    job: &dispatch::Job,
     usable: &[&directory::Known],
     loads: &[directory::Load],
     now: time::Instant,
@@ -118,8 +117,9 @@
         short: f64::from(running.saturating_sub(long)),
     };
     let slots = usable.iter().map(|known| known.backend.slots).max().unwrap_or(1);
-    let mut divisions = state.divisions.borrow_mut();
-    let division = divisions.entry(service.clone()).or_default();
+    let mut divisions = job.state.divisions.borrow_mut();
+    let division = divisions.entry(job.admitted.service.clone()).or_default();
+    division.observe(job.is_long(), job.admitted.route.tier);
     let short = division.update(work, usable.len(), slots, now)?;
     let mut hashes: Few<_> = usable.iter().map(|known| known.hash).collect();
     hashes.sort_unstable();
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -26,6 +26,9 @@
 /// sample deployments.
 const LEAST_LEFT: Duration = Duration::from_millis(10);
 
+/// Tier of a request that can't be on time any more; it must not delay those that can.
+const LATE_TIER: ids::Tier = 8;
+
 /// Time to wait for a backend server if a service has none.
 const NO_BACKEND_WAIT: Duration = Duration::from_millis(300);
 
@@ -196,7 +199,8 @@
 
     fn ticket(&self, target: &attempt::Target) -> ticket::Ticket {
         let id = target.id.clone();
-        ticket::Ticket::new(&self.state, id, target.born, target.uncached, self.is_long())
+        let kind = (self.is_long(), self.is_late(target));
+        ticket::Ticket::new(&self.state, id, target.born, target.uncached, kind.0, kind.1)
     }
 
     /// Whether the prompt is long enough to disturb the streams beside it.
@@ -204,12 +208,21 @@
         u64::from(self.admitted.ask.prompt_tokens) >= division::LONG_PROMPT
     }
 
+    /// Whether a long prompt can't be read in time at a backend server, even before all others that
+    /// can't either.
+    fn is_late(&self, target: &attempt::Target) -> bool {
+        let paces = self.state.paces.borrow();
+        let pace = paces.get(&self.admitted.service).copied().unwrap_or_default();
+        let spent = self.started.elapsed();
+        self.is_long() && spent + pace.time(target.before + target.uncached) > self.admitted.route.goal
+    }
+
     async fn send(&self, target: &attempt::Target) -> attempt::Sent {
         let stamp = codec::Stamp {
             left: self.left(),
             backend: target.id.clone(),
             team: self.admitted.team.clone(),
-            tier: self.admitted.tier,
+            tier: if self.is_late(target) { LATE_TIER } else { self.admitted.tier },
             last_event: self.last_event,
         };
         let id = &self.admitted.ask.id;
--- a/crates/gateway/src/proxy/exchange.rs
+++ b/crates/gateway/src/proxy/exchange.rs
@@ -257,6 +257,10 @@
     }
     job.began();
     remember(job, &target, sent);
+    let mut paces = job.state.paces.borrow_mut();
+    let pace = paces.entry(job.admitted.service.clone()).or_default();
+    pace.observe(target.before + target.uncached, sent.elapsed());
+    drop(paces);
     let (sender, receiver) = mpsc::channel(EVENTS_WAITING);
     let response = relayed(answer.head, answer_body::Body::Events { events: receiver, _active: active.clone() });
     let stream = relay::Stream {
--- a/crates/gateway/src/proxy/ticket.rs
+++ b/crates/gateway/src/proxy/ticket.rs
@@ -34,6 +34,7 @@
     born: u64,
     prefill: u64,
     long: u32,
+    is_late: bool,
 }
 
 impl Ticket {
@@ -44,20 +45,29 @@
         born: u64,
         prefill: u64,
         is_long: bool,
+        is_late: bool,
     ) -> Self {
         let long = u32::from(is_long);
         if let Some(known) = state.directory.borrow_mut().get_mut(&backend) {
             known.load.running += 1;
             known.load.long += long;
             known.load.prefill += prefill;
+            known.load.late += if is_late { prefill } else { 0 };
         }
-        Self { state: state.clone(), backend, born, prefill, long }
+        Self { state: state.clone(), backend, born, prefill, long, is_late }
     }
 
     /// The prompt was read: the first event came.
     pub(super) fn started(&mut self) {
         let prefill = std::mem::take(&mut self.prefill);
-        self.change(|load| load.prefill = load.prefill.saturating_sub(prefill));
+        self.change(|load| self.read(load, prefill));
+    }
+
+    fn read(&self, load: &mut crate::directory::Load, prefill: u64) {
+        load.prefill = load.prefill.saturating_sub(prefill);
+        if self.is_late {
+            load.late = load.late.saturating_sub(prefill);
+        }
     }
 
     fn change(&self, change: impl FnOnce(&mut crate::directory::Load)) {
@@ -75,7 +85,7 @@
         self.change(|load| {
             load.long = load.long.saturating_sub(long);
             load.running = load.running.saturating_sub(1);
-            load.prefill = load.prefill.saturating_sub(prefill);
+            self.read(load, prefill);
         });
         self.state.changed.notify_waiters();
     }
--- a/crates/gateway/src/service/gossip.rs
+++ b/crates/gateway/src/service/gossip.rs
@@ -129,6 +129,7 @@
         running: known.load.running,
         long: known.load.long,
         prefill: known.load.prefill,
+        late: known.load.late,
     };
     let busy = |known: &&directory::Known| known.load.running > 0;
     let count = |(window, team, requests)| peers::Count { window, team, requests };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,6 +14,7 @@
 use crate::configuration;
 use crate::decision::division;
 use crate::decision::freshness;
+use crate::decision::pace;
 use crate::decision::repeats;
 use crate::decision::true_time;
 use crate::decision::windows;
@@ -43,6 +44,8 @@
     pub listed: cell::Cell<bool>,
     /// Division of each service's model engines.
     pub divisions: cell::RefCell<collections::HashMap<ids::PoolId, division::Division>>,
+    /// Speed of each service's model engines.
+    pub paces: cell::RefCell<collections::HashMap<ids::PoolId, pace::Pace>>,
     /// Budget of repeats.
     pub repeats: cell::RefCell<repeats::Repeats>,
     /// Own counts of requests that began to run.
@@ -78,6 +81,7 @@
             directory: cell::RefCell::default(),
             listed: cell::Cell::new(false),
             divisions: cell::RefCell::default(),
+            paces: cell::RefCell::default(),
             repeats: cell::RefCell::new(repeats::Repeats::new(settings.repeats)),
             windows: cell::RefCell::default(),
             teams: cell::RefCell::default(),
