--- a/crates/gateway/src/decision/division.rs
+++ b/crates/gateway/src/decision/division.rs
@@ -22,7 +22,7 @@
 const SHORT_FILL: f64 = 0.375;
 
 /// Most engines that the kind of the higher tier gets when there are too few.
-const MOST_SHARE: f64 = 0.7;
+const MOST_SHARE: f64 = 0.35;
 
 /// Weight of the newest request in the average tier of its kind.
 const TIER_SMOOTHING: f64 = 0.05;
