fix(gateway): a slow answer of the store is no outage

Ruled out: a lost or late feed (the gateways beside it removed the server within 5 ms). Change: an outage is the time from the last answer over failed calls; the grace ends by a timer.

--- a/crates/gateway/src/configuration/snapshot.rs
+++ b/crates/gateway/src/configuration/snapshot.rs
@@ -31,7 +31,6 @@
     keyed: bool,
 }
 
-
 impl Configuration {
     /// An empty configuration of a version.
     #[must_use]
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -124,11 +124,7 @@
     }
 
     /// Adds what the other gateways counted in a window.
-    pub fn add_counts(
-        &self,
-        window: u64,
-        sum: &mut collections::BTreeMap<windows::TeamHash, u64>,
-    ) {
+    pub fn add_counts(&self, window: u64, sum: &mut collections::BTreeMap<windows::TeamHash, u64>) {
         for counts in self.counts.values() {
             counts.add_to(window, sum);
         }
--- a/crates/gateway/src/proxy/admit.rs
+++ b/crates/gateway/src/proxy/admit.rs
@@ -68,9 +68,7 @@
     let deny = |denial| if freshness.may_deny(now) { denial } else { Denial::Stale };
     let host = head.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| head.uri.host()).unwrap_or_default();
-    let route = configuration
-        .find(host, head.uri.path())
-        .ok_or_else(|| deny(Denial::NoRoute))?;
+    let route = configuration.find(host, head.uri.path()).ok_or_else(|| deny(Denial::NoRoute))?;
     let team = if configuration.needs_key(&route) {
         if !freshness.may_trust_keys(now) {
             return Err(Denial::Stale);
--- a/crates/gateway/src/proxy/choice.rs
+++ b/crates/gateway/src/proxy/choice.rs
@@ -23,8 +23,9 @@
     let division = divide(job, &usable, &loads, now);
     let ask = &job.admitted.ask;
     let (parts, total) = (&ask.parts, u64::from(ask.prompt_tokens));
-    let own_side =
-        |known: &directory::Known| division.is_none_or(|border| (known.hash >= border) == job.is_long());
+    let own_side = |known: &directory::Known| {
+        division.is_none_or(|border| (known.hash >= border) == job.is_long())
+    };
     let session = parts.len().checked_sub(2).map(|at| parts[at].id);
     let homes = session.map(|part| {
         let side = usable.iter().filter(|known| own_side(known));
@@ -112,10 +113,8 @@
 ) -> Option<u32> {
     let long: u32 = loads.iter().map(|load| load.long).sum();
     let running: u32 = loads.iter().map(|load| load.running).sum();
-    let work = division::Work {
-        long: f64::from(long),
-        short: f64::from(running.saturating_sub(long)),
-    };
+    let work =
+        division::Work { long: f64::from(long), short: f64::from(running.saturating_sub(long)) };
     let slots = usable.iter().map(|known| known.backend.slots).max().unwrap_or(1);
     let mut divisions = job.state.divisions.borrow_mut();
     let division = divisions.entry(job.admitted.service.clone()).or_default();
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -152,8 +152,7 @@
                 return Err(self.given_up(room, reason));
             }
             let sent = time::Instant::now();
-            let ticket =
-                self.ticket(&target);
+            let ticket = self.ticket(&target);
             self.sends += 1;
             self.tried.push(target.id.clone());
             (self.home, self.uncached) = (target.home, target.uncached);
@@ -214,7 +213,8 @@
         let paces = self.state.paces.borrow();
         let pace = paces.get(&self.admitted.service).copied().unwrap_or_default();
         let spent = self.started.elapsed();
-        self.is_long() && spent + pace.time(target.before + target.uncached) > self.admitted.route.goal
+        self.is_long()
+            && spent + pace.time(target.before + target.uncached) > self.admitted.route.goal
     }
 
     async fn send(&self, target: &attempt::Target) -> attempt::Sent {
--- a/crates/gateway/src/proxy/exchange.rs
+++ b/crates/gateway/src/proxy/exchange.rs
@@ -85,7 +85,10 @@
 }
 
 /// The body was too long or didn't come whole.
-fn unread(state: &state::State, error: &(dyn std::error::Error + Send + Sync + 'static)) -> Response {
+fn unread(
+    state: &state::State,
+    error: &(dyn std::error::Error + Send + Sync + 'static),
+) -> Response {
     let too_long = error.is::<http_body_util::LengthLimitError>();
     let (status, text) = if too_long {
         (http::StatusCode::PAYLOAD_TOO_LARGE, "6405: the body is too long")
@@ -137,9 +140,8 @@
 }
 
 fn plain(status: http::StatusCode, text: &'static str, wait: Option<Duration>) -> Response {
-    let mut response = http::Response::new(answer_body::Body::whole(Bytes::from_static(
-        text.as_bytes(),
-    )));
+    let mut response =
+        http::Response::new(answer_body::Body::whole(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
     if let Some(wait) = wait {
         let seconds = format!("{:.3}", wait.as_secs_f64());
@@ -162,7 +164,8 @@
             // An earlier answer of a backend server, if only an error, is better than none.
             Err(given_up) => return kept.ok_or(given_up),
         };
-        let streams = job.admitted.route.kind.is_stream() && obtained.answer.head.status.is_success();
+        let streams =
+            job.admitted.route.kind.is_stream() && obtained.answer.head.status.is_success();
         let failed = if streams {
             match begin_stream(job, obtained, active).await {
                 Ok(response) => return Ok(response),
@@ -262,7 +265,10 @@
     pace.observe(target.before + target.uncached, sent.elapsed());
     drop(paces);
     let (sender, receiver) = mpsc::channel(EVENTS_WAITING);
-    let response = relayed(answer.head, answer_body::Body::Events { events: receiver, _active: active.clone() });
+    let response = relayed(
+        answer.head,
+        answer_body::Body::Events { events: receiver, _active: active.clone() },
+    );
     let stream = relay::Stream {
         target,
         _ticket: ticket,
--- a/crates/gateway/src/proxy/pool.rs
+++ b/crates/gateway/src/proxy/pool.rs
@@ -164,10 +164,7 @@
 /// # Errors
 ///
 /// If a socket option is refused.
-pub(super) fn configure(
-    stream: &tokio_net::TcpStream,
-    silence: Duration,
-) -> std::io::Result<()> {
+pub(super) fn configure(stream: &tokio_net::TcpStream, silence: Duration) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = socket2::SockRef::from(stream);
     let probes = socket2::TcpKeepalive::new()
--- a/crates/gateway/src/service/backends.rs
+++ b/crates/gateway/src/service/backends.rs
@@ -4,6 +4,7 @@
 use std::rc;
 use std::time::Duration;
 
+use tokio::task;
 use tokio::time;
 
 use super::follow;
@@ -18,24 +19,29 @@
 /// Follows the entries of the backend servers for ever.
 pub async fn follow(state: rc::Rc<state::State>, store: rc::Rc<store::Store>) {
     let shared = state.clone();
-    let mut last: Option<time::Instant> = None;
     let take = move |news: follow::News| {
         let now = shared.clock.now();
-        if last.is_some_and(|at| now.saturating_duration_since(at) > OUTAGE) {
-            tracing::info!("entries of backend servers may have lapsed; they are kept for a while");
+        if news.outage > OUTAGE {
+            let outage_ms = news.outage.as_millis() as u64;
+            tracing::info!(outage_ms, "backend servers whose entries lapsed are kept for a while");
             shared.directory.borrow_mut().store_returned(now);
+            task::spawn_local(expire(shared.clone()));
         }
-        last = Some(now);
         take_rows(&shared, &news, now);
-        for id in shared.directory.borrow_mut().expire(now) {
-            tracing::info!(backend = id, "a lapsed backend server did not come back");
-        }
         shared.listed.set(true);
         shared.changed.notify_waiters();
     };
     follow::follow(state, store, store::Table::Backends, take).await;
 }
 
+/// Removes, after the grace, backend servers that did not come back.
+async fn expire(state: rc::Rc<state::State>) {
+    time::sleep(directory::LAPSE_GRACE).await;
+    for id in state.directory.borrow_mut().expire(state.clock.now()) {
+        tracing::info!(backend = id, "a lapsed backend server did not come back");
+    }
+}
+
 fn take_rows(state: &state::State, news: &follow::News, now: time::Instant) {
     let mut seen = collections::HashSet::new();
     for row in &news.rows.rows {
--- a/crates/gateway/src/service/duty.rs
+++ b/crates/gateway/src/service/duty.rs
@@ -58,7 +58,8 @@
     }
 }
 
-type Send = Box<dyn Fn(codec::UsageReport) -> future::LocalBoxFuture<'static, Result<(), ReportError>>>;
+type Send =
+    Box<dyn Fn(codec::UsageReport) -> future::LocalBoxFuture<'static, Result<(), ReportError>>>;
 
 /// Sends a report to whoever bills.
 pub struct Report {
--- a/crates/gateway/src/service/follow.rs
+++ b/crates/gateway/src/service/follow.rs
@@ -36,6 +36,8 @@
     pub(super) whole: bool,
     /// When the store was asked; the news are at least as new.
     pub(super) asked: time::Instant,
+    /// How long the store could not be reached before.
+    pub(super) outage: Duration,
 }
 
 /// Follows a table for ever and hands on what changes.
@@ -47,6 +49,7 @@
 ) {
     let mut version: Option<ids::RowVersion> = None;
     let mut failures = 0_u32;
+    let mut answered = state.clock.now();
     loop {
         let asked = state.clock.now();
         let read = async {
@@ -58,19 +61,25 @@
                 None => time::timeout(READ_TIMEOUT, (store.read)(table)).await,
             }
         };
-        let result = read.await.unwrap_or_else(|_| {
-            Err(store::StoreError::Unanswered("no answer in time".to_owned()))
-        });
+        let result = read
+            .await
+            .unwrap_or_else(|_| Err(store::StoreError::Unanswered("no answer in time".to_owned())));
         match result {
             Ok(rows) => {
                 if failures > 0 {
                     tracing::info!(table = ?table, failures, "the store answers again");
                 }
-                failures = 0;
+                let now = state.clock.now();
+                let outage = if failures > 0 {
+                    now.saturating_duration_since(answered)
+                } else {
+                    Duration::ZERO
+                };
+                (failures, answered) = (0, now);
                 state.metrics.calls.with_label_values(&["answered"]).inc();
                 let whole = version.is_none();
                 version = Some(rows.version);
-                take(News { rows, whole, asked });
+                take(News { rows, whole, asked, outage });
                 let spent = state.clock.now().saturating_duration_since(asked);
                 time::sleep(LEAST_INTERVAL.saturating_sub(spent)).await;
             }
--- /dev/null
+++ b/crates/gateway/tests/support/mod.rs
@@ -0,0 +1,274 @@
+//! A store, a codec and settings for tests, without a network.
+
+#![allow(dead_code, unreachable_pub)]
+
+use std::cell::RefCell;
+use std::collections;
+use std::net;
+use std::rc;
+use std::time::Duration;
+
+use azuregap_gateway::clock;
+use azuregap_gateway::codec;
+use azuregap_gateway::configuration;
+use azuregap_gateway::decision::repeats;
+use azuregap_gateway::directory;
+use azuregap_gateway::settings;
+use azuregap_gateway::state;
+use azuregap_gateway::store;
+use futures::FutureExt as _;
+use http::HeaderMap;
+use tokio::time;
+
+/// Tables of the store, and how it answers.
+#[derive(Debug, Default)]
+pub struct Tables {
+    rows: collections::HashMap<store::Table, collections::BTreeMap<String, store::Row>>,
+    version: u64,
+    /// Whether every call is refused.
+    pub down: bool,
+    /// Whether calls are never answered.
+    pub silent: bool,
+    /// Whether writes are carried out and not answered.
+    pub loses_answers: bool,
+    /// Changes before this version are forgotten.
+    pub compacted: u64,
+    /// Delay of each answer.
+    pub delay: Duration,
+    /// Calls that were made.
+    pub calls: u64,
+}
+
+/// A store in memory.
+#[derive(Clone, Debug, Default)]
+pub struct Fake {
+    pub tables: rc::Rc<RefCell<Tables>>,
+}
+
+impl Fake {
+    pub fn put(&self, table: store::Table, key: &str, data: Option<&str>) {
+        let mut tables = self.tables.borrow_mut();
+        tables.version += 1;
+        let version = tables.version;
+        let data = data.map(|data| data.as_bytes().to_vec());
+        let row = store::Row { key: key.to_owned(), data, version };
+        tables.rows.entry(table).or_default().insert(key.to_owned(), row);
+    }
+
+    pub fn get(&self, table: store::Table, key: &str) -> Option<String> {
+        let tables = self.tables.borrow();
+        let data = tables.rows.get(&table)?.get(key)?.data.clone()?;
+        String::from_utf8(data).ok()
+    }
+
+    fn refuse(&self) -> Result<(), store::StoreError> {
+        let mut tables = self.tables.borrow_mut();
+        tables.calls += 1;
+        if tables.down { Err(store::StoreError::Refused(503)) } else { Ok(()) }
+    }
+
+    async fn silence(&self) {
+        let delay = self.tables.borrow().delay;
+        time::sleep(delay).await;
+        if self.tables.borrow().silent {
+            time::sleep(Duration::from_secs(3_600)).await;
+        }
+    }
+
+    fn read(&self, table: store::Table) -> Result<store::Rows, store::StoreError> {
+        self.refuse()?;
+        let tables = self.tables.borrow();
+        let rows = tables.rows.get(&table).into_iter().flat_map(|rows| rows.values());
+        let rows = rows.filter(|row| row.data.is_some()).cloned().collect();
+        Ok(store::Rows { rows, version: tables.version })
+    }
+
+    async fn watch(
+        &self,
+        table: store::Table,
+        since: u64,
+        wait: Duration,
+    ) -> Result<store::Rows, store::StoreError> {
+        let until = time::Instant::now() + wait;
+        self.silence().await;
+        loop {
+            if self.tables.borrow().silent {
+                self.silence().await;
+            }
+            self.refuse()?;
+            {
+                let tables = self.tables.borrow();
+                if since < tables.compacted {
+                    return Err(store::StoreError::HistoryLost);
+                }
+                let rows = tables.rows.get(&table).into_iter().flat_map(|rows| rows.values());
+                let rows: Vec<_> = rows.filter(|row| row.version > since).cloned().collect();
+                if !rows.is_empty() || time::Instant::now() >= until {
+                    return Ok(store::Rows { rows, version: tables.version });
+                }
+            }
+            time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    fn commit(&self, commit: store::Commit) -> Result<u64, store::StoreError> {
+        self.refuse()?;
+        let version_of = |key: &str| {
+            let tables = self.tables.borrow();
+            let row = tables.rows.get(&commit.table).and_then(|rows| rows.get(key).cloned());
+            row.filter(|row| row.data.is_some())
+        };
+        let expected = commit
+            .writes
+            .iter()
+            .filter_map(|write| Some((write.key.clone(), write.expect?)))
+            .chain(commit.guards.iter().cloned());
+        let mut current = Vec::new();
+        let mut holds = true;
+        for (key, version) in expected {
+            let row = version_of(&key);
+            holds &= row.as_ref().map_or(0, |row| row.version) == version;
+            current.extend(row);
+        }
+        if !holds {
+            return Err(store::StoreError::Conflict(current));
+        }
+        let mut tables = self.tables.borrow_mut();
+        tables.version += 1;
+        let version = tables.version;
+        for write in commit.writes {
+            let row = store::Row { key: write.key.clone(), data: write.data, version };
+            tables.rows.entry(commit.table).or_default().insert(write.key, row);
+        }
+        if tables.loses_answers {
+            return Err(store::StoreError::Unanswered("lost".to_owned()));
+        }
+        Ok(version)
+    }
+
+    pub fn store(&self) -> store::Store {
+        let (reads, watches, commits) = (self.clone(), self.clone(), self.clone());
+        store::Store {
+            read: Box::new(move |table| {
+                let fake = reads.clone();
+                async move {
+                    fake.silence().await;
+                    fake.read(table)
+                }
+                .boxed_local()
+            }),
+            watch: Box::new(move |table, since, wait| {
+                let fake = watches.clone();
+                async move { fake.watch(table, since, wait).await }.boxed_local()
+            }),
+            commit: Box::new(move |commit| {
+                let fake = commits.clone();
+                async move {
+                    fake.silence().await;
+                    fake.commit(commit)
+                }
+                .boxed_local()
+            }),
+        }
+    }
+}
+
+/// An entry `service,port,state`.
+fn backend(id: &str, bytes: &[u8]) -> Result<directory::Backend, codec::CodecError> {
+    let fault = || codec::CodecError::Document("not an entry".to_owned());
+    let text = std::str::from_utf8(bytes).map_err(|_| fault())?;
+    let fields: Vec<_> = text.split(',').collect();
+    let [service, port, state] = fields[..] else { return Err(fault()) };
+    Ok(directory::Backend {
+        id: id.to_owned(),
+        born: 1,
+        service: service.to_owned(),
+        address: net::SocketAddr::from(([127, 0, 0, 1], port.parse().map_err(|_| fault())?)),
+        zone: "a".to_owned(),
+        slots: 4,
+        draining: state == "draining",
+    })
+}
+
+/// A document that is its version.
+fn document(bytes: &[u8]) -> Result<configuration::Configuration, codec::CodecError> {
+    let text = std::str::from_utf8(bytes).unwrap_or_default();
+    let version = text.parse().map_err(|_| codec::CodecError::Document(text.to_owned()))?;
+    Ok(configuration::Configuration::new(version))
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn ask(headers: &HeaderMap) -> Result<codec::Ask, codec::CodecError> {
+    let id = header(headers, "x-id").ok_or(codec::CodecError::Header("x-id"))?.to_owned();
+    let millis = header(headers, "x-patience-ms").and_then(|value| value.parse().ok());
+    let last_event = header(headers, "x-last-event").and_then(|value| value.parse().ok());
+    let key = header(headers, "x-key").map(str::to_owned);
+    let patience = millis.map(Duration::from_millis);
+    Ok(codec::Ask { id, patience, key, last_event, ..codec::Ask::default() })
+}
+
+fn stamp(headers: &mut HeaderMap, stamp: &codec::Stamp) {
+    headers.remove("x-key");
+    headers.insert("x-backend", stamp.backend.parse().expect("a valid id"));
+    if let Some(last) = stamp.last_event {
+        headers.insert("x-last-event", last.into());
+    }
+}
+
+fn marks(headers: &HeaderMap) -> codec::Marks {
+    codec::Marks {
+        id: header(headers, "x-id").map(str::to_owned),
+        signed: true,
+        not_run: headers.contains_key("x-not-run"),
+        idle: None,
+        closes: header(headers, "connection") == Some("close"),
+    }
+}
+
+fn usage(window: u64, counts: &[(String, u64)]) -> Vec<u8> {
+    format!("{window}:{counts:?}").into_bytes()
+}
+
+/// Names for tests.
+pub const CODEC: codec::Codec = codec::Codec {
+    ask,
+    stamp,
+    marks,
+    configuration: document,
+    backend,
+    usage,
+    configuration_key: "configuration",
+};
+
+/// Settings of a gateway for tests.
+pub fn settings(node: &str) -> settings::Settings {
+    let local = net::SocketAddr::from(([127, 0, 0, 1], 0));
+    settings::Settings {
+        node: node.to_owned(),
+        zone: "a".to_owned(),
+        callers: local,
+        ready: local,
+        metrics: local,
+        peers: local,
+        revocation: Duration::from_secs(5),
+        repeats: repeats::Terms { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) },
+        lease: Duration::from_secs(3),
+        window: Duration::from_secs(5),
+        report_due: Duration::from_secs(10),
+        grace: Duration::from_secs(8),
+        sockets: 1_000,
+    }
+}
+
+/// The time of day at which the clock of [`state`] starts, since 1970.
+pub const WALL: Duration = Duration::from_secs(1_700_000_000);
+
+/// State on the runtime's clock.
+pub fn state(node: &str) -> rc::Rc<state::State> {
+    let start = time::Instant::now();
+    let clock = clock::Clock::new(time::Instant::now, move || WALL + start.elapsed());
+    rc::Rc::new(state::State::new(settings(node), CODEC, clock))
+}
