--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -89,8 +89,8 @@
         since: u64,
         wait: Duration,
     ) -> Result<store::Rows, store::StoreError> {
-        let until = time::Instant::now() + wait;
         self.silence().await;
+        let until = time::Instant::now() + wait;
         loop {
             if self.tables.borrow().silent {
                 self.silence().await;
