fix(gateway): a stopping gateway answers what still arrives

The tests showed two more: a connection that came after SIGTERM was closed unread, and the event before a cut was not written. Ruled out: requests from before the signal (all of them were finished). Tests: proxy.rs (while_stopping..., a_stream_that_breaks_off...) failed before.

--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -82,8 +82,12 @@
     state.stopping.send_replace(true);
     let grace = state.settings.grace.saturating_sub(END_MARGIN);
     while started.elapsed() < grace {
-        if started.elapsed() > BALANCER_LAG && state.active.get() == 0 {
-            break;
+        if started.elapsed() > BALANCER_LAG {
+            // Where no other gateway is near, callers go on to arrive.
+            state.refusing.set(true);
+            if state.active.get() == 0 {
+                break;
+            }
         }
         time::sleep(DRAIN_TICK).await;
     }
--- a/crates/gateway/src/proxy/admit.rs
+++ b/crates/gateway/src/proxy/admit.rs
@@ -32,6 +32,8 @@
     NoKey,
     /// The configuration is not known, or too old to decide.
     Stale,
+    /// The process is about to end.
+    Stopping,
 }
 
 impl Denial {
@@ -41,7 +43,7 @@
             Self::Malformed(_) => 400,
             Self::NoRoute => 404,
             Self::NoKey => 401,
-            Self::Stale => 503,
+            Self::Stale | Self::Stopping => 503,
         }
     }
 
@@ -51,6 +53,7 @@
             Self::Malformed(_) => "6401: a header is missing or malformed",
             Self::NoRoute => "6402: no route has this host and path",
             Self::NoKey => "6403: the key is missing or not valid",
+            Self::Stopping => "6410: this gateway is stopping; another one serves the request",
             Self::Stale => "6404: the configuration is not known well enough; come back later",
         }
     }
@@ -58,6 +61,9 @@
 
 /// Decides whether a request may run.
 pub(super) fn admit(state: &state::State, head: &request::Parts) -> Result<Admitted, Denial> {
+    if state.refusing.get() {
+        return Err(Denial::Stopping);
+    }
     let ask = (state.codec.ask)(&head.headers).map_err(|error| match error {
         codec::CodecError::Header(name) => Denial::Malformed(name),
         codec::CodecError::Document(_) => Denial::Malformed("document"),
--- a/crates/gateway/src/proxy/exchange.rs
+++ b/crates/gateway/src/proxy/exchange.rs
@@ -117,8 +117,12 @@
         );
     }
     let status = http::StatusCode::from_u16(status).unwrap_or(http::StatusCode::BAD_REQUEST);
-    let wait = (denial == admit::Denial::Stale)
-        .then(|| refusal::retry_after(STALE_RETRY, Duration::MAX, rand::random()));
+    let room = match denial {
+        admit::Denial::Stale => Some(STALE_RETRY),
+        admit::Denial::Stopping => Some(Duration::ZERO),
+        _ => None,
+    };
+    let wait = room.map(|room| refusal::retry_after(room, Duration::MAX, rand::random()));
     plain(status, denial.text(), wait)
 }
 
--- a/crates/gateway/src/proxy/listener.rs
+++ b/crates/gateway/src/proxy/listener.rs
@@ -52,15 +52,18 @@
         async move { Ok::<_, convert::Infallible>(exchange::handle(state, request).await) }
     });
     let mut stopping = state.stopping.subscribe();
+    // A connection that comes after the request to stop serves one request.
+    let is_late = state.is_stopping();
     let connection = http1::Builder::new()
         .timer(rt::TokioTimer::new())
         .header_read_timeout(IDLE)
         .max_buf_size(MOST_HEAD)
+        .keep_alive(!is_late)
         .serve_connection(rt::TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        _ = stopping.wait_for(|stopping| *stopping) => {
+        _ = stopping.wait_for(|stopping| *stopping), if !is_late => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/gateway/src/proxy/relay.rs
+++ b/crates/gateway/src/proxy/relay.rs
@@ -1,6 +1,8 @@
 //! Relays the events of a stream as they come, and goes on at another backend server where the
 //! route allows it.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::body;
@@ -17,6 +19,9 @@
 use crate::codec;
 use crate::decision::standing;
 
+/// Time for events to be written before the connection is closed.
+const FLUSH_PAUSE: Duration = Duration::from_millis(5);
+
 /// A stream that a backend server is sending.
 #[derive(Debug)]
 pub(super) struct Stream {
@@ -87,6 +92,8 @@
 
 /// Closes the caller's connection without the end of the answer.
 async fn cut(events: &Events) {
+    // The connection is closed with what it has not written yet.
+    time::sleep(FLUSH_PAUSE).await;
     // A caller that has left needs no end.
     let _ = events.send(Err(answer_body::Broken::Cut)).await;
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -66,6 +66,8 @@
     pub changed: sync::Notify,
     /// Whether this process is stopping.
     pub stopping: sync::watch::Sender<bool>,
+    /// Whether new requests are refused, because the process is about to end.
+    pub refusing: cell::Cell<bool>,
     /// Requests that are being served.
     pub active: cell::Cell<u32>,
 }
@@ -92,6 +94,7 @@
             lines: logs::Lines::new(),
             changed: sync::Notify::new(),
             stopping: sync::watch::Sender::new(false),
+            refusing: cell::Cell::new(false),
             active: cell::Cell::new(0),
             settings,
             codec,
--- /dev/null
+++ b/crates/gateway/tests/proxy.rs
@@ -0,0 +1,376 @@
+//! Requests through a gateway, before backend servers that misbehave.
+
+mod support;
+
+use std::cell;
+use std::net;
+use std::rc;
+use std::time::Duration;
+
+use azuregap_gateway::configuration;
+use azuregap_gateway::directory;
+use azuregap_gateway::proxy;
+use azuregap_gateway::state;
+use googletest::prelude::*;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net as tokio_net;
+use tokio::time;
+
+const WHOLE: &str = "HTTP/1.1 200 OK\r\nx-id: 1\r\ncontent-length: 5\r\n\r\nhello";
+const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nx-id: 1\r\ntransfer-encoding: chunked\r\n\r\n";
+
+/// What a backend server writes for one request, and whether it then closes the connection.
+#[derive(Clone)]
+struct Answer {
+    text: String,
+    closes: bool,
+    after: Duration,
+}
+
+fn keeps(text: impl Into<String>) -> Answer {
+    Answer { text: text.into(), closes: false, after: Duration::ZERO }
+}
+
+fn closes(text: impl Into<String>) -> Answer {
+    Answer { text: text.into(), closes: true, after: Duration::ZERO }
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// A backend server that gives its answers in turn; the last one for ever.
+struct Backend {
+    address: net::SocketAddr,
+    heads: rc::Rc<cell::RefCell<Vec<String>>>,
+    /// Connections that the gateway closed while a request was at work.
+    left: rc::Rc<cell::Cell<u32>>,
+}
+
+async fn backend(answers: Vec<Answer>) -> Backend {
+    let listener = tokio_net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let heads = rc::Rc::new(cell::RefCell::new(Vec::new()));
+    let left = rc::Rc::new(cell::Cell::new(0));
+    let (seen, gone) = (heads.clone(), left.clone());
+    actix_rt::spawn(async move {
+        loop {
+            let Ok((mut stream, _)) = listener.accept().await else { return };
+            let (seen, gone, answers) = (seen.clone(), gone.clone(), answers.clone());
+            actix_rt::spawn(async move {
+                while let Some(head) = read_head(&mut stream).await {
+                    let turn = seen.borrow().len().min(answers.len() - 1);
+                    seen.borrow_mut().push(head);
+                    let answer = &answers[turn];
+                    let mut byte = [0];
+                    if time::timeout(answer.after, stream.read(&mut byte)).await.is_ok() {
+                        gone.set(gone.get() + 1);
+                        return;
+                    }
+                    if stream.write_all(answer.text.as_bytes()).await.is_err() || answer.closes {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    Backend { address, heads, left }
+}
+
+async fn read_head(stream: &mut tokio_net::TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    String::from_utf8(head).ok()
+}
+
+fn route(prefix: &str, kind: configuration::Kind, attempts: u32) -> configuration::Route {
+    configuration::Route {
+        name: prefix.to_owned(),
+        host: "h".to_owned(),
+        prefix: prefix.to_owned(),
+        kind,
+        shares: [configuration::Share { service: "s".to_owned(), weight: 1 }].into_iter().collect(),
+        timeout: Duration::from_secs(2),
+        goal: Duration::from_millis(200),
+        tier: 1,
+        attempts,
+        open: true,
+    }
+}
+
+fn stream_kind(resumable: bool) -> configuration::Kind {
+    configuration::Kind::Stream { resumable, pause: Duration::from_millis(100) }
+}
+
+/// A gateway before backend servers; returns where callers connect.
+async fn gateway(backends: &[&Backend]) -> (rc::Rc<state::State>, net::SocketAddr) {
+    let state = support::state("g-1");
+    let configuration = configuration::Configuration::new(1)
+        .route(route("/once/", configuration::Kind::Once, 2))
+        .route(route("/again/", configuration::Kind::Idempotent, 2))
+        .route(route("/stream/", stream_kind(false), 1))
+        .route(route("/resume/", stream_kind(true), 2))
+        .route(configuration::Route {
+            open: false,
+            ..route("/keyed/", configuration::Kind::Idempotent, 1)
+        })
+        .team(configuration::Team { name: "t".to_owned(), tier: None }, ["secret".to_owned()]);
+    *state.configuration.borrow_mut() = Some(rc::Rc::new(configuration));
+    state.freshness.borrow_mut().confirmed(state.clock.now());
+    for (at, backend) in backends.iter().enumerate() {
+        state.directory.borrow_mut().update(directory::Backend {
+            id: format!("b-{at}"),
+            born: 1,
+            service: "s".to_owned(),
+            address: backend.address,
+            zone: "a".to_owned(),
+            slots: 4,
+            draining: false,
+        });
+    }
+    let listener = tokio_net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    actix_rt::spawn(proxy::serve(state.clone(), listener));
+    (state, address)
+}
+
+/// Sends one request and reads until the gateway closes, or nothing comes for a while.
+async fn call(address: net::SocketAddr, path: &str, headers: &str) -> String {
+    let mut stream = tokio_net::TcpStream::connect(address).await.expect("a connection");
+    let head = format!("GET {path} HTTP/1.1\r\nhost: h\r\nx-id: 1\r\n{headers}\r\n");
+    stream.write_all(head.as_bytes()).await.expect("a request");
+    let mut answer = Vec::new();
+    let mut bytes = [0; 4096];
+    while let Ok(Ok(count)) =
+        time::timeout(Duration::from_millis(900), stream.read(&mut bytes)).await
+    {
+        if count == 0 {
+            answer.extend_from_slice(b"<closed>");
+            break;
+        }
+        answer.extend_from_slice(&bytes[..count]);
+    }
+    String::from_utf8(answer).expect("text")
+}
+
+fn status(answer: &str) -> &str {
+    answer.split(' ').nth(1).unwrap_or("none")
+}
+
+fn run<F: Future<Output = ()>>(test: F) {
+    actix_rt::System::new().block_on(test);
+}
+
+#[gtest]
+fn an_answer_is_relayed_unchanged_and_the_connection_kept() {
+    run(async {
+        let backend = backend(vec![keeps(WHOLE)]).await;
+        let (state, address) = gateway(&[&backend]).await;
+        for _ in 0..2 {
+            let answer = call(address, "/once/a?b=%20c", "").await;
+            expect_that!(answer, ends_with("\r\n\r\nhello"));
+        }
+        expect_that!(backend.heads.borrow()[0], starts_with("GET /once/a?b=%20c HTTP/1.1\r\n"));
+        expect_that!(state.metrics.connections.get(), eq(1));
+    });
+}
+
+#[gtest]
+fn a_request_that_may_run_once_is_sent_once_when_its_answer_is_lost() {
+    run(async {
+        let (first, second) = (backend(vec![closes("")]).await, backend(vec![closes("")]).await);
+        let (_, address) = gateway(&[&first, &second]).await;
+        let answer = call(address, "/once/a", "").await;
+        expect_that!(status(&answer), eq("502"));
+        expect_that!(first.heads.borrow().len() + second.heads.borrow().len(), eq(1));
+    });
+}
+
+#[gtest]
+fn an_idempotent_request_is_sent_again_when_its_answer_is_lost() {
+    run(async {
+        let (first, second) = (backend(vec![closes("")]).await, backend(vec![closes("")]).await);
+        let (_, address) = gateway(&[&first, &second]).await;
+        let answer = call(address, "/again/a", "").await;
+        expect_that!(status(&answer), eq("502"));
+        expect_that!(first.heads.borrow().len() + second.heads.borrow().len(), eq(2));
+    });
+}
+
+#[gtest]
+fn a_request_that_nobody_ran_is_refused_with_a_time_to_come_back() {
+    run(async {
+        let full = "HTTP/1.1 503 Full\r\nx-id: 1\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+        let backend = backend(vec![keeps(full)]).await;
+        let (_, address) = gateway(&[&backend]).await;
+        let answer = call(address, "/once/a", "").await;
+        expect_that!(status(&answer), eq("503"));
+        expect_that!(answer, contains_substring("retry-after: "));
+    });
+}
+
+#[gtest]
+fn an_answer_of_another_request_reaches_nobody() {
+    run(async {
+        let other = "HTTP/1.1 200 OK\r\nx-id: 2\r\ncontent-length: 5\r\n\r\nother";
+        let backend = backend(vec![keeps(other)]).await;
+        let (state, address) = gateway(&[&backend]).await;
+        let answer = call(address, "/once/a", "").await;
+        expect_that!(status(&answer), eq("502"));
+        expect_that!(answer, not(contains_substring("other")));
+        expect_that!(state.pool.idle(backend.address), eq(0));
+    });
+}
+
+#[gtest]
+fn an_extra_answer_does_not_reach_the_next_request() {
+    run(async {
+        let twice = format!("{WHOLE}HTTP/1.1 200 OK\r\nx-id: 9\r\ncontent-length: 5\r\n\r\nother");
+        let backend = backend(vec![keeps(twice), keeps(WHOLE)]).await;
+        let (_, address) = gateway(&[&backend]).await;
+        expect_that!(call(address, "/once/a", "").await, ends_with("hello"));
+        expect_that!(call(address, "/once/a", "").await, ends_with("hello"));
+    });
+}
+
+#[gtest]
+fn an_answer_that_breaks_off_is_never_whole() {
+    for text in [
+        "HTTP/1.1 200 OK\r\nx-id: 1\r\ncontent-length: 9\r\n\r\nhello".to_owned(),
+        format!("{STREAM_HEAD}{}", chunk("hello")),
+    ] {
+        run(async {
+            let backend = backend(vec![closes(text)]).await;
+            let (_, address) = gateway(&[&backend]).await;
+            expect_that!(status(&call(address, "/once/a", "").await), eq("502"));
+        });
+    }
+}
+
+#[gtest]
+fn events_are_relayed_and_the_stream_ends_whole() {
+    run(async {
+        let events = chunk("id: 1\ndata: a\n\nid: 2\nda") + &chunk("ta: b\n\n") + "0\r\n\r\n";
+        let backend = backend(vec![keeps(format!("{STREAM_HEAD}{events}"))]).await;
+        let (_, address) = gateway(&[&backend]).await;
+        let answer = call(address, "/stream/a", "").await;
+        expect_that!(answer, contains_substring("id: 1\ndata: a\n\n"));
+        expect_that!(answer, contains_substring("id: 2\ndata: b\n\n"));
+        expect_that!(answer, ends_with("0\r\n\r\n"));
+    });
+}
+
+#[gtest]
+fn a_stream_that_breaks_off_ends_visibly() {
+    run(async {
+        let events = chunk("id: 1\ndata: a\n\nid: 2\nda");
+        let backend = backend(vec![closes(format!("{STREAM_HEAD}{events}"))]).await;
+        let (_, address) = gateway(&[&backend]).await;
+        let answer = call(address, "/stream/a", "").await;
+        expect_that!(answer, contains_substring("id: 1\ndata: a\n\n"));
+        expect_that!(answer, not(contains_substring("id: 2")));
+        expect_that!(answer, not(contains_substring("0\r\n\r\n")));
+        expect_that!(answer, ends_with("<closed>"));
+    });
+}
+
+#[gtest]
+fn a_resumable_stream_goes_on_at_another_backend_server() {
+    run(async {
+        let cut = closes(format!("{STREAM_HEAD}{}", chunk("id: 1\ndata: a\n\nid: 2\nda")));
+        let rest = chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n";
+        let rest = keeps(format!("{STREAM_HEAD}{rest}"));
+        // Whichever comes first breaks off; the other one goes on.
+        let heads = rc::Rc::new(cell::RefCell::new(Vec::new()));
+        let first = backend(vec![cut.clone()]).await;
+        let (state, address) = gateway(&[&first]).await;
+        let second = backend(vec![rest]).await;
+        let seen = heads.clone();
+        let (late, other) = (state.clone(), second.address);
+        actix_rt::spawn(async move {
+            seen.borrow_mut().push(());
+            late.directory.borrow_mut().update(directory::Backend {
+                id: "b-9".to_owned(),
+                born: 1,
+                service: "s".to_owned(),
+                address: other,
+                zone: "far".to_owned(),
+                slots: 4,
+                draining: false,
+            });
+        });
+        let answer = call(address, "/resume/a", "").await;
+        expect_that!(answer, contains_substring("id: 2\ndata: b\n\n"));
+        expect_that!(answer, ends_with("0\r\n\r\n"));
+        if !first.heads.borrow().is_empty() {
+            expect_that!(second.heads.borrow()[0], contains_substring("x-last-event: 1\r\n"));
+        }
+    });
+}
+
+#[gtest]
+fn a_caller_that_leaves_frees_the_backend_server() {
+    run(async {
+        let slow = Answer { after: Duration::from_secs(5), ..keeps(WHOLE) };
+        let backend = backend(vec![slow]).await;
+        let (state, address) = gateway(&[&backend]).await;
+        let mut stream = tokio_net::TcpStream::connect(address).await.expect("a connection");
+        let head = b"GET /again/a HTTP/1.1\r\nhost: h\r\nx-id: 1\r\n\r\n";
+        stream.write_all(head).await.expect("a request");
+        time::sleep(Duration::from_millis(100)).await;
+        expect_that!(state.active.get(), eq(1));
+        drop(stream);
+        time::sleep(Duration::from_millis(100)).await;
+        expect_that!(backend.left.get(), eq(1));
+        expect_that!(state.active.get(), eq(0));
+        expect_that!(state.directory.borrow().get("b-0").map(|b| b.load.running), some(eq(0)));
+    });
+}
+
+#[gtest]
+fn the_callers_deadline_ends_a_request() {
+    run(async {
+        let slow = Answer { after: Duration::from_secs(5), ..keeps(WHOLE) };
+        let backend = backend(vec![slow]).await;
+        let (_, address) = gateway(&[&backend]).await;
+        let started = time::Instant::now();
+        let answer = call(address, "/again/a", "x-patience-ms: 150\r\n").await;
+        expect_that!(status(&answer), eq("504"));
+        expect_that!(started.elapsed().as_millis(), le(1_600));
+        expect_that!(backend.left.get(), eq(1));
+    });
+}
+
+#[gtest]
+fn keys_decide_and_are_not_passed_on() {
+    run(async {
+        let backend = backend(vec![keeps(WHOLE)]).await;
+        let (state, address) = gateway(&[&backend]).await;
+        expect_that!(status(&call(address, "/keyed/a", "").await), eq("401"));
+        expect_that!(status(&call(address, "/keyed/a", "x-key: wrong\r\n").await), eq("401"));
+        expect_that!(status(&call(address, "/keyed/a", "x-key: secret\r\n").await), eq("200"));
+        expect_that!(backend.heads.borrow()[0], not(contains_substring("secret")));
+        expect_that!(status(&call(address, "/nowhere/a", "").await), eq("404"));
+        expect_that!(state.windows.borrow().newest(1).map(|(_, _, n)| n).sum::<u64>(), eq(1));
+    });
+}
+
+#[gtest]
+fn while_stopping_new_requests_are_served_and_then_refused_with_a_promise() {
+    run(async {
+        let backend = backend(vec![keeps(WHOLE)]).await;
+        let (state, address) = gateway(&[&backend]).await;
+        state.stopping.send_replace(true);
+        let answer = call(address, "/once/a", "").await;
+        expect_that!(status(&answer), eq("200"));
+        expect_that!(answer, contains_substring("connection: close\r\n"));
+        state.refusing.set(true);
+        let answer = call(address, "/once/a", "").await;
+        expect_that!(status(&answer), eq("503"));
+        expect_that!(answer, contains_substring("retry-after: "));
+        expect_that!(backend.heads.borrow().len(), eq(1));
+    });
+}
