test: decisions, duty, configuration and the adapter; after a failure the store is asked without a wait

Cause: a test of the time in which keys are trusted again after an outage: up to 5 s, because the first question after it waited two seconds for a change. Change: after a failure the store is asked without a wait, until it answers. Tests: keys_are_refused_in_bound_when_the_store_falls_silent failed before. Conclusion: mended.

--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -90,6 +90,9 @@
     pub closes: bool,
 }
 
+/// A team and its requests in a window.
+pub type TeamCount = (ids::TeamId, u64);
+
 /// One usage report.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UsageReport {
@@ -115,7 +118,7 @@
     /// Decodes the entry of a backend server; none if it isn't one to use.
     pub backend: fn(&str, &[u8]) -> Result<directory::Backend, CodecError>,
     /// Encodes the counts of a window.
-    pub usage: fn(u64, &[(ids::TeamId, u64)]) -> Vec<u8>,
+    pub usage: fn(u64, &[TeamCount]) -> Vec<u8>,
     /// Key of the configuration's row.
     pub configuration_key: &'static str,
 }
--- a/crates/gateway/src/service/duty.rs
+++ b/crates/gateway/src/service/duty.rs
@@ -250,7 +250,7 @@
     }
 
     /// The counts of all gateways in a window, by team.
-    fn counts(&self, window: u64) -> Vec<(ids::TeamId, u64)> {
+    fn counts(&self, window: u64) -> Vec<codec::TeamCount> {
         let mut sum = collections::BTreeMap::new();
         self.state.windows.borrow().add_to(window, &mut sum);
         self.state.peers.borrow().add_counts(window, &mut sum);
--- a/crates/gateway/src/service/follow.rs
+++ b/crates/gateway/src/service/follow.rs
@@ -55,8 +55,10 @@
         let read = async {
             match version {
                 Some(version) => {
-                    let watch = (store.watch)(table, version, WAIT);
-                    time::timeout(WAIT + ANSWER_TIMEOUT, watch).await
+                    // After a failure, a proof that the store is back comes first.
+                    let wait = if failures > 0 { Duration::ZERO } else { WAIT };
+                    let watch = (store.watch)(table, version, wait);
+                    time::timeout(wait + ANSWER_TIMEOUT, watch).await
                 }
                 None => time::timeout(READ_TIMEOUT, (store.read)(table)).await,
             }
--- a/crates/gateway/src/service/gossip.rs
+++ b/crates/gateway/src/service/gossip.rs
@@ -77,7 +77,7 @@
     let node = &state.settings.node;
     let rows = (store.read)(store::Table::Gateways).await?;
     let own = rows.rows.iter().find(|row| row.key == *node);
-    if !own.is_some_and(|row| row.data.as_deref() == Some(data)) {
+    if own.is_none_or(|row| row.data.as_deref() != Some(data)) {
         let write = store::Write { key: node.clone(), data: Some(data.to_vec()), expect: None };
         let table = store::Table::Gateways;
         (store.commit)(store::Commit { table, writes: vec![write], guards: Vec::new() }).await?;
--- /dev/null
+++ b/crates/gateway/tests/configuration.rs
@@ -0,0 +1,109 @@
+//! The configuration in force, also while the store misbehaves.
+
+mod support;
+
+use std::rc;
+use std::time::Duration;
+
+use azuregap_gateway::service;
+use azuregap_gateway::state;
+use azuregap_gateway::store::Table;
+use googletest::prelude::*;
+use tokio::task;
+use tokio::time;
+
+async fn follow<F: Future<Output = ()>>(
+    test: impl FnOnce(rc::Rc<state::State>, support::Fake) -> F,
+) {
+    let fake = support::Fake::default();
+    fake.put(Table::Configuration, "configuration", Some("3"));
+    let state = support::state("g-1");
+    state.listed.set(true);
+    let following = service::follow_configuration(state.clone(), rc::Rc::new(fake.store()));
+    let local = task::LocalSet::new();
+    local.spawn_local(following);
+    local
+        .run_until(async {
+            time::sleep(Duration::from_millis(50)).await;
+            test(state, fake).await;
+        })
+        .await;
+}
+
+fn version(state: &state::State) -> u64 {
+    state.configuration().map_or(0, |configuration| configuration.version)
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_new_version_is_in_force_within_a_second() {
+    follow(|state, fake| async move {
+        expect_that!(version(&state), eq(3));
+        for next in [9, 12, 40] {
+            fake.put(Table::Configuration, "configuration", Some(&next.to_string()));
+            time::sleep(Duration::from_secs(1)).await;
+            expect_that!(version(&state), eq(next));
+        }
+    })
+    .await;
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn an_older_version_never_comes_back() {
+    follow(|state, fake| async move {
+        fake.put(Table::Configuration, "configuration", Some("9"));
+        time::sleep(Duration::from_secs(1)).await;
+        fake.put(Table::Configuration, "configuration", Some("8"));
+        time::sleep(Duration::from_secs(3)).await;
+        expect_that!(version(&state), eq(9));
+    })
+    .await;
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_configuration_that_cannot_be_read_changes_nothing_and_is_not_confirmed() {
+    follow(|state, fake| async move {
+        fake.put(Table::Configuration, "configuration", Some("garbage"));
+        time::sleep(Duration::from_millis(100)).await;
+        expect_that!(version(&state), eq(3));
+        expect_that!(
+            state.freshness.borrow().age(state.clock.now()),
+            some(ge(Duration::from_millis(100)))
+        );
+    })
+    .await;
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn keys_are_refused_in_bound_when_the_store_falls_silent() {
+    follow(|state, fake| async move {
+        fake.tables.borrow_mut().silent = true;
+        let cut = time::Instant::now();
+        while state.is_ready() {
+            time::sleep(Duration::from_millis(50)).await;
+        }
+        expect_that!(cut.elapsed(), le(Duration::from_secs(5)));
+        fake.tables.borrow_mut().silent = false;
+        time::sleep(Duration::from_secs(3)).await;
+        expect_that!(state.is_ready(), eq(true));
+    })
+    .await;
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_quiet_store_is_asked_rarely_and_keeps_the_gateway_ready() {
+    follow(|state, fake| async move {
+        let before = fake.tables.borrow().calls;
+        for _ in 0..200 {
+            time::sleep(Duration::from_millis(100)).await;
+            expect_that!(state.is_ready(), eq(true));
+        }
+        let questions_each_second = (fake.tables.borrow().calls - before) as f64 / 20.0;
+        expect_that!(questions_each_second, le(1.0));
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/gateway/tests/decisions.rs
@@ -0,0 +1,317 @@
+//! The decisions of a gateway, on tables and on played loads.
+
+use std::time::Duration;
+
+use azuregap_gateway::codec;
+use azuregap_gateway::decision::cache;
+use azuregap_gateway::decision::division;
+use azuregap_gateway::decision::freshness;
+use azuregap_gateway::decision::pace;
+use azuregap_gateway::decision::placement;
+use azuregap_gateway::decision::refusal;
+use azuregap_gateway::decision::repeats;
+use azuregap_gateway::decision::standing;
+use azuregap_gateway::decision::true_time;
+use azuregap_gateway::decision::urgency;
+use azuregap_gateway::decision::windows;
+use googletest::prelude::*;
+use tokio::time;
+
+const fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn candidate(hash: u32) -> placement::Candidate {
+    placement::Candidate {
+        hash,
+        running: 0,
+        slots: 32,
+        prefill: 0,
+        uncached: 3_000,
+        again: 0,
+        slowness: 1.0,
+        foreign: false,
+        near: true,
+    }
+}
+
+#[gtest]
+fn a_request_goes_where_least_work_stands_before_its_first_token() {
+    let base = candidate(1);
+    let table = [
+        ("less prompt to read", placement::Candidate { prefill: 2_000, ..base }),
+        ("fewer running", placement::Candidate { running: 9, ..base }),
+        ("a free slot", placement::Candidate { running: 32, ..base }),
+        ("parts that are kept", placement::Candidate { uncached: 9_000, again: 6_000, ..base }),
+        ("a sound server", placement::Candidate { slowness: 2.0, ..base }),
+        ("the own kind", placement::Candidate { foreign: true, ..base }),
+        ("the own availability zone", placement::Candidate { near: false, ..base }),
+    ];
+    for (reason, worse) in table {
+        let better = candidate(2);
+        expect_that!(placement::choose(&[worse, better], 7), some(eq(1)), "{reason}");
+        expect_that!(placement::choose(&[better, worse], 7), some(eq(0)), "{reason}");
+    }
+    expect_that!(placement::choose(&[], 7), none());
+}
+
+#[gtest]
+fn a_session_stays_at_its_home_until_the_wait_is_longer_than_reading_it_again_is_worth() {
+    let home = |prefill| placement::Candidate { prefill, ..candidate(1) };
+    let other = placement::Candidate { uncached: 9_000, again: 6_000, ..candidate(2) };
+    expect_that!(placement::choose(&[home(30_000), other], 7), some(eq(0)));
+    expect_that!(placement::choose(&[home(90_000), other], 7), some(eq(1)));
+}
+
+#[gtest]
+fn equals_are_spread_by_the_draw() {
+    let all: Vec<_> = (1..=8).map(|n| candidate(n * 0x1234_5679)).collect();
+    let mut seen = [0; 8];
+    for draw in 0..800_u32 {
+        let at = placement::choose(&all, draw.wrapping_mul(2_654_435_761)).expect("a choice");
+        seen[at] += 1;
+    }
+    expect_that!(seen, each(gt(20)));
+}
+
+#[gtest]
+fn gateways_agree_on_the_homes_and_few_move_when_a_server_leaves() {
+    let hashes: Vec<u32> = (0..40_u32).map(|n| n.wrapping_mul(2_654_435_761)).collect();
+    let mut moved = 0;
+    for part in 0..1_000 {
+        let homes = placement::homes(part, hashes.iter().copied());
+        let again = placement::homes(part, hashes.iter().rev().copied());
+        expect_that!(homes, eq(&again));
+        let fewer = placement::homes(part, hashes[1..].iter().copied());
+        moved += u32::from(homes[0] != fewer[0]);
+        if homes[0] == hashes[0] {
+            expect_that!(fewer[0], eq(homes[1]));
+        }
+    }
+    // One home in forty was at the server that left.
+    expect_that!(moved, all![ge(5), le(60)]);
+}
+
+#[gtest]
+fn engines_are_divided_in_proportion_to_the_work() {
+    let start = time::Instant::now();
+    let table = [
+        ("long alone", 10.0, 0.0, None),
+        ("short alone", 0.0, 60.0, None),
+        ("even", 6.0, 36.0, Some(6)),
+        ("mostly long", 18.0, 12.0, Some(1)),
+        ("mostly short", 2.0, 120.0, Some(11)),
+    ];
+    for (name, long, short, expected) in table {
+        let mut division = division::Division::new();
+        division.observe(true, 1);
+        let work = division::Work { long, short };
+        expect_that!(division.update(work, 12, 32, start), eq(expected), "{name}");
+    }
+    let work = division::Work { long: 9.0, short: 9.0 };
+    expect_that!(division::Division::new().update(work, 1, 32, start), none());
+}
+
+#[gtest]
+fn in_a_burst_of_long_prompts_the_higher_tier_keeps_the_engines_it_wants() {
+    let start = time::Instant::now();
+    // 40 engines; short requests want 10 of them, long ones want 200.
+    let work = division::Work { long: 400.0, short: 120.0 };
+    let mut division = division::Division::new();
+    division.observe(true, 1);
+    division.observe(false, 0);
+    expect_that!(division.update(work, 40, 32, start), some(eq(10)));
+    let mut division = division::Division::new();
+    division.observe(true, 0);
+    division.observe(false, 1);
+    expect_that!(division.update(work, 40, 32, start), some(eq(26)));
+}
+
+#[gtest]
+fn the_division_does_not_move_with_every_request() {
+    let start = time::Instant::now();
+    let mut division = division::Division::new();
+    division.observe(true, 1);
+    let first = division.update(division::Work { long: 6.0, short: 36.0 }, 12, 32, start);
+    for step in 1..200_u32 {
+        let long = if step % 2 == 0 { 7.0 } else { 5.0 };
+        let now = start + millis(20) * step;
+        let next = division.update(division::Work { long, short: 36.0 }, 12, 32, now);
+        expect_that!(next, eq(first));
+    }
+}
+
+#[gtest]
+fn keys_are_trusted_only_while_the_store_confirms_them() {
+    let start = time::Instant::now();
+    let mut freshness = freshness::Freshness::new(Duration::from_secs(5));
+    expect_that!(freshness.may_trust_keys(start), eq(false));
+    freshness.confirmed(start);
+    // An older confirmation that arrives late changes nothing.
+    freshness.confirmed(start - Duration::from_secs(1));
+    let table = [(0, true, true), (2_700, true, true), (2_900, true, false), (4_600, false, false)];
+    for (age, trusts, denies) in table {
+        let now = start + millis(age);
+        expect_that!(freshness.may_trust_keys(now), eq(trusts), "{age}");
+        expect_that!(freshness.may_deny(now), eq(denies), "{age}");
+    }
+}
+
+#[gtest]
+fn only_a_request_that_never_ran_is_answered_with_a_promise() {
+    let statuses = [refusal::Fate::NotRun, refusal::Fate::Unknown, refusal::Fate::OutOfTime];
+    expect_that!(statuses.map(refusal::Fate::status), eq([503, 502, 504]));
+}
+
+#[gtest]
+fn callers_come_back_spread_and_in_time() {
+    let room = millis(400);
+    let times: Vec<_> = (0..10)
+        .map(|n| refusal::retry_after(room, Duration::from_secs(6), f64::from(n) / 10.0))
+        .collect();
+    expect_that!(times, each(all![ge(&millis(300)), le(&millis(500))]));
+    expect_that!(times.first(), not(eq(times.last())));
+    expect_that!(refusal::retry_after(room, millis(600), 0.5), eq(millis(200)));
+    expect_that!(refusal::retry_after(room, Duration::ZERO, 0.5), eq(millis(50)));
+}
+
+#[gtest]
+fn all_gateways_together_stay_within_the_budget_of_repeats() {
+    let start = time::Instant::now();
+    let terms = repeats::Terms { ratio: 0.2, slack: 52.0, window: Duration::from_secs(10) };
+    let gateways = 4;
+    let mut granted = 0;
+    for _ in 0..gateways {
+        let mut repeats = repeats::Repeats::new(terms);
+        for request in 0..1_000_u32 {
+            let now = start + millis(9) * request;
+            repeats.request("s", now);
+            granted += u32::from(repeats.take("s", gateways, now));
+        }
+    }
+    expect_that!(f64::from(granted), le(0.2 * 4_000.0 + 52.0));
+    expect_that!(f64::from(granted), ge(0.5 * (0.2 * 4_000.0 + 52.0)));
+}
+
+#[gtest]
+fn repeats_come_back_when_the_window_has_passed() {
+    let start = time::Instant::now();
+    let terms = repeats::Terms { ratio: 0.0, slack: 2.0, window: Duration::from_secs(10) };
+    let mut repeats = repeats::Repeats::new(terms);
+    expect_that!(repeats.take("s", 1, start), eq(true));
+    expect_that!(repeats.take("s", 1, start), eq(false));
+    expect_that!(repeats.take("other", 1, start), eq(true));
+    expect_that!(repeats.take("s", 1, start + Duration::from_secs(11)), eq(true));
+}
+
+#[gtest]
+fn a_server_that_cannot_be_reached_is_left_out_for_a_while() {
+    let start = time::Instant::now();
+    let mut standing = standing::Standing::new();
+    standing.observe(standing::Outcome::Unreachable, start);
+    expect_that!(standing.is_open(start + millis(200)), eq(false));
+    expect_that!(standing.is_open(start + millis(400)), eq(true));
+    for _ in 0..9 {
+        standing.observe(standing::Outcome::Unreachable, start);
+    }
+    expect_that!(standing.is_open(start + millis(2_900)), eq(false));
+    expect_that!(standing.is_open(start + millis(3_100)), eq(true));
+    standing.observe(standing::Outcome::Good, start);
+    expect_that!(standing.is_open(start), eq(true));
+}
+
+#[gtest]
+fn a_server_that_fails_part_of_its_requests_costs_more_until_it_is_forgotten() {
+    let start = time::Instant::now();
+    let mut standing = standing::Standing::new();
+    for request in 0..40 {
+        let faulty = request % 5 < 2;
+        let outcome = if faulty { standing::Outcome::Faulty } else { standing::Outcome::Good };
+        standing.observe(outcome, start);
+    }
+    expect_that!(standing.slowness(start), ge(3.0));
+    expect_that!(standing.slowness(start + Duration::from_secs(40)), le(1.1));
+}
+
+#[gtest]
+fn one_wrong_clock_does_not_move_the_true_time() {
+    let start = time::Instant::now();
+    let hour = Duration::from_secs(3_600);
+    let mut time = true_time::TrueTime::new(start, hour);
+    for step in 0..100_u32 {
+        let now = start + millis(200) * step;
+        let truth = hour + millis(200) * step;
+        let others = [truth + millis(3), truth - millis(2)];
+        time.adjust(now, truth + Duration::from_secs(7), others);
+        let off = time.at(now).abs_diff(truth);
+        expect_that!(off, le(millis(10)));
+    }
+}
+
+#[gtest]
+fn a_clock_that_was_wrong_at_the_start_is_set_right_by_the_others() {
+    let start = time::Instant::now();
+    let truth = Duration::from_secs(3_600);
+    let mut time = true_time::TrueTime::new(start, truth + Duration::from_secs(5));
+    for step in 0..20 {
+        // The own estimate and the own clock agree on the wrong time, three others don't.
+        time.adjust(start, truth + Duration::from_secs(5), [truth; 3]);
+        if step > 0 {
+            expect_that!(time.at(start), eq(truth));
+        }
+    }
+}
+
+#[gtest]
+fn counts_are_kept_by_window_and_copies_are_merged_once() {
+    let mut windows = windows::Windows::new();
+    let team = windows::team_hash("t");
+    for window in [10, 10, 11] {
+        windows.count(window, team);
+    }
+    let sent: Vec<_> = windows.newest(4).collect();
+    let mut copy = windows::Windows::new();
+    copy.merge(sent.clone());
+    copy.merge(sent);
+    expect_that!(copy, eq(&windows));
+    windows.count(17, team);
+    expect_that!(
+        windows.newest(9).map(|(window, ..)| window).collect::<Vec<_>>(),
+        elements_are![eq(&17)]
+    );
+}
+
+#[gtest]
+fn the_tier_of_the_team_goes_before_the_tier_of_the_route() {
+    let table = [(None, 2, 2), (Some(0), 2, 2), (Some(0), 0, 0), (Some(1), 0, 4), (Some(1), 9, 7)];
+    for (team, route, tier) in table {
+        expect_that!(urgency::tier(team, route), eq(tier), "{team:?} {route}");
+    }
+}
+
+#[gtest]
+fn a_prompt_is_kept_up_to_its_first_part_that_is_not() {
+    let start = time::Instant::now();
+    let parts = |ids: &[u64]| -> codec::Parts {
+        ids.iter().map(|id| codec::Part { id: *id, tokens: 100 }).collect()
+    };
+    let mut cache = cache::Cache::new();
+    cache.used(&parts(&[1, 2, 3]), start);
+    expect_that!(cache.kept(&parts(&[1, 2, 9, 3]), start), eq(200));
+    expect_that!(cache.kept(&parts(&[9, 1]), start), eq(0));
+    expect_that!(cache.kept(&parts(&[1]), start + Duration::from_secs(60)), eq(0));
+}
+
+#[gtest]
+fn the_time_to_read_a_prompt_follows_what_was_observed() {
+    let mut pace = pace::Pace::default();
+    let first = pace.time(10_000);
+    for _ in 0..200 {
+        pace.observe(10_000, millis(1_000));
+    }
+    expect_that!(pace.time(10_000), gt(first));
+    expect_that!(pace.time(10_000), all![ge(millis(950)), le(millis(1_050))]);
+    // Little work tells nothing.
+    pace.observe(10, millis(1_000));
+    expect_that!(pace.time(10_000), le(millis(1_050)));
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -62,13 +62,16 @@
     }
 
     fn refuse(&self) -> Result<(), store::StoreError> {
-        let mut tables = self.tables.borrow_mut();
-        tables.calls += 1;
+        let tables = self.tables.borrow();
         if tables.down { Err(store::StoreError::Refused(503)) } else { Ok(()) }
     }
 
     async fn silence(&self) {
-        let delay = self.tables.borrow().delay;
+        let delay = {
+            let mut tables = self.tables.borrow_mut();
+            tables.calls += 1;
+            tables.delay
+        };
         time::sleep(delay).await;
         if self.tables.borrow().silent {
             time::sleep(Duration::from_secs(3_600)).await;
@@ -93,7 +96,7 @@
         let until = time::Instant::now() + wait;
         loop {
             if self.tables.borrow().silent {
-                self.silence().await;
+                time::sleep(Duration::from_secs(3_600)).await;
             }
             self.refuse()?;
             {
