fix(gateway): gateways hear each other from the start

Ruled out: lost datagrams and stepped clocks (the line on frozen counts, new, shows no gateway heard). Change: a gateway enters first and reads then, and reads again after 1, 2, 4 ... s; the lease that can't be read writes one line, not five a second.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -130,6 +130,24 @@
         }
     }
 
+    /// What each other gateway counted in a window.
+    #[must_use]
+    pub fn counted(&self, window: u64) -> Vec<(&str, u64)> {
+        let total = |counts: &windows::Windows| {
+            let mut sum = collections::BTreeMap::new();
+            counts.add_to(window, &mut sum);
+            sum.values().sum()
+        };
+        self.counts.iter().map(|((node, _), counts)| (node.as_str(), total(counts))).collect()
+    }
+
+    /// How long ago each other gateway was heard, in milliseconds.
+    #[must_use]
+    pub fn ages(&self, now: time::Instant) -> Vec<(&str, u128)> {
+        let age = |peer: &Peer| now.saturating_duration_since(peer.heard).as_millis();
+        self.known.iter().map(|(node, peer)| (node.as_str(), age(peer))).collect()
+    }
+
     /// Forgets counts of processes that counted nothing in the windows kept.
     pub fn prune(&mut self, window: u64) {
         for counts in self.counts.values_mut() {
--- a/crates/gateway/src/service/duty.rs
+++ b/crates/gateway/src/service/duty.rs
@@ -85,6 +85,7 @@
         lease: lease::Lease::new(state.settings.node.clone(), incarnation, terms),
         event: lease::Event::Tick,
         fenced: None,
+        reached: true,
         done: collections::BTreeSet::new(),
         state,
         store,
@@ -100,6 +101,8 @@
     event: lease::Event,
     /// Fencing number that was refused.
     fenced: Option<ids::Fence>,
+    /// Whether the lease was read when it was tried last.
+    reached: bool,
     /// Windows that were reported.
     done: collections::BTreeSet<u64>,
     state: rc::Rc<state::State>,
@@ -119,7 +122,10 @@
         let before = self.lease.may_act(now);
         let event = std::mem::replace(&mut self.event, lease::Event::Tick);
         match self.lease.handle(event, now) {
-            lease::Action::Read => self.event = self.read_lease().await,
+            lease::Action::Read => {
+                self.event = self.read_lease().await;
+                self.log_reach();
+            }
             lease::Action::Write { version, row } => {
                 self.event = self.write_lease(version, row).await;
             }
@@ -136,12 +142,21 @@
         }
     }
 
+    /// Writes a line when the lease can no longer be read, or again.
+    fn log_reach(&mut self) {
+        let reached = self.event != lease::Event::ReadFailed;
+        if reached != self.reached {
+            tracing::info!(reached, "the lease row");
+        }
+        self.reached = reached;
+    }
+
     async fn read_lease(&self) -> lease::Event {
         let read = (self.store.read)(store::Table::Duties);
         match time::timeout(CALL_TIMEOUT, read).await {
             Ok(Ok(rows)) => lease::Event::Read(lease_row(&rows)),
             Ok(Err(error)) => {
-                tracing::info!(reason = error.to_string(), "the lease was not read");
+                tracing::debug!(reason = error.to_string(), "the lease was not read");
                 lease::Event::ReadFailed
             }
             Err(_) => lease::Event::ReadFailed,
@@ -236,7 +251,10 @@
             guards: vec![(LEASE_KEY.to_owned(), version)],
         };
         match time::timeout(CALL_TIMEOUT, (self.store.commit)(commit)).await {
-            Ok(Ok(_)) => Some(body),
+            Ok(Ok(_)) => {
+                self.log_frozen(window);
+                Some(body)
+            }
             Ok(Err(store::StoreError::Conflict(rows))) => {
                 let key = format!("{REPORT_PREFIX}{window}");
                 rows.into_iter().find(|row| row.key == key).and_then(|row| row.data)
@@ -249,6 +267,21 @@
         }
     }
 
+    /// Writes the line on frozen counts and where they come from.
+    fn log_frozen(&self, window: u64) {
+        let peers = self.state.peers.borrow();
+        let now = self.state.clock.now();
+        let mut own = collections::BTreeMap::new();
+        self.state.windows.borrow().add_to(window, &mut own);
+        tracing::info!(
+            window,
+            own = own.values().sum::<u64>(),
+            others = ?peers.counted(window),
+            heard_ms = ?peers.ages(now),
+            "counts frozen"
+        );
+    }
+
     /// The counts of all gateways in a window, by team.
     fn counts(&self, window: u64) -> Vec<codec::TeamCount> {
         let mut sum = collections::BTreeMap::new();
--- a/crates/gateway/src/service/gossip.rs
+++ b/crates/gateway/src/service/gossip.rs
@@ -25,8 +25,8 @@
 /// Pause between two readings of the list of gateways.
 const LIST_INTERVAL: Duration = Duration::from_secs(20);
 
-/// Pause before the list of gateways is read again after a failure.
-const LIST_RETRY: Duration = Duration::from_secs(1);
+/// First pause between two readings of the list of gateways; doubles with each.
+const FIRST_LIST_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Usage windows that a beacon tells of: with the due time of reports, those not yet reported.
 const WINDOWS: usize = 4;
@@ -55,37 +55,37 @@
 }
 
 /// Enters this gateway in the store and learns of the others there.
+///
+/// It enters first: of two gateways that start at the same moment, one at least finds the other,
+/// and its first beacon tells the other of it.
 async fn list(state: rc::Rc<state::State>, store: rc::Rc<store::Store>) {
-    let entry = Entry { address: state.settings.peers };
-    let data = serde_json::to_vec(&entry).expect("an address can always be encoded");
-    let mut entered = false;
+    let mut pause = FIRST_LIST_INTERVAL;
     loop {
-        let result = read_list(&state, &store, &data, &mut entered).await;
+        let result = enter(&state, &store).await;
         if let Err(error) = &result {
             tracing::info!(reason = error.to_string(), "the list of gateways was not read");
         }
-        time::sleep(if result.is_ok() { LIST_INTERVAL } else { LIST_RETRY }).await;
+        time::sleep(pause).await;
+        if result.is_ok() {
+            pause = (pause * 2).min(LIST_INTERVAL);
+        }
     }
 }
 
-async fn read_list(
-    state: &state::State,
-    store: &store::Store,
-    data: &[u8],
-    entered: &mut bool,
-) -> Result<(), store::StoreError> {
+async fn enter(state: &state::State, store: &store::Store) -> Result<(), store::StoreError> {
+    let table = store::Table::Gateways;
     let node = &state.settings.node;
-    let rows = (store.read)(store::Table::Gateways).await?;
-    let own = rows.rows.iter().find(|row| row.key == *node);
-    if own.is_none_or(|row| row.data.as_deref() != Some(data)) {
-        let write = store::Write { key: node.clone(), data: Some(data.to_vec()), expect: None };
-        let table = store::Table::Gateways;
+    let entry = Entry { address: state.settings.peers };
+    let data = serde_json::to_vec(&entry).expect("an address can always be encoded");
+    if !state.entered.get() {
+        let write = store::Write { key: node.clone(), data: Some(data.clone()), expect: None };
         (store.commit)(store::Commit { table, writes: vec![write], guards: Vec::new() }).await?;
+        state.entered.set(true);
+        tracing::info!(address = %entry.address, "entered in the list of gateways");
     }
-    if !*entered {
-        tracing::info!(gateways = rows.rows.len(), "entered in the list of gateways");
-        *entered = true;
-    }
+    let rows = (store.read)(table).await?;
+    let own = rows.rows.iter().find(|row| row.key == *node);
+    state.entered.set(own.is_some_and(|row| row.data.as_ref() == Some(&data)));
     let now = state.clock.now();
     for row in rows.rows.iter().filter(|row| row.key != *node) {
         let entry: Result<Entry, _> =
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -66,6 +66,8 @@
     pub changed: sync::Notify,
     /// Whether this process is stopping.
     pub stopping: sync::watch::Sender<bool>,
+    /// Whether this gateway is entered in the list of gateways.
+    pub entered: cell::Cell<bool>,
     /// Whether new requests are refused, because the process is about to end.
     pub refusing: cell::Cell<bool>,
     /// Requests that are being served.
@@ -94,6 +96,7 @@
             lines: logs::Lines::new(),
             changed: sync::Notify::new(),
             stopping: sync::watch::Sender::new(false),
+            entered: cell::Cell::new(false),
             refusing: cell::Cell::new(false),
             active: cell::Cell::new(0),
             settings,
