--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -20,7 +20,7 @@
 use crate::state;
 
 /// Sends of one request, those that reached no backend server included.
-const MOST_SENDS: u32 = 4;
+const MOST_SENDS: u32 = 10;
 
 /// A request with less time left than this is not sent any more. Source: the shortest work of the
 /// sample deployments.
