feat(gateway): bounds of changed settings are taken, by signal or without

On SIGHUP, and every five seconds, the settings are read again; the time in which a revoked key must stop and the terms of the budget of repeats are taken at once, other changes are named as waiting for a start. The unused count of sockets is gone.

--- a/crates/gateway/src/decision/freshness.rs
+++ b/crates/gateway/src/decision/freshness.rs
@@ -25,6 +25,11 @@
         Self { bound, confirmed: None }
     }
 
+    /// Sets the time in which a revoked key must stop; whether that is a change.
+    pub fn set_bound(&mut self, bound: Duration) -> bool {
+        std::mem::replace(&mut self.bound, bound) != bound
+    }
+
     /// The store confirmed that nothing newer existed when it was asked at this instant.
     pub fn confirmed(&mut self, asked: time::Instant) {
         self.confirmed = Some(self.confirmed.map_or(asked, |known| known.max(asked)));
--- a/crates/gateway/src/decision/repeats.rs
+++ b/crates/gateway/src/decision/repeats.rs
@@ -43,6 +43,11 @@
         Self { terms, services: collections::HashMap::new() }
     }
 
+    /// Sets the terms; whether that is a change.
+    pub fn set_terms(&mut self, terms: Terms) -> bool {
+        std::mem::replace(&mut self.terms, terms) != terms
+    }
+
     /// Counts a request of a caller for a service.
     pub fn request(&mut self, service: &str, now: time::Instant) {
         let window = self.terms.window;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -23,6 +23,9 @@
 /// Part of the grace that is left for the process to end.
 const END_MARGIN: Duration = Duration::from_millis(500);
 
+/// Pause between two looks at the settings, which may change without a signal.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Pause between two looks at what is still being served.
 const DRAIN_TICK: Duration = Duration::from_millis(50);
 
@@ -37,6 +40,8 @@
     pub store: store::Store,
     /// Where usage is reported.
     pub report: service::Report,
+    /// Reads the settings again; what is wrong with them as text.
+    pub reload: fn() -> Result<settings::Settings, String>,
 }
 
 /// Runs a gateway until it is asked to stop.
@@ -45,7 +50,7 @@
 ///
 /// If an address can't be bound or signals can't be listened for.
 pub async fn run(parts: Parts) -> std::io::Result<process::ExitCode> {
-    let Parts { settings, codec, store, report } = parts;
+    let Parts { settings, codec, store, report, reload } = parts;
     let incarnation = rand::random();
     tracing::info!(node = settings.node, zone = settings.zone, incarnation, "start");
     let callers = net::TcpListener::bind(settings.callers).await?;
@@ -66,15 +71,34 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = hangup.recv() => {
-                tracing::info!("reload: the settings of a running gateway don't change");
-            }
+            _ = hangup.recv() => take_settings(&state, reload(), true),
+            () = time::sleep(RELOAD_INTERVAL) => take_settings(&state, reload(), false),
         }
     }
     stop(&state).await;
     Ok(process::ExitCode::SUCCESS)
 }
 
+/// Takes bounds from settings that were read again; the rest is for the next start.
+fn take_settings(
+    state: &state::State,
+    settings: Result<settings::Settings, String>,
+    is_asked: bool,
+) {
+    let settings = match settings {
+        Ok(settings) => settings,
+        Err(reason) => {
+            tracing::error!(reason, "reload: the settings were not taken");
+            return;
+        }
+    };
+    let bounds = state.apply_bounds(&settings);
+    let needs_start = !state.settings.is_same_but_bounds(&settings);
+    if bounds || is_asked {
+        tracing::info!(bounds, needs_start, "reload");
+    }
+}
+
 /// Finishes what was begun, but not beyond the grace.
 async fn stop(state: &state::State) {
     let started = time::Instant::now();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -34,6 +34,14 @@
     pub report_due: Duration,
     /// Time from a request to stop until the process is ended.
     pub grace: Duration,
-    /// Most sockets that this process may have open.
-    pub sockets: u32,
+}
+
+impl Settings {
+    /// Whether other settings differ at most in bounds that a running gateway can take.
+    #[must_use]
+    pub fn is_same_but_bounds(&self, other: &Self) -> bool {
+        let with_own_bounds =
+            Self { revocation: self.revocation, repeats: self.repeats, ..other.clone() };
+        *self == with_own_bounds
+    }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -111,6 +111,13 @@
         self.configuration.borrow().clone()
     }
 
+    /// Takes the bounds of settings that were read again; whether any changed.
+    pub fn apply_bounds(&self, settings: &settings::Settings) -> bool {
+        let revocation = self.freshness.borrow_mut().set_bound(settings.revocation);
+        let repeats = self.repeats.borrow_mut().set_terms(settings.repeats);
+        revocation || repeats
+    }
+
     /// Whether this process is stopping.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -315,3 +315,20 @@
     pace.observe(10, millis(1_000));
     expect_that!(pace.time(10_000), le(millis(1_050)));
 }
+
+#[gtest]
+fn bounds_of_settings_that_were_read_again_are_taken() {
+    let start = time::Instant::now();
+    let mut freshness = freshness::Freshness::new(Duration::from_secs(5));
+    freshness.confirmed(start);
+    let now = start + Duration::from_secs(4);
+    expect_that!(freshness.may_trust_keys(now), eq(true));
+    expect_that!(freshness.set_bound(Duration::from_secs(5)), eq(false));
+    expect_that!(freshness.set_bound(Duration::from_secs(3)), eq(true));
+    expect_that!(freshness.may_trust_keys(now), eq(false));
+    let terms = repeats::Terms { ratio: 0.0, slack: 2.0, window: Duration::from_secs(10) };
+    let mut repeats = repeats::Repeats::new(terms);
+    expect_that!(repeats.set_terms(terms), eq(false));
+    expect_that!(repeats.set_terms(repeats::Terms { slack: 0.0, ..terms }), eq(true));
+    expect_that!(repeats.take("s", 1, start), eq(false));
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -262,7 +262,6 @@
         window: Duration::from_secs(5),
         report_due: Duration::from_secs(10),
         grace: Duration::from_secs(8),
-        sockets: 1_000,
     }
 }
 
