--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -23,6 +23,10 @@
 /// Part of the grace that is left for the process to end.
 const END_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time that is left for the last requests, which are no streams. Source: twice the longest work
+/// of the plain services in the sample deployments.
+const LAST_REQUESTS: Duration = Duration::from_millis(1_200);
+
 /// Pause between two looks at the settings, which may change without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -107,8 +111,9 @@
     let grace = state.settings.grace.saturating_sub(END_MARGIN);
     while started.elapsed() < grace {
         if started.elapsed() > BALANCER_LAG {
-            // Where no other gateway is near, callers go on to arrive.
-            state.refusing.set(true);
+            // Where no other gateway is ready, callers go on to arrive.
+            let ends = started.elapsed() > grace.saturating_sub(LAST_REQUESTS);
+            state.phase.set(if ends { state::Phase::Ending } else { state::Phase::Finishing });
             if state.active.get() == 0 {
                 break;
             }
--- a/crates/gateway/src/proxy/admit.rs
+++ b/crates/gateway/src/proxy/admit.rs
@@ -61,9 +61,6 @@
 
 /// Decides whether a request may run.
 pub(super) fn admit(state: &state::State, head: &request::Parts) -> Result<Admitted, Denial> {
-    if state.refusing.get() {
-        return Err(Denial::Stopping);
-    }
     let ask = (state.codec.ask)(&head.headers).map_err(|error| match error {
         codec::CodecError::Header(name) => Denial::Malformed(name),
         codec::CodecError::Document(_) => Denial::Malformed("document"),
@@ -75,6 +72,9 @@
     let host = head.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| head.uri.host()).unwrap_or_default();
     let route = configuration.find(host, head.uri.path()).ok_or_else(|| deny(Denial::NoRoute))?;
+    if !state.phase.get().serves(route.kind.is_stream()) {
+        return Err(Denial::Stopping);
+    }
     let team = if configuration.needs_key(&route) {
         if !freshness.may_trust_keys(now) {
             return Err(Denial::Stale);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,6 +25,29 @@
 use crate::proxy::pool;
 use crate::settings;
 
+/// Which new requests a gateway serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// All.
+    Serving,
+    /// Those that end soon: a stream could be cut by the end of the process.
+    Finishing,
+    /// None.
+    Ending,
+}
+
+impl Phase {
+    /// Whether a new request is served.
+    #[must_use]
+    pub const fn serves(self, streams: bool) -> bool {
+        match self {
+            Self::Serving => true,
+            Self::Finishing => !streams,
+            Self::Ending => false,
+        }
+    }
+}
+
 /// What the parts of one gateway share; all run on one thread.
 #[derive(Debug)]
 pub struct State {
@@ -68,8 +91,8 @@
     pub stopping: sync::watch::Sender<bool>,
     /// Whether this gateway is entered in the list of gateways.
     pub entered: cell::Cell<bool>,
-    /// Whether new requests are refused, because the process is about to end.
-    pub refusing: cell::Cell<bool>,
+    /// Which new requests are still served.
+    pub phase: cell::Cell<Phase>,
     /// Requests that are being served.
     pub active: cell::Cell<u32>,
 }
@@ -97,7 +120,7 @@
             changed: sync::Notify::new(),
             stopping: sync::watch::Sender::new(false),
             entered: cell::Cell::new(false),
-            refusing: cell::Cell::new(false),
+            phase: cell::Cell::new(Phase::Serving),
             active: cell::Cell::new(0),
             settings,
             codec,
