refactor(gateway): fields without a user are gone; a success that is not signed is not relayed

Test: a_success_that_is_not_signed_reaches_nobody, written with the change. Two test files shared their set-up by copying; it is one function now.

--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -54,8 +54,6 @@
     pub parts: Parts,
     /// Tokens of the prompt.
     pub prompt_tokens: u32,
-    /// Most tokens to generate.
-    pub output_tokens: u32,
     /// Number of the last event that the caller has, if it resumes a stream.
     pub last_event: Option<u64>,
 }
--- a/crates/gateway/src/configuration/service.rs
+++ b/crates/gateway/src/configuration/service.rs
@@ -9,6 +9,4 @@
     pub name: ids::PoolId,
     /// Connections that one backend server accepts from all callers together.
     pub connections: u32,
-    /// Tokens that a model engine keeps in memory; none for a plain service.
-    pub cache_tokens: Option<u64>,
 }
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -125,5 +125,8 @@
     if marks.id.is_none() {
         return Sent::Unknown("the answer names no request".to_owned());
     }
+    if head.status.is_success() && !marks.signed {
+        return Sent::Unknown("the answer is not signed".to_owned());
+    }
     Sent::Answer(Box::new(Answer { head, marks, body, connection }))
 }
--- a/crates/gateway/src/proxy/choice.rs
+++ b/crates/gateway/src/proxy/choice.rs
@@ -33,9 +33,10 @@
     });
     let homes = homes.unwrap_or_default();
     let shared: u64 = parts.iter().rev().skip(1).map(|part| u64::from(part.tokens)).sum();
+    let place = |hash: u32| homes.iter().position(|home| *home == hash);
     let candidate = |(known, load): (&&directory::Known, &directory::Load)| {
-        let home = homes.iter().position(|hash| *hash == known.hash);
-        let likely = home.map_or(0.0, |at| shared as f64 * (1.0 - placement::UNSURE[at]));
+        let likely =
+            place(known.hash).map_or(0.0, |at| shared as f64 * (1.0 - placement::UNSURE[at]));
         let kept = known.cache.kept(parts, now).max(likely as u64);
         placement::Candidate {
             hash: known.hash,
@@ -58,7 +59,7 @@
         address: known.backend.address,
         uncached: candidates[at].uncached,
         before: candidates[at].prefill - loads[at].late.min(candidates[at].prefill),
-        home: homes.iter().position(|hash| *hash == known.hash).map_or(0, |at| at as u8 + 1),
+        home: place(known.hash).map_or(0, |at| at as u8 + 1),
     })
 }
 
--- a/crates/gateway/tests/backends.rs
+++ b/crates/gateway/tests/backends.rs
@@ -9,7 +9,6 @@
 use azuregap_gateway::state;
 use azuregap_gateway::store::Table;
 use googletest::prelude::*;
-use tokio::task;
 use tokio::time;
 
 async fn listed(state: &state::State) -> Vec<String> {
@@ -26,14 +25,7 @@
     fake.put(Table::Backends, "b-2", Some("model,1002,ready"));
     let state = support::state("g-1");
     let following = service::follow_backends(state.clone(), rc::Rc::new(fake.store()));
-    let local = task::LocalSet::new();
-    local.spawn_local(following);
-    local
-        .run_until(async {
-            time::sleep(Duration::from_millis(50)).await;
-            test(state, fake).await;
-        })
-        .await;
+    support::beside(following, test(state, fake)).await;
 }
 
 #[gtest]
--- a/crates/gateway/tests/configuration.rs
+++ b/crates/gateway/tests/configuration.rs
@@ -9,7 +9,6 @@
 use azuregap_gateway::state;
 use azuregap_gateway::store::Table;
 use googletest::prelude::*;
-use tokio::task;
 use tokio::time;
 
 async fn follow<F: Future<Output = ()>>(
@@ -20,14 +19,7 @@
     let state = support::state("g-1");
     state.listed.set(true);
     let following = service::follow_configuration(state.clone(), rc::Rc::new(fake.store()));
-    let local = task::LocalSet::new();
-    local.spawn_local(following);
-    local
-        .run_until(async {
-            time::sleep(Duration::from_millis(50)).await;
-            test(state, fake).await;
-        })
-        .await;
+    support::beside(following, test(state, fake)).await;
 }
 
 fn version(state: &state::State) -> u64 {
--- a/crates/gateway/tests/proxy.rs
+++ b/crates/gateway/tests/proxy.rs
@@ -225,6 +225,16 @@
     });
 }
 
+#[gtest]
+fn a_success_that_is_not_signed_reaches_nobody() {
+    run(async {
+        let text = "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-unsigned: 1\r\ncontent-length: 5\r\n\r\nother";
+        let backend = backend(vec![keeps(text)]).await;
+        let (_, address) = gateway(&[&backend]).await;
+        expect_that!(status(&call(address, "/once/a", "").await), eq("502"));
+    });
+}
+
 #[gtest]
 fn an_extra_answer_does_not_reach_the_next_request() {
     run(async {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -18,6 +18,7 @@
 use azuregap_gateway::store;
 use futures::FutureExt as _;
 use http::HeaderMap;
+use tokio::task;
 use tokio::time;
 
 /// Tables of the store, and how it answers.
@@ -224,7 +225,7 @@
 fn marks(headers: &HeaderMap) -> codec::Marks {
     codec::Marks {
         id: header(headers, "x-id").map(str::to_owned),
-        signed: true,
+        signed: !headers.contains_key("x-unsigned"),
         not_run: headers.contains_key("x-not-run"),
         idle: None,
         closes: header(headers, "connection") == Some("close"),
@@ -274,3 +275,15 @@
     let clock = clock::Clock::new(time::Instant::now, move || WALL + start.elapsed());
     rc::Rc::new(state::State::new(settings(node), CODEC, clock))
 }
+
+/// Runs a test beside a service, once the service has had time to start.
+pub async fn beside(service: impl Future<Output = ()> + 'static, test: impl Future<Output = ()>) {
+    let local = task::LocalSet::new();
+    local.spawn_local(service);
+    local
+        .run_until(async {
+            time::sleep(Duration::from_millis(50)).await;
+            test.await;
+        })
+        .await;
+}
