fix(gateway): a long prompt that comes too late stays ahead of lower tiers

Cause: a long prompt that can't be read in time was sent with rank 8, below every tier.

Ruled out: the order of team and route.

Change: ranks are positions among the tiers in use at a service; each has one rank for timely and one for late requests, so that late ones end their own tier. More tiers than ranks share the last one. "Late" is decided in decision/pace. A team without a tier is of the highest one, as before.

--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -9,6 +9,7 @@
 use smallvec::SmallVec;
 
 use crate::configuration;
+use crate::decision::urgency;
 use crate::directory;
 
 quick_error! {
@@ -67,8 +68,8 @@
     pub backend: ids::BackendId,
     /// Team whose key came with the request.
     pub team: Option<ids::TeamId>,
-    /// Tier of the request.
-    pub tier: ids::Tier,
+    /// Place of the request in the order of the backend server's work.
+    pub rank: urgency::Rank,
     /// Number of the last event that was relayed, if a stream is resumed.
     pub last_event: Option<u64>,
 }
--- a/crates/gateway/src/configuration/snapshot.rs
+++ b/crates/gateway/src/configuration/snapshot.rs
@@ -8,14 +8,15 @@
 use super::limits;
 use super::route;
 use super::service;
+use crate::decision::urgency;
 
 /// A team as the configuration names it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Team {
     /// Its name.
     pub name: ids::TeamId,
-    /// Its tier, which goes before the route's.
-    pub tier: Option<ids::Tier>,
+    /// Its tier, which goes before the route's; the highest if the operator names none.
+    pub tier: ids::Tier,
 }
 
 /// One version of the configuration, with the look-ups made ready.
@@ -29,6 +30,8 @@
     hosts: collections::HashMap<String, Vec<rc::Rc<route::Route>>>,
     keys: collections::HashMap<String, rc::Rc<Team>>,
     keyed: bool,
+    team_tiers: urgency::Tiers,
+    route_tiers: collections::HashMap<ids::PoolId, urgency::Tiers>,
 }
 
 impl Configuration {
@@ -55,6 +58,12 @@
     /// Adds a route.
     #[must_use]
     pub fn route(mut self, route: route::Route) -> Self {
+        if route.open {
+            self.team_tiers.add(ids::Tier::default());
+        }
+        for share in &route.shares {
+            self.route_tiers.entry(share.service.clone()).or_default().add(route.tier);
+        }
         let routes = self.hosts.entry(route.host.to_ascii_lowercase()).or_default();
         routes.push(rc::Rc::new(route));
         routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
@@ -65,6 +74,7 @@
     #[must_use]
     pub fn team(mut self, team: Team, keys: impl IntoIterator<Item = String>) -> Self {
         self.keyed = true;
+        self.team_tiers.add(team.tier);
         let team = rc::Rc::new(team);
         self.keys.extend(keys.into_iter().map(|key| (key, team.clone())));
         self
@@ -96,6 +106,19 @@
         self.services.get(name)
     }
 
+    /// Ranks of the requests of a team, none if the route is open, on a route to a service.
+    #[must_use]
+    pub fn ranks(
+        &self,
+        team: Option<&Team>,
+        route: &route::Route,
+        service: &str,
+    ) -> urgency::Ranks {
+        let team = team.map_or_else(ids::Tier::default, |team| team.tier);
+        let Some(routes) = self.route_tiers.get(service) else { return urgency::Ranks::default() };
+        urgency::ranks(&self.team_tiers, team, routes, route.tier)
+    }
+
     /// Names of the teams.
     pub fn team_names(&self) -> impl Iterator<Item = &str> {
         self.keys.values().map(|team| team.name.as_str())
--- a/crates/gateway/src/decision/pace.rs
+++ b/crates/gateway/src/decision/pace.rs
@@ -33,6 +33,13 @@
         }
     }
 
+    /// Whether a request that has waited for `spent` misses its `goal` if `work` prompt tokens are
+    /// read before its first event.
+    #[must_use]
+    pub fn is_late(&self, spent: Duration, work: u64, goal: Duration) -> bool {
+        spent + self.time(work) > goal
+    }
+
     /// Time in which an engine reads `work` prompt tokens.
     #[must_use]
     pub fn time(&self, work: u64) -> Duration {
--- a/crates/gateway/src/proxy/admit.rs
+++ b/crates/gateway/src/proxy/admit.rs
@@ -17,7 +17,7 @@
     pub(super) route: rc::Rc<configuration::Route>,
     pub(super) service: ids::PoolId,
     pub(super) team: Option<ids::TeamId>,
-    pub(super) tier: ids::Tier,
+    pub(super) ranks: urgency::Ranks,
     pub(super) version: ids::Version,
 }
 
@@ -86,11 +86,11 @@
     };
     let draw = xxhash_rust::xxh3::xxh3_64(ask.id.as_bytes());
     let service = route.service(draw).ok_or(Denial::Stale)?.clone();
-    let tier = urgency::tier(team.as_ref().and_then(|team| team.tier), route.tier);
+    let ranks = configuration.ranks(team.as_deref(), &route, &service);
     Ok(Admitted {
         service,
         team: team.map(|team| team.name.clone()),
-        tier,
+        ranks,
         version: configuration.version,
         ask,
         route,
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -26,9 +26,6 @@
 /// sample deployments.
 const LEAST_LEFT: Duration = Duration::from_millis(10);
 
-/// Tier of a request that can't be on time any more; it must not delay those that can.
-const LATE_TIER: ids::Tier = 8;
-
 /// Time to wait for a backend server if a service has none.
 const NO_BACKEND_WAIT: Duration = Duration::from_millis(300);
 
@@ -212,17 +209,17 @@
     fn is_late(&self, target: &attempt::Target) -> bool {
         let paces = self.state.paces.borrow();
         let pace = paces.get(&self.admitted.service).copied().unwrap_or_default();
-        let spent = self.started.elapsed();
-        self.is_long()
-            && spent + pace.time(target.before + target.uncached) > self.admitted.route.goal
+        let (spent, work) = (self.started.elapsed(), target.before + target.uncached);
+        self.is_long() && pace.is_late(spent, work, self.admitted.route.goal)
     }
 
     async fn send(&self, target: &attempt::Target) -> attempt::Sent {
+        let ranks = self.admitted.ranks;
         let stamp = codec::Stamp {
             left: self.left(),
             backend: target.id.clone(),
             team: self.admitted.team.clone(),
-            tier: if self.is_late(target) { LATE_TIER } else { self.admitted.tier },
+            rank: if self.is_late(target) { ranks.late } else { ranks.timely },
             last_event: self.last_event,
         };
         let id = &self.admitted.ask.id;
@@ -291,7 +288,7 @@
             request = self.admitted.ask.id,
             route = self.admitted.route.name,
             team = self.admitted.team,
-            tier = self.admitted.tier,
+            rank = self.admitted.ranks.timely,
             service = self.admitted.service,
             configuration = self.admitted.version,
             configuration_age_ms = age.as_millis() as u64,
