fix(gateway): a denial that rests on an old configuration asks the store first

Cause: the wait of a quiet store makes the configuration up to 4 s old, but a missing key or route is only told as final below 2.8 s. For a third of a calm time, callers whose keys were withdrawn got 503 and "come back" instead of 401.

Change: such a request makes the follower of the configuration ask the store without a wait, once for all that doubt, and waits for it 100 ms at most. If the last question was not answered, the caller is sent away at once as before.

Tests: a_doubt_makes_the_gateway_ask_the_store_at_once; a_key_is_denied_for_good_only_once_the_store_has_confirmed_it (503 with the wait taken out).

--- a/crates/gateway/src/decision/freshness.rs
+++ b/crates/gateway/src/decision/freshness.rs
@@ -1,4 +1,8 @@
 //! Whether what the gateway knows of keys and routes is recent enough to act on.
+//!
+//! A denial that would rest on an old configuration makes the gateway ask the store at once, unless
+//! the store is known to be out of reach; only then the caller is sent away to come back. This
+//! answers callers whose keys were withdrawn, and probes of routes that never were, in calm times.
 
 use std::time::Duration;
 
@@ -16,13 +20,14 @@
 pub struct Freshness {
     bound: Duration,
     confirmed: Option<time::Instant>,
+    lost: bool,
 }
 
 impl Freshness {
     /// Nothing confirmed yet; a revoked key must stop within `bound`.
     #[must_use]
     pub const fn new(bound: Duration) -> Self {
-        Self { bound, confirmed: None }
+        Self { bound, confirmed: None, lost: false }
     }
 
     /// Sets the time in which a revoked key must stop; whether that is a change.
@@ -33,6 +38,18 @@
     /// The store confirmed that nothing newer existed when it was asked at this instant.
     pub fn confirmed(&mut self, asked: time::Instant) {
         self.confirmed = Some(self.confirmed.map_or(asked, |known| known.max(asked)));
+        self.lost = false;
+    }
+
+    /// The store did not answer the last question.
+    pub fn lost(&mut self) {
+        self.lost = true;
+    }
+
+    /// Whether a question to the store is likely to be answered.
+    #[must_use]
+    pub fn is_in_touch(&self) -> bool {
+        self.confirmed.is_some() && !self.lost
     }
 
     /// Age of the newest confirmation.
--- a/crates/gateway/src/proxy/exchange.rs
+++ b/crates/gateway/src/proxy/exchange.rs
@@ -27,6 +27,10 @@
 /// Longest body of an answer that is relayed whole, in bytes.
 const MOST_ANSWER: usize = 16 << 20;
 
+/// Longest time that a request waits for the store to confirm the configuration. Source: many times
+/// the store's usual answer, and under half of the shortest objective.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Events of one answer that wait for the caller.
 const EVENTS_WAITING: usize = 32;
 
@@ -57,7 +61,7 @@
         Err(error) => return unread(&state, error.as_ref()),
     };
     strip(&mut head);
-    let admitted = match admit::admit(&state, &head) {
+    let admitted = match admit(&state, &head).await {
         Ok(admitted) => admitted,
         Err(denial) => return denied(&state, &head, denial),
     };
@@ -66,6 +70,25 @@
     serve(&mut job, &active).await.unwrap_or_else(|given_up| refused(&job, &given_up))
 }
 
+/// Decides whether a request may run; asks the store first if a denial would rest on an old
+/// configuration.
+async fn admit(
+    state: &state::State,
+    head: &request::Parts,
+) -> Result<admit::Admitted, admit::Denial> {
+    let admitted = admit::admit(state, head);
+    let is_stale = matches!(admitted, Err(admit::Denial::Stale));
+    if !is_stale || !state.freshness.borrow().is_in_touch() {
+        return admitted;
+    }
+    let confirmed = state.confirmed.notified();
+    state.doubted.notify_one();
+    if time::timeout(CONFIRM_TIMEOUT, confirmed).await.is_err() {
+        tracing::debug!("the configuration was not confirmed in time");
+    }
+    admit::admit(state, head)
+}
+
 /// Removes headers that concern only the caller's connection.
 fn strip(head: &mut request::Parts) {
     let named: Vec<_> = head
--- a/crates/gateway/src/service/backends.rs
+++ b/crates/gateway/src/service/backends.rs
@@ -4,6 +4,7 @@
 use std::rc;
 use std::time::Duration;
 
+use tokio::sync;
 use tokio::task;
 use tokio::time;
 
@@ -19,7 +20,8 @@
 /// Follows the entries of the backend servers for ever.
 pub async fn follow(state: rc::Rc<state::State>, store: rc::Rc<store::Store>) {
     let shared = state.clone();
-    let take = move |news: follow::News| {
+    let take = move |event: follow::Event| {
+        let follow::Event::News(news) = event else { return };
         let now = shared.clock.now();
         if news.outage > OUTAGE {
             let outage_ms = news.outage.as_millis() as u64;
@@ -31,7 +33,8 @@
         shared.listed.set(true);
         shared.changed.notify_waiters();
     };
-    follow::follow(state, store, store::Table::Backends, take).await;
+    let nobody_doubts = sync::Notify::new();
+    follow::follow(state, store, store::Table::Backends, &nobody_doubts, take).await;
 }
 
 /// Removes, after the grace, backend servers that did not come back.
--- a/crates/gateway/src/service/configuration.rs
+++ b/crates/gateway/src/service/configuration.rs
@@ -10,7 +10,12 @@
 /// Follows the operator's configuration for ever.
 pub async fn follow(state: rc::Rc<state::State>, store: rc::Rc<store::Store>) {
     let shared = state.clone();
-    let take = move |news: follow::News| {
+    let take = move |event: follow::Event| {
+        let follow::Event::News(news) = event else {
+            shared.freshness.borrow_mut().lost();
+            shared.confirmed.notify_waiters();
+            return;
+        };
         let mut sound = true;
         for row in &news.rows.rows {
             if row.key == shared.codec.configuration_key {
@@ -20,8 +25,10 @@
         if sound && shared.configuration.borrow().is_some() {
             shared.freshness.borrow_mut().confirmed(news.asked);
         }
+        shared.confirmed.notify_waiters();
     };
-    follow::follow(state, store, store::Table::Configuration, take).await;
+    let doubting = state.clone();
+    follow::follow(state, store, store::Table::Configuration, &doubting.doubted, take).await;
 }
 
 /// Takes a version of the configuration; false if it can't be read. An older version than the one
--- a/crates/gateway/src/service/follow.rs
+++ b/crates/gateway/src/service/follow.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use azuregap_coordination::ids;
+use tokio::sync;
 use tokio::time;
 
 use crate::state;
@@ -40,32 +41,54 @@
     pub(super) outage: Duration,
 }
 
+/// What happened at the store.
+pub(super) enum Event {
+    /// It answered.
+    News(News),
+    /// A question was not answered.
+    Lost,
+}
+
 /// Follows a table for ever and hands on what changes.
+///
+/// While somebody doubts what is known, the store is asked without a wait.
 pub(super) async fn follow(
     state: rc::Rc<state::State>,
     store: rc::Rc<store::Store>,
     table: store::Table,
-    mut take: impl FnMut(News),
+    doubt: &sync::Notify,
+    mut take: impl FnMut(Event),
 ) {
     let mut version: Option<ids::RowVersion> = None;
     let mut failures = 0_u32;
     let mut answered = state.clock.now();
+    let mut doubted = false;
     loop {
         let asked = state.clock.now();
         let read = async {
             match version {
                 Some(version) => {
                     // After a failure, a proof that the store is back comes first.
-                    let wait = if failures > 0 { Duration::ZERO } else { WAIT };
+                    let at_once = failures > 0 || doubted;
+                    let wait = if at_once { Duration::ZERO } else { WAIT };
                     let watch = (store.watch)(table, version, wait);
                     time::timeout(wait + ANSWER_TIMEOUT, watch).await
                 }
                 None => time::timeout(READ_TIMEOUT, (store.read)(table)).await,
             }
         };
-        let result = read
-            .await
+        let can_hurry = version.is_some() && failures == 0 && !doubted;
+        let result = tokio::select! {
+            biased;
+            result = read => result,
+            () = doubt.notified(), if can_hurry => {
+                doubted = true;
+                continue;
+            }
+        };
+        let result = result
             .unwrap_or_else(|_| Err(store::StoreError::Unanswered("no answer in time".to_owned())));
+        doubted = false;
         match result {
             Ok(rows) => {
                 if failures > 0 {
@@ -81,9 +104,10 @@
                 state.metrics.calls.with_label_values(&["answered"]).inc();
                 let whole = version.is_none();
                 version = Some(rows.version);
-                take(News { rows, whole, asked, outage });
+                take(Event::News(News { rows, whole, asked, outage }));
                 let spent = state.clock.now().saturating_duration_since(asked);
-                time::sleep(LEAST_INTERVAL.saturating_sub(spent)).await;
+                let rest = LEAST_INTERVAL.saturating_sub(spent);
+                doubted = time::timeout(rest, doubt.notified()).await.is_ok();
             }
             Err(store::StoreError::HistoryLost) => {
                 tracing::info!(table = ?table, version, "the history is gone; reading all again");
@@ -95,6 +119,7 @@
                     tracing::warn!(table = ?table, reason = error.to_string(), "the store is lost");
                 }
                 failures += 1;
+                take(Event::Lost);
                 let pause = FIRST_PAUSE * 2_u32.pow(failures.min(5));
                 let spread = 0.5 + rand::random::<f64>();
                 time::sleep(pause.min(MOST_PAUSE).mul_f64(spread)).await;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -61,6 +61,10 @@
     pub configuration: cell::RefCell<Option<rc::Rc<configuration::Configuration>>>,
     /// Age of the configuration.
     pub freshness: cell::RefCell<freshness::Freshness>,
+    /// Told when a denial would rest on an old configuration.
+    pub doubted: sync::Notify,
+    /// Told when the store answered a question on the configuration, or failed to.
+    pub confirmed: sync::Notify,
     /// Backend servers.
     pub directory: cell::RefCell<directory::Directory>,
     /// Whether the backend servers were read since the start.
@@ -105,6 +109,8 @@
         Self {
             configuration: cell::RefCell::new(None),
             freshness: cell::RefCell::new(freshness::Freshness::new(settings.revocation)),
+            doubted: sync::Notify::new(),
+            confirmed: sync::Notify::new(),
             directory: cell::RefCell::default(),
             listed: cell::Cell::new(false),
             divisions: cell::RefCell::default(),
--- a/crates/gateway/tests/configuration.rs
+++ b/crates/gateway/tests/configuration.rs
@@ -99,3 +99,25 @@
     })
     .await;
 }
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_doubt_makes_the_gateway_ask_the_store_at_once() {
+    follow(|state, fake| async move {
+        for _ in 0..20 {
+            time::sleep(Duration::from_millis(1_130)).await;
+            let confirmed = state.confirmed.notified();
+            state.doubted.notify_one();
+            confirmed.await;
+            let age = state.freshness.borrow().age(state.clock.now());
+            expect_that!(age, some(le(Duration::from_millis(20))));
+        }
+        fake.tables.borrow_mut().down = true;
+        time::sleep(Duration::from_secs(3)).await;
+        expect_that!(state.freshness.borrow().is_in_touch(), eq(false));
+        fake.tables.borrow_mut().down = false;
+        time::sleep(Duration::from_secs(1)).await;
+        expect_that!(state.freshness.borrow().is_in_touch(), eq(true));
+    })
+    .await;
+}
--- a/crates/gateway/tests/proxy.rs
+++ b/crates/gateway/tests/proxy.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use azuregap_gateway::configuration;
+use azuregap_gateway::decision::freshness;
 use azuregap_gateway::directory;
 use azuregap_gateway::proxy;
 use azuregap_gateway::state;
@@ -372,6 +373,30 @@
     });
 }
 
+#[gtest]
+fn a_key_is_denied_for_good_only_once_the_store_has_confirmed_it() {
+    run(async {
+        let backend = backend(vec![keeps(WHOLE)]).await;
+        let (state, address) = gateway(&[&backend]).await;
+        let old = state.clock.now() - Duration::from_secs(4);
+        let made_old = |state: &state::State| {
+            let mut freshness = freshness::Freshness::new(Duration::from_secs(5));
+            freshness.confirmed(old);
+            *state.freshness.borrow_mut() = freshness;
+        };
+        made_old(&state);
+        expect_that!(status(&call(address, "/keyed/a", "x-key: wrong\r\n").await), eq("503"));
+        let answering = state.clone();
+        actix_rt::spawn(async move {
+            answering.doubted.notified().await;
+            answering.freshness.borrow_mut().confirmed(answering.clock.now());
+            answering.confirmed.notify_waiters();
+        });
+        made_old(&state);
+        expect_that!(status(&call(address, "/keyed/a", "x-key: wrong\r\n").await), eq("401"));
+    });
+}
+
 #[gtest]
 fn a_long_prompt_that_comes_too_late_stays_ahead_of_lower_tiers() {
     run(async {
