feat(cli): explain tells the cause of a request's end from the gateways' logs

Cause: OPERATIONS.md led from an id to its cause by hand, over the logs of all gateways.

Change: `azuregap explain ID LOG...` prints the lines of a request in the order of time, the cause of its end, and what bears on it (other requests at that backend server in the second, its removal, a store that was lost, versions in force, lines left out, restarts). `azuregap incident LOG...` sums up a period. Lines may have a collector's time and process name before them.

Ruled out: nothing; no behaviour of the gateway changes.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -88,6 +88,27 @@
         #[command(flatten)]
         operator: Operator,
     },
+    /// Tell from the gateways' logs what happened to a request
+    ///
+    /// Prints its lines in the order of time, over all processes, and the cause of its end. Exit
+    /// code 1 if no line names it.
+    Explain {
+        /// Id of the request
+        #[arg(value_name = "ID")]
+        request: String,
+        /// Logs, one or more for each gateway
+        #[arg(required = true, value_name = "LOG")]
+        files: Vec<path::PathBuf>,
+    },
+    /// Sum up from the gateways' logs what went wrong
+    ///
+    /// Counts starts and stops, lost dependencies, versions and changes of backend servers, and the
+    /// requests that were not served by their cause.
+    Incident {
+        /// Logs, one or more for each gateway
+        #[arg(required = true, value_name = "LOG")]
+        files: Vec<path::PathBuf>,
+    },
     /// Send a bounded load to an entry and measure it
     ///
     /// Requests leave at random times at the rate asked for, whether or not earlier ones were
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,6 +1,7 @@
 //! What the commands do.
 
 mod check;
+mod explain;
 mod keys;
 mod operate;
 mod settle;
@@ -37,6 +38,8 @@
         args::Command::Usage { window: Some(window), operator } => {
             operate::show(&format!("/v1/usage/{window}"), operator, json).await
         }
+        args::Command::Explain { request, files } => explain::explain(Some(request), files, json),
+        args::Command::Incident { files } => explain::explain(None, files, json),
         args::Command::Demo(options) => demo::run(options, json).await,
         args::Command::Load(options) => load::run(options, json).await,
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod documents;
 mod error;
 mod exit;
+mod explain;
 mod load;
 mod render;
 mod secret;
--- /dev/null
+++ b/crates/cli/tests/explain.rs
@@ -0,0 +1,88 @@
+//! What `explain` and `incident` tell from the logs of two gateways.
+
+#[path = "support/run.rs"]
+mod command;
+
+use googletest::prelude::*;
+
+/// Log of a gateway that lost the store, a backend server and some requests.
+const FIRST: &str = r#"
+{"timestamp":"2026-03-14T18:00:00.1Z","level":"INFO","message":"start","node":"g-1","incarnation":7}
+{"timestamp":"2026-03-14T18:00:01.0Z","level":"INFO","message":"configuration in force","old":null,"version":4,"routes":9}
+{"timestamp":"2026-03-14T18:00:05.2Z","level":"INFO","message":"request ended","request":"a1","backend":"b-1","sends":1,"runs":1,"status":200,"outcome":"complete","reason":"","first_ms":80,"pause_ms":20}
+{"timestamp":"2026-03-14T18:00:05.3Z","level":"INFO","message":"an attempt failed","request":"a2","backend":"b-1","sends":1,"runs":1,"reason":"connection closed"}
+{"timestamp":"2026-03-14T18:00:05.3Z","level":"INFO","message":"request ended","request":"a2","backend":"","sends":1,"runs":1,"status":502,"outcome":"given up","reason":"connection closed"}
+{"timestamp":"2026-03-14T18:00:05.8Z","level":"INFO","message":"request ended","request":"a3","backend":"b-1","sends":1,"runs":1,"status":200,"outcome":"cut","reason":"connection reset"}
+{"timestamp":"2026-03-14T18:00:06.0Z","level":"INFO","message":"an attempt failed","request":"a4","backend":"b-1","sends":1,"runs":0,"reason":"Connection refused"}
+{"timestamp":"2026-03-14T18:00:06.0Z","level":"INFO","message":"request ended","request":"a4","backend":"","sends":1,"runs":0,"status":503,"outcome":"given up","reason":"Connection refused"}
+{"timestamp":"2026-03-14T18:00:07.0Z","level":"INFO","message":"backend server","backend":"b-1","version":61,"change":"Removed"}
+not a line of a gateway
+{"timestamp":"2026-03-14T18:00:08.0Z","level":"WARN","message":"the store is lost","table":"Configuration","reason":"no answer in time"}
+{"timestamp":"2026-03-14T18:00:12.0Z","level":"INFO","message":"request denied","request":"a5","path":"/x","configuration":4,"configuration_age_ms":4700,"status":503,"reason":"6404: the configuration is not known well enough; come back later"}
+{"timestamp":"2026-03-14T18:00:14.0Z","level":"WARN","message":"log lines over the bound were left out","left_out":12}
+"#;
+
+/// Log of another gateway, as a collector writes it: with the time and the name of the process.
+const SECOND: &str = r#"
+ 8.5 g-2 {"timestamp":"2026-03-14T18:00:08.5Z","level":"INFO","message":"configuration in force","old":4,"version":5,"routes":9}
+ 9.0 g-2 {"timestamp":"2026-03-14T18:00:09.0Z","level":"INFO","message":"request denied","request":"a6","path":"/x","configuration":5,"configuration_age_ms":30,"status":401,"reason":"6403: the key is missing or not valid"}
+"#;
+
+fn logs() -> [String; 2] {
+    let folder = format!("{}/cli-explain", env!("CARGO_TARGET_TMPDIR"));
+    std::fs::create_dir_all(&folder).unwrap();
+    [("g-1", FIRST), ("all", SECOND)].map(|(name, text)| {
+        let path = format!("{folder}/{name}.log");
+        std::fs::write(&path, text).unwrap();
+        path
+    })
+}
+
+#[gtest]
+fn the_cause_of_each_kind_of_end_is_told_with_its_evidence() {
+    let [first, second] = logs();
+    let table = [
+        ("a1", 0, "none: it was served by b-1", ""),
+        ("a2", 0, "its answer was lost", "others at b-1 in that second: 1 served, 1 failed"),
+        ("a3", 0, "ended early: connection reset", "b-1 left the list"),
+        ("a4", 0, "ran nowhere", "b-1 left the list"),
+        ("a5", 0, "6404", "the store is lost table=\"Configuration\""),
+        ("a6", 0, "6403", "in force here: 2026-03-14T18:00:08.5Z g-2"),
+        ("a7", 1, "no line names this request", "left_out=12"),
+    ];
+    for (request, exit, cause, evidence) in table {
+        let said = command::run(&["explain", request, &first, &second]);
+        expect_that!(said.exit, some(eq(exit)), "{request}");
+        let (story, told) = said.out.split_once("cause: ").unwrap_or_default();
+        expect_that!(told.lines().next(), some(contains_substring(cause)), "{request}");
+        expect_that!(told, contains_substring(evidence), "{request}");
+        expect_that!(story, contains_substring(request));
+        expect_that!(said.err, contains_substring("1 lines are no log lines"));
+    }
+}
+
+#[gtest]
+fn a_story_is_told_in_the_order_of_time() {
+    let [first, second] = logs();
+    let said = command::run(&["explain", "a2", &second, &first]);
+    insta::assert_snapshot!("story", said.out);
+}
+
+#[gtest]
+fn an_incident_is_summed_up_over_all_processes() {
+    let [first, second] = logs();
+    let said = command::run(&["incident", &first, &second]);
+    insta::assert_snapshot!("incident", said.out);
+    let said = command::run(&["--json", "incident", &first, &second]);
+    let report: serde_json::Value = serde_json::from_str(&said.out).unwrap();
+    expect_that!(report["processes"].as_u64(), some(eq(2)));
+    expect_that!(report["left_out"].as_u64(), some(eq(12)));
+}
+
+#[gtest]
+fn a_log_that_cannot_be_read_is_named_with_a_number() {
+    let said = command::run(&["incident", "/nowhere/x.log"]);
+    expect_that!(said.exit, some(eq(1)));
+    expect_that!(said.err, contains_substring("/nowhere/x.log"));
+    expect_that!(said.err, matches_regex(r"(?s)azuregap: \d{4}: .*"));
+}
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -1,7 +1,8 @@
 //! A small fake entry for the tests, and a way to run the command line.
 
+mod run;
+
 use std::io;
-use std::process;
 use std::sync;
 use std::thread;
 use std::time;
@@ -14,34 +15,13 @@
 use serde_json::Value;
 use serde_json::json;
 
-/// Key of the operator that the fake knows.
-pub(crate) const OPERATOR_KEY: &str = "operator-key-of-the-test";
+pub(crate) use run::OPERATOR_KEY;
+pub(crate) use run::run;
+pub(crate) use run::run_with;
 
 /// Time between the last byte of a broken answer and its break.
 const BREAK: time::Duration = time::Duration::from_millis(20);
 
-/// What a finished command said.
-pub(crate) struct Said {
-    pub(crate) exit: Option<i32>,
-    pub(crate) out: String,
-    pub(crate) err: String,
-}
-
-/// Runs the command line with `args` and the operator key in the environment.
-pub(crate) fn run(args: &[&str]) -> Said {
-    run_with(args, &[("AZUREGAP_OPERATOR_KEY", OPERATOR_KEY), ("AZUREGAP_KEY", "team-key")])
-}
-
-/// Runs the command line with `args` and nothing but `variables` in the environment.
-pub(crate) fn run_with(args: &[&str], variables: &[(&str, &str)]) -> Said {
-    let mut command = process::Command::new(env!("CARGO_BIN_EXE_azuregap"));
-    command.args(args).env_clear().envs(variables.iter().copied());
-    command.current_dir(concat!(env!("CARGO_MANIFEST_DIR"), "/../.."));
-    let output = command.output().unwrap();
-    let text = |bytes: Vec<u8>| String::from_utf8(bytes).unwrap();
-    Said { exit: output.status.code(), out: text(output.stdout), err: text(output.stderr) }
-}
-
 /// One request that the fake entry got.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Got {
