feat(gateway): beacons go to neighbours in a ring, counts to those who report

Cause: each gateway told every other one of itself, with a pause that grew with the fleet. Beyond 60 gateways a beacon came later than its load holds (1.5 s), so load was not shared, every gateway competed for the lease, and counts came after they were frozen (CAPACITY.md). Load at a backend server was summed over all gateways for every choice.

Ruled out: one sum for each availability zone: a second layer of leaders and of their failures. Sampling scaled up: with few hundred requests at few hundred servers the noise moves sessions from their homes.

Change: all gateways order each other alike in a ring and tell the 20 on each side; up to 41 gateways that is everybody, as before. Those that aren't heard are taken to load all backend servers alike. Sums of loads are kept, not made for each choice. The paces are decision/rhythm.

Tests: neighbours by fleet size up to 3,100 and told by those they tell, silent ones replaced, reporters, sixty real gateways whose counts reach all who may report, load of those that aren't heard.

--- a/crates/gateway/src/decision.rs
+++ b/crates/gateway/src/decision.rs
@@ -8,6 +8,7 @@
 pub mod refusal;
 pub mod repeats;
 pub mod rest;
+pub mod rhythm;
 pub mod standing;
 pub mod true_time;
 pub mod urgency;
--- a/crates/gateway/src/decision/placement.rs
+++ b/crates/gateway/src/decision/placement.rs
@@ -12,6 +12,7 @@
 use xxhash_rust::xxh3;
 
 use crate::codec;
+use crate::directory;
 
 /// What a running request adds to the time to the first token, in prompt tokens. Source: the time
 /// that one more running request adds to the steps of a prefill, on the sample engines.
@@ -75,6 +76,24 @@
     }
 }
 
+/// What gateways that aren't heard add to the load of each backend server, if there are `ratio` of
+/// them for each one that is heard.
+#[must_use]
+pub fn unheard(heard: &[directory::Load], ratio: f64) -> directory::Load {
+    if ratio <= 0.0 || heard.is_empty() {
+        return directory::Load::default();
+    }
+    let mut sum = directory::Load::default();
+    heard.iter().for_each(|load| sum += *load);
+    let scale = ratio / heard.len() as f64;
+    directory::Load {
+        running: (f64::from(sum.running) * scale).round() as u32,
+        long: (f64::from(sum.long) * scale).round() as u32,
+        prefill: (sum.prefill as f64 * scale).round() as u64,
+        late: (sum.late as f64 * scale).round() as u64,
+    }
+}
+
 /// The position of the cheapest candidate; `draw` decides between equals.
 #[must_use]
 pub fn choose(candidates: &[Candidate], draw: u32) -> Option<usize> {
--- a/crates/gateway/src/directory/known.rs
+++ b/crates/gateway/src/directory/known.rs
@@ -1,5 +1,7 @@
 //! What this gateway knows of one backend server.
 
+use std::ops;
+
 use xxhash_rust::xxh3;
 
 use super::backend;
@@ -19,6 +21,25 @@
     pub late: u64,
 }
 
+impl ops::AddAssign for Load {
+    fn add_assign(&mut self, other: Self) {
+        self.running += other.running;
+        self.long += other.long;
+        self.prefill += other.prefill;
+        self.late += other.late;
+    }
+}
+
+impl ops::SubAssign for Load {
+    /// Never less than nothing.
+    fn sub_assign(&mut self, other: Self) {
+        self.running = self.running.saturating_sub(other.running);
+        self.long = self.long.saturating_sub(other.long);
+        self.prefill = self.prefill.saturating_sub(other.prefill);
+        self.late = self.late.saturating_sub(other.late);
+    }
+}
+
 /// A backend server with what this gateway learnt of it.
 #[derive(Debug)]
 pub struct Known {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -23,43 +23,80 @@
 /// A gateway that was not heard for this long shares no budget.
 const ALIVE: Duration = Duration::from_secs(8);
 
-/// A gateway that was not heard for this long is told nothing more.
-const FORGOTTEN: Duration = Duration::from_secs(120);
+/// A gateway that was neither heard nor listed for this long is told nothing more.
+pub const FORGOTTEN: Duration = Duration::from_secs(120);
+
+/// Gateways on each side that are told of the load. Source: forty beacons a second, heard and sent,
+/// take a percent of a core, and each must come again while its load holds.
+const SIDE: usize = 20;
+
+/// Gateways that compete for the lease and hear all counts; others only if they hear of fewer.
+pub const REPORTERS: usize = 3;
+
+/// Most gateways that are told of the counts of usage, the silent ones included.
+const MOST_TOLD: usize = 12;
+
+/// Place in the order that all gateways share.
+type Place = (u32, ids::NodeId);
+
+fn place(node: &str) -> Place {
+    (directory::hash_of(node), node.to_owned())
+}
 
 /// Another gateway.
 #[derive(Debug)]
 struct Peer {
     address: net::SocketAddr,
+    listed: time::Instant,
+    /// When it was heard last; until then, when it was listed first.
     heard: time::Instant,
     loads: collections::HashMap<u32, directory::Load>,
     ahead: Option<(time::Instant, Duration)>,
 }
 
-/// Other gateways, by name.
+impl Peer {
+    fn was_heard(&self, within: Duration, now: time::Instant) -> bool {
+        now.saturating_duration_since(self.heard) < within
+    }
+}
+
+/// Other gateways, in a ring that all of them order alike.
+///
+/// Each tells its neighbours in the ring of its load, so that the cost doesn't grow with the fleet;
+/// in a small fleet all are neighbours. Counts of usage go to the first gateways of the order, one
+/// of which reports them.
 #[derive(Debug, Default)]
 pub struct Peers {
-    known: collections::HashMap<ids::NodeId, Peer>,
+    known: collections::BTreeMap<Place, Peer>,
     counts: collections::HashMap<(ids::NodeId, ids::Incarnation), windows::Windows>,
+    /// Sum of the loads that hold.
+    sum: collections::HashMap<u32, directory::Load>,
+    /// When the first of them ends to hold.
+    stale: Option<time::Instant>,
 }
 
 impl Peers {
     /// Adds a gateway that the store names.
     pub fn learn(&mut self, node: ids::NodeId, address: net::SocketAddr, now: time::Instant) {
-        let peer = self.known.entry(node).or_insert_with(|| Peer {
+        let peer = self.known.entry(place(&node)).or_insert_with(|| Peer {
             address,
+            listed: now,
             heard: now,
             loads: collections::HashMap::new(),
             ahead: None,
         });
         peer.address = address;
+        peer.listed = now;
     }
 
     /// Takes what a gateway says.
     pub fn heard(&mut self, beacon: Beacon, from: net::SocketAddr, now: time::Instant) {
-        let counts = self.counts.entry((beacon.node.clone(), beacon.incarnation)).or_default();
-        counts.merge(beacon.counts.iter().map(|c| (c.window, c.team, c.requests)));
+        if !beacon.counts.is_empty() {
+            let counts = self.counts.entry((beacon.node.clone(), beacon.incarnation)).or_default();
+            counts.merge(beacon.counts.iter().map(|c| (c.window, c.team, c.requests)));
+        }
         self.learn(beacon.node.clone(), from, now);
-        let Some(peer) = self.known.get_mut(&beacon.node) else { return };
+        let Some(peer) = self.known.get_mut(&place(&beacon.node)) else { return };
         peer.heard = now;
         peer.ahead = Some((now, beacon.true_time));
         let load = |work: &Work| directory::Load {
@@ -68,49 +105,138 @@
             prefill: work.prefill,
             late: work.late,
         };
-        peer.loads = beacon.work.iter().map(|work| (work.backend, load(work))).collect();
+        let loads = beacon.work.iter().map(|work| (work.backend, load(work))).collect();
+        let old = std::mem::replace(&mut peer.loads, loads);
+        subtract(&mut self.sum, &old);
+        for (backend, load) in &peer.loads {
+            *self.sum.entry(*backend).or_default() += *load;
+        }
+        self.stale.get_or_insert(now + LOAD_LIFE);
     }
 
-    /// Load of all other gateways at a backend server.
+    /// Load at a backend server of all other gateways that were heard lately.
     #[must_use]
-    pub fn load(&self, backend: u32, now: time::Instant) -> directory::Load {
-        let mut sum = directory::Load::default();
-        for peer in self.known.values() {
-            if now.saturating_duration_since(peer.heard) > LOAD_LIFE {
-                continue;
-            }
-            if let Some(load) = peer.loads.get(&backend) {
-                sum.running += load.running;
-                sum.long += load.long;
-                sum.prefill += load.prefill;
-                sum.late += load.late;
+    pub fn load(&mut self, backend: u32, now: time::Instant) -> directory::Load {
+        self.expire(now);
+        self.sum.get(&backend).copied().unwrap_or_default()
+    }
+
+    /// Takes out loads that hold no longer.
+    fn expire(&mut self, now: time::Instant) {
+        if self.stale.is_none_or(|stale| now <= stale) {
+            return;
+        }
+        self.stale = None;
+        for peer in self.known.values_mut().filter(|peer| !peer.loads.is_empty()) {
+            let until = peer.heard + LOAD_LIFE;
+            if now <= until {
+                self.stale = Some(self.stale.map_or(until, |at| at.min(until)));
+            } else {
+                subtract(&mut self.sum, &std::mem::take(&mut peer.loads));
             }
         }
-        sum
     }
 
-    /// Other gateways that are alive.
+    /// Gateways whose load is not heard here, for each one whose load is.
+    ///
+    /// Zero in a fleet in which each gateway hears all others.
+    #[must_use]
+    pub fn unheard(&self, now: time::Instant) -> f64 {
+        if !self.is_large() {
+            return 0.0;
+        }
+        let heard = self.known.values().filter(|peer| peer.was_heard(LOAD_LIFE, now)).count();
+        self.known.len().saturating_sub(heard) as f64 / heard.max(1) as f64
+    }
+
+    /// Other gateways that are alive; in a large fleet, all that are listed.
     #[must_use]
     pub fn alive(&self, now: time::Instant) -> usize {
-        let alive = |peer: &&Peer| now.saturating_duration_since(peer.heard) < ALIVE;
-        self.known.values().filter(alive).count()
+        if self.is_large() {
+            return self.known.len();
+        }
+        self.known.values().filter(|peer| peer.was_heard(ALIVE, now)).count()
     }
 
-    /// Whether a gateway is among the first `most` of those alive, in an order that all share.
+    /// Whether a gateway is among the first `most` of those alive, in the order that all share.
     #[must_use]
     pub fn is_among(&self, node: &str, most: usize, now: time::Instant) -> bool {
-        let own = directory::hash_of(node);
-        let before = |(name, peer): &(&ids::NodeId, &Peer)| {
-            let alive = now.saturating_duration_since(peer.heard) < LOAD_LIFE;
-            alive && directory::hash_of(name) < own
+        let before = self.known.range(..place(node)).map(|(_, peer)| peer);
+        before.filter(|peer| peer.was_heard(LOAD_LIFE, now)).count() < most
+    }
+
+    /// Addresses of the neighbours of a gateway; it tells them of its load.
+    ///
+    /// Neighbours that are silent are told as well, but don't count, so that the two sides of a
+    /// partition find each other again.
+    #[must_use]
+    pub fn neighbours(&self, node: &str, now: time::Instant) -> Vec<net::SocketAddr> {
+        let own = place(node);
+        let after = self.known.range(&own..).chain(self.known.range(..&own));
+        let after = after.filter(|(place, _)| **place != own).map(|(_, peer)| peer);
+        if !self.is_large() {
+            return after.map(|peer| peer.address).collect();
+        }
+        let (mut addresses, mut seen) = (Vec::new(), collections::HashSet::new());
+        let mut take = |side: &mut dyn Iterator<Item = &Peer>| {
+            let mut live = 0;
+            for peer in side.take(SIDE * 2) {
+                live += usize::from(peer.was_heard(ALIVE, now));
+                if seen.insert(peer.address) {
+                    addresses.push(peer.address);
+                }
+                if live == SIDE {
+                    break;
+                }
+            }
         };
-        self.known.iter().filter(before).count() < most
+        take(&mut after.clone());
+        take(&mut after.rev());
+        addresses
     }
 
-    /// Addresses to tell; those not heard for long are forgotten.
-    pub fn addresses(&mut self, now: time::Instant) -> Vec<net::SocketAddr> {
-        self.known.retain(|_, peer| now.saturating_duration_since(peer.heard) < FORGOTTEN);
-        self.known.values().map(|peer| peer.address).collect()
+    /// Addresses of the first gateways of the order, until [`REPORTERS`] of them were heard lately;
+    /// one of these reports the counts of usage.
+    ///
+    /// They answer each message with counts, which come at intervals of `pause`.
+    #[must_use]
+    pub fn reporters(&self, pause: Duration, now: time::Instant) -> Vec<net::SocketAddr> {
+        let silence = ALIVE.max(pause * 3);
+        let mut live = 0;
+        let mut addresses = Vec::new();
+        for peer in self.known.values().take(MOST_TOLD) {
+            addresses.push(peer.address);
+            live += usize::from(peer.was_heard(silence, now));
+            if live == REPORTERS {
+                break;
+            }
+        }
+        addresses
+    }
+
+    /// Forgets gateways that were neither heard nor listed for long.
+    pub fn forget(&mut self, now: time::Instant) {
+        let old = |at: time::Instant| now.saturating_duration_since(at) >= FORGOTTEN;
+        let sum = &mut self.sum;
+        self.known.retain(|_, peer| {
+            let keeps = !old(peer.listed) || !old(peer.heard);
+            if !keeps {
+                subtract(sum, &peer.loads);
+            }
+            keeps
+        });
+    }
+
+    /// Whether there are so many gateways that not all of them are neighbours.
+    #[must_use]
+    pub fn is_large(&self) -> bool {
+        self.known.len() > SIDE * 2
+    }
+
+    /// Whether a gateway was not heard for so long that it is taken as gone.
+    #[must_use]
+    pub fn is_gone(&self, node: &str, now: time::Instant) -> bool {
+        self.known.get(&place(node)).is_some_and(|peer| !peer.was_heard(FORGOTTEN, now))
     }
 
     /// The true time now, as each gateway heard lately estimates it.
@@ -145,7 +271,7 @@
     #[must_use]
     pub fn ages(&self, now: time::Instant) -> Vec<(&str, u128)> {
         let age = |peer: &Peer| now.saturating_duration_since(peer.heard).as_millis();
-        self.known.iter().map(|(node, peer)| (node.as_str(), age(peer))).collect()
+        self.known.iter().map(|((_, node), peer)| (node.as_str(), age(peer))).collect()
     }
 
     /// Forgets counts of processes that counted nothing in the windows kept.
@@ -156,3 +282,17 @@
         self.counts.retain(|_, counts| !counts.is_empty());
     }
 }
+
+fn subtract(
+    sum: &mut collections::HashMap<u32, directory::Load>,
+    loads: &collections::HashMap<u32, directory::Load>,
+) {
+    for (backend, load) in loads {
+        if let Some(known) = sum.get_mut(backend) {
+            *known -= *load;
+            if *known == directory::Load::default() {
+                sum.remove(backend);
+            }
+        }
+    }
+}
--- a/crates/gateway/src/proxy/choice.rs
+++ b/crates/gateway/src/proxy/choice.rs
@@ -90,19 +90,20 @@
 }
 
 /// Load of all gateways at each backend server.
+///
+/// Gateways that aren't heard are taken to load all backend servers alike.
 fn loads(state: &state::State, usable: &[&directory::Known]) -> Few<directory::Load> {
-    let peers = state.peers.borrow();
+    let mut peers = state.peers.borrow_mut();
     let now = state.clock.now();
-    let load = |known: &&directory::Known| {
-        let others = peers.load(known.hash, now);
-        directory::Load {
-            running: known.load.running + others.running,
-            long: known.load.long + others.long,
-            prefill: known.load.prefill + others.prefill,
-            late: known.load.late + others.late,
-        }
+    let others: Few<_> = usable.iter().map(|known| peers.load(known.hash, now)).collect();
+    let unheard = placement::unheard(&others, peers.unheard(now));
+    let load = |(known, others): (&&directory::Known, &directory::Load)| {
+        let mut load = known.load;
+        load += *others;
+        load += unheard;
+        load
     };
-    usable.iter().map(load).collect()
+    usable.iter().zip(&others).map(load).collect()
 }
 
 /// The hash from which on engines serve long prompts, none if all serve both kinds.
--- a/crates/gateway/src/service/duty.rs
+++ b/crates/gateway/src/service/duty.rs
@@ -3,6 +3,7 @@
 //! A window's counts are frozen in a row before they are sent, under the condition that the lease
 //! is still held. Whoever holds the lease later sends the frozen bytes again.
 
+use std::cmp;
 use std::collections;
 use std::fmt;
 use std::rc;
@@ -17,7 +18,9 @@
 use tokio::time;
 
 use crate::codec;
+use crate::decision::rhythm;
 use crate::decision::windows;
+use crate::peers;
 use crate::state;
 use crate::store;
 
@@ -27,12 +30,8 @@
 /// Start of the keys of frozen reports.
 const REPORT_PREFIX: &str = "usage-report-";
 
-/// Time after a window's end until its counts are frozen. Source: several beacons of the other
-/// gateways, and the time of an answer to be read.
-const SETTLE: Duration = Duration::from_millis(2_500);
-
-/// Gateways that compete for the lease; the others only do if they hear of fewer.
-const CANDIDATES: usize = 3;
+/// Gateways that a line on counts names, the longest silent first.
+const MOST_NAMED: usize = 40;
 
 /// Pause between two looks at what is due.
 const TICK: Duration = Duration::from_millis(250);
@@ -115,7 +114,7 @@
     async fn step(&mut self) {
         let now = self.state.clock.now();
         let node = &self.state.settings.node;
-        let competes = self.state.peers.borrow().is_among(node, CANDIDATES, now);
+        let competes = self.state.peers.borrow().is_among(node, peers::REPORTERS, now);
         if !competes && self.lease.row_version().is_none() {
             return time::sleep(TICK).await;
         }
@@ -199,8 +198,9 @@
         }
         let length = self.state.settings.window;
         let now = self.state.true_time.borrow().at(self.state.clock.now());
-        let newest = windows::window_at(now.saturating_sub(SETTLE), length);
         let due = self.state.settings.report_due.saturating_sub(Duration::from_millis(300));
+        let settle = rhythm::settle(self.state.gateways(), due);
+        let newest = windows::window_at(now.saturating_sub(settle), length);
         let oldest = windows::window_at(now.saturating_sub(due), length).saturating_sub(1);
         for window in oldest..newest {
             let end = length * u32::try_from(window + 1).unwrap_or(u32::MAX);
@@ -273,11 +273,16 @@
         let now = self.state.clock.now();
         let mut own = collections::BTreeMap::new();
         self.state.windows.borrow().add_to(window, &mut own);
+        let (counted, mut ages) = (peers.counted(window), peers.ages(now));
+        let gateways = counted.len() + 1;
+        ages.sort_unstable_by_key(|(_, age)| cmp::Reverse(*age));
+        ages.truncate(MOST_NAMED);
         tracing::info!(
             window,
             own = own.values().sum::<u64>(),
-            others = ?peers.counted(window),
-            heard_ms = ?peers.ages(now),
+            gateways,
+            others = ?counted.iter().take(MOST_NAMED).collect::<Vec<_>>(),
+            heard_ms = ?ages,
             "counts frozen"
         );
     }
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -2,11 +2,13 @@
 
 mod support;
 
+use std::collections;
 use std::net;
 use std::rc;
 use std::time::Duration;
 
 use azuregap_gateway::clock;
+use azuregap_gateway::decision::placement;
 use azuregap_gateway::directory;
 use azuregap_gateway::peers;
 use azuregap_gateway::service;
@@ -109,3 +111,118 @@
     let among = nodes.iter().filter(|node| peers.is_among(node, 3, later)).count();
     expect_that!(among, eq(20));
 }
+
+/// A gateway of a fleet in which all know each other from the list.
+fn member(fleet: usize, now: time::Instant) -> peers::Peers {
+    let mut peers = peers::Peers::default();
+    for n in 0..fleet {
+        peers.learn(format!("g-{n}"), address(n as u16), now);
+    }
+    peers
+}
+
+fn ports(addresses: &[net::SocketAddr]) -> collections::BTreeSet<u16> {
+    addresses.iter().map(net::SocketAddr::port).collect()
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn the_number_of_neighbours_does_not_grow_with_the_fleet_and_each_is_told_by_those_it_tells()
+{
+    let now = time::Instant::now();
+    for (fleet, expected) in [(5, 4), (41, 40), (42, 40), (300, 40), (3_100, 40)] {
+        let peers = member(fleet, now);
+        for n in [0, fleet / 3, fleet - 1] {
+            let told = ports(&peers.neighbours(&format!("g-{n}"), now));
+            expect_that!(told.len(), eq(expected), "g-{n} of {fleet}");
+            for other in &told {
+                let back = ports(&peers.neighbours(&format!("g-{other}"), now));
+                expect_that!(back, contains(eq(&(n as u16))), "g-{other} tells g-{n} of {fleet}");
+            }
+        }
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn silent_neighbours_are_replaced_and_still_told() {
+    let start = time::Instant::now();
+    let mut peers = member(300, start);
+    let before = ports(&peers.neighbours("g-7", start));
+    let later = start + Duration::from_secs(10);
+    let silent: Vec<_> = before.iter().copied().take(10).collect();
+    for n in (0..300_u16).filter(|n| !silent.contains(n)) {
+        peers.heard(beacon(&format!("g-{n}"), 0), address(n), later);
+    }
+    let after = ports(&peers.neighbours("g-7", later));
+    expect_that!(after.is_superset(&before), eq(true));
+    expect_that!(after.len(), ge(before.len() + silent.len() / 2));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn all_agree_on_who_reports_and_pass_over_those_that_are_silent() {
+    let start = time::Instant::now();
+    let pause = Duration::from_secs(1);
+    let mut peers = member(300, start);
+    let first = peers.reporters(pause, start);
+    expect_that!(first.len(), eq(peers::REPORTERS));
+    let later = start + Duration::from_secs(10);
+    for reporter in &first[1..] {
+        peers.heard(beacon(&format!("g-{}", reporter.port()), 0), *reporter, later);
+    }
+    let all = peers.reporters(pause, later);
+    expect_that!(all[..3], eq(&first[..]));
+    expect_that!(all.len(), gt(3));
+    // One of the further ones answers.
+    peers.heard(beacon(&format!("g-{}", all[3].port()), 0), all[3], later);
+    expect_that!(peers.reporters(pause, later).len(), eq(4));
+}
+
+#[gtest]
+fn in_a_fleet_of_sixty_each_count_reaches_all_who_may_report() {
+    actix_rt::System::new().block_on(async {
+        let fake = support::Fake::default();
+        let mut gateways = Vec::new();
+        for n in 0..60 {
+            let state = gateway(&fake, &format!("g-{n}"), n).await;
+            state.count_usage("team", Duration::ZERO);
+            gateways.push(state);
+        }
+        time::sleep(Duration::from_secs(6)).await;
+        let mut reporters = 0;
+        for state in &gateways {
+            expect_that!(state.gateways(), eq(60), "{}", state.settings.node);
+            let now = state.clock.now();
+            let peers = state.peers.borrow();
+            if peers.is_among(&state.settings.node, peers::REPORTERS, now) {
+                reporters += 1;
+                let newest = state.windows.borrow().newest(1).next();
+                let window = newest.map(|(window, ..)| window).unwrap_or_default();
+                let mut sum = collections::BTreeMap::new();
+                state.windows.borrow().add_to(window, &mut sum);
+                peers.add_counts(window, &mut sum);
+                expect_that!(sum.values().sum::<u64>(), eq(60), "{}", state.settings.node);
+            }
+        }
+        expect_that!(reporters, eq(peers::REPORTERS));
+    });
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn gateways_that_are_not_heard_are_taken_to_load_all_servers_alike() {
+    let start = time::Instant::now();
+    let mut small = member(20, start);
+    expect_that!(small.unheard(start + Duration::from_secs(3)), eq(0.0));
+    let now = start + Duration::from_secs(3);
+    let mut large = member(300, start);
+    for n in 0..100_u16 {
+        large.heard(beacon(&format!("g-{n}"), 1), address(n), now);
+        small.heard(beacon(&format!("g-{}", n % 20), 1), address(n), now);
+    }
+    expect_that!(large.unheard(now), approx_eq(2.0));
+    let heard = [large.load(7, now), large.load(8, now)];
+    let background = placement::unheard(&heard, large.unheard(now));
+    expect_that!(background.running, eq(100));
+}
