fix(gateway): a request whose caller leaves before the answer leaves a line

Cause: the handling of such a request is dropped, and with it the line at its end. Of 116 chats that got nothing in a burst, the log named none.

Ruled out: the bound on lines (few were left out then).

Change: a request that is dropped before its end writes "request ended" with outcome "caller left" and status 499. An earlier answer that is given because no other backend server answered is told as well.

--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -1,5 +1,6 @@
 //! Sends a request to backend servers until one answers or it is given up.
 
+use std::cell;
 use std::rc;
 use std::time::Duration;
 
@@ -35,6 +36,9 @@
 /// When to come back if the backend servers have no room.
 const FULL_RETRY: Duration = Duration::from_millis(400);
 
+/// Status in logs and metrics of a request whose caller left before the answer began.
+const CALLER_LEFT: u16 = 499;
+
 /// A request on its way.
 #[derive(Clone, Debug)]
 pub(super) struct Job {
@@ -57,6 +61,8 @@
     pub(super) tried: SmallVec<[ids::BackendId; 4]>,
     home: u8,
     uncached: u64,
+    /// Whether the line on the final answer was written; shared by all copies.
+    ended: rc::Rc<cell::Cell<bool>>,
 }
 
 /// A backend server's answer, with the place that the request takes there.
@@ -103,6 +109,7 @@
             tried: SmallVec::new(),
             home: 0,
             uncached: 0,
+            ended: rc::Rc::default(),
         }
     }
 
@@ -275,6 +282,7 @@
 
     /// Writes the line on the final answer.
     pub(super) fn log_end(&self, status: u16, backend: &str, outcome: &str, reason: &str) {
+        self.ended.set(true);
         let state = &self.state;
         let now = time::Instant::now();
         state.metrics.requests.with_label_values(&[&status.to_string()]).inc();
@@ -309,3 +317,19 @@
         );
     }
 }
+
+impl Drop for Job {
+    /// A request whose handling is dropped before its end was left by its caller.
+    fn drop(&mut self) {
+        if rc::Rc::strong_count(&self.ended) > 1 || self.ended.get() {
+            return;
+        }
+        let backend = self.tried.last().cloned().unwrap_or_default();
+        let reason = if self.state.is_stopping() {
+            "the process ended, or the caller left"
+        } else {
+            "the caller left before the answer began"
+        };
+        self.log_end(CALLER_LEFT, &backend, "caller left", reason);
+    }
+}
--- a/crates/gateway/src/proxy/exchange.rs
+++ b/crates/gateway/src/proxy/exchange.rs
@@ -189,7 +189,7 @@
         let obtained = match job.obtain().await {
             Ok(obtained) => obtained,
             // An earlier answer of a backend server, if only an error, is better than none.
-            Err(given_up) => return kept.ok_or(given_up),
+            Err(given_up) => return keep(job, kept, given_up),
         };
         let streams =
             job.admitted.route.kind.is_stream() && obtained.answer.head.status.is_success();
@@ -215,11 +215,23 @@
                 refusal::Fate::Unknown
             };
             let given_up = dispatch::GivenUp { fate, room: Duration::ZERO, reason: failed };
-            return kept.ok_or(given_up);
+            return keep(job, kept, given_up);
         }
     }
 }
 
+/// The earlier answer of a backend server, if there is one.
+fn keep(
+    job: &dispatch::Job,
+    kept: Option<Response>,
+    given_up: dispatch::GivenUp,
+) -> Result<Response, dispatch::GivenUp> {
+    let Some(response) = kept else { return Err(given_up) };
+    let backend = job.tried.first().map_or("", |id| id.as_str());
+    job.log_end(response.status().as_u16(), backend, "complete", &given_up.reason);
+    Ok(response)
+}
+
 /// Reads a whole answer; false if it is an error that another backend server may do better.
 async fn whole(
     job: &mut dispatch::Job,
--- a/crates/gateway/tests/proxy.rs
+++ b/crates/gateway/tests/proxy.rs
@@ -380,6 +380,22 @@
     });
 }
 
+#[gtest]
+fn each_request_is_counted_at_its_end_also_if_its_caller_leaves_before_the_answer() {
+    run(async {
+        let slow = Answer { after: Duration::from_secs(5), ..keeps(WHOLE) };
+        let backend = backend(vec![slow]).await;
+        let (state, address) = gateway(&[&backend]).await;
+        let mut stream = tokio_net::TcpStream::connect(address).await.expect("a connection");
+        let head = "GET /once/a HTTP/1.1\r\nhost: h\r\nx-id: 1\r\n\r\n";
+        stream.write_all(head.as_bytes()).await.expect("a request");
+        time::sleep(Duration::from_millis(100)).await;
+        drop(stream);
+        time::sleep(Duration::from_millis(200)).await;
+        expect_that!(state.metrics.requests.with_label_values(&["499"]).get(), eq(1));
+    });
+}
+
 #[gtest]
 fn the_callers_deadline_ends_a_request() {
     run(async {
