feat(gateway): placing counts less urgent work only where it doesn't give way

Cause: in a burst, chats (the most urgent requests) waited over two seconds for a slot on the seven engines set aside for them and left, while less urgent bills began on the other 39. The cost of those engines counted all prompts that wait there, though an engine reads the more urgent one first.

Change: gateways keep and tell their work by rank. A server's cost counts the prompts and slots of requests that are as urgent or more, and a tenth of the rest. "Late" work needs no field of its own: it has a rank of its own.

Tests: a_request_whose_own_servers_are_full_goes_where_less_urgent_work_gives_way (chose the full servers before: all work counted alike).

--- a/crates/gateway/src/decision/placement.rs
+++ b/crates/gateway/src/decision/placement.rs
@@ -2,7 +2,8 @@
 //!
 //! For model engines the cost of a backend server is the work that stands before the request's
 //! first token there: prompt tokens of others that are not read yet, its own that are not cached,
-//! and the slowing of each step by the requests that run. Sessions have a home by rendezvous
+//! and the slowing of each step by the requests that run. Less urgent requests give way, so a
+//! request that finds its own engines full goes where those stand. Sessions have a home by rendezvous
 //! hashing, so that gateways agree on it without a message; a home with too much work before it is
 //! passed over. This answers bursts of long prompts, where the engines are bound by prefill.
 
@@ -22,6 +23,10 @@
 /// lost for all requests there, and the part takes memory twice.
 const AGAIN_FACTOR: f64 = 12.0;
 
+/// Part of the prompts of less urgent requests that delays this one: what an engine has begun to
+/// read, and the streams that the preempted ones interrupt.
+const BEHIND_SHARE: f64 = 0.1;
+
 /// Added when a backend server has no free slot, in prompt tokens for each request over.
 const FULL_TOKENS: f64 = 3_000.0;
 
@@ -45,10 +50,14 @@
     pub hash: u32,
     /// Requests of all gateways that run or wait there.
     pub running: u32,
+    /// Those of them that are as urgent as this one or more.
+    pub rivals: u32,
     /// Requests that it runs at once.
     pub slots: u32,
-    /// Prompt tokens of all gateways' requests that have not produced their first event.
+    /// Prompt tokens of the rivals that have not produced their first event.
     pub prefill: u64,
+    /// Prompt tokens of the other requests that have not.
+    pub behind: u64,
     /// Prompt tokens of this request that it has to read.
     pub uncached: u64,
     /// Those of them that other requests share, and that another backend server may keep.
@@ -65,8 +74,9 @@
     /// Expected work before the first token, in prompt tokens.
     #[must_use]
     pub fn cost(&self) -> f64 {
-        let over = f64::from((self.running + 1).saturating_sub(self.slots));
+        let over = f64::from((self.rivals + 1).saturating_sub(self.slots));
         let work = (self.prefill + self.uncached) as f64
+            + self.behind as f64 * BEHIND_SHARE
             + self.again as f64 * AGAIN_FACTOR
             + f64::from(self.running) * RUNNING_TOKENS
             + over * FULL_TOKENS;
@@ -85,13 +95,7 @@
     }
     let mut sum = directory::Load::default();
     heard.iter().for_each(|load| sum += *load);
-    let scale = ratio / heard.len() as f64;
-    directory::Load {
-        running: (f64::from(sum.running) * scale).round() as u32,
-        long: (f64::from(sum.long) * scale).round() as u32,
-        prefill: (sum.prefill as f64 * scale).round() as u64,
-        late: (sum.late as f64 * scale).round() as u64,
-    }
+    sum.scaled(ratio / heard.len() as f64)
 }
 
 /// The position of the cheapest candidate; `draw` decides between equals.
--- a/crates/gateway/src/decision/urgency.rs
+++ b/crates/gateway/src/decision/urgency.rs
@@ -17,7 +17,7 @@
 use smallvec::SmallVec;
 
 /// Ranks that model engines tell apart. Source: the headers that engines understand.
-const RANKS: usize = 10;
+pub const RANKS: usize = 10;
 
 /// Place of a request in the order of a backend server's work; 0 is served first.
 pub type Rank = u8;
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -2,6 +2,7 @@
 
 mod backend;
 mod known;
+mod load;
 
 use std::collections;
 use std::time::Duration;
@@ -11,8 +12,9 @@
 
 pub use backend::Backend;
 pub use known::Known;
-pub use known::Load;
 pub use known::hash_of;
+pub use load::Load;
+pub use load::Part;
 
 /// After the store's return, entries that lapsed while it was away are written again within this
 /// time; one that is still missing then is gone. Source: the store's documentation.
--- a/crates/gateway/src/directory/known.rs
+++ b/crates/gateway/src/directory/known.rs
@@ -1,45 +1,12 @@
 //! What this gateway knows of one backend server.
 
-use std::ops;
-
 use xxhash_rust::xxh3;
 
 use super::backend;
+use super::load;
 use crate::decision::cache;
 use crate::decision::standing;
 
-/// Work of this gateway's own requests on a backend server.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Load {
-    /// Requests sent and not finished.
-    pub running: u32,
-    /// Those of them with long prompts.
-    pub long: u32,
-    /// Prompt tokens of requests that have not produced their first event.
-    pub prefill: u64,
-    /// Those of requests that can't be on time any more.
-    pub late: u64,
-}
-
-impl ops::AddAssign for Load {
-    fn add_assign(&mut self, other: Self) {
-        self.running += other.running;
-        self.long += other.long;
-        self.prefill += other.prefill;
-        self.late += other.late;
-    }
-}
-
-impl ops::SubAssign for Load {
-    /// Never less than nothing.
-    fn sub_assign(&mut self, other: Self) {
-        self.running = self.running.saturating_sub(other.running);
-        self.long = self.long.saturating_sub(other.long);
-        self.prefill = self.prefill.saturating_sub(other.prefill);
-        self.late = self.late.saturating_sub(other.late);
-    }
-}
-
 /// A backend server with what this gateway learnt of it.
 #[derive(Debug)]
 pub struct Known {
@@ -48,7 +15,7 @@
     /// Hash of its id, the same at every gateway.
     pub hash: u32,
     /// This gateway's own work there.
-    pub load: Load,
+    pub load: load::Load,
     /// How its answers have been.
     pub standing: standing::Standing,
     /// Parts of prompts that it has read lately.
@@ -62,7 +29,7 @@
         Self {
             hash: hash_of(&backend.id),
             backend,
-            load: Load::default(),
+            load: load::Load::default(),
             standing: standing::Standing::new(),
             cache: cache::Cache::new(),
         }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -15,6 +15,7 @@
 
 pub use beacon::Beacon;
 pub use beacon::Count;
+pub use beacon::Share;
 pub use beacon::Work;
 
 /// What a gateway says of its load holds for this long.
@@ -99,13 +100,7 @@
         let Some(peer) = self.known.get_mut(&place(&beacon.node)) else { return };
         peer.heard = now;
         peer.ahead = Some((now, beacon.true_time));
-        let load = |work: &Work| directory::Load {
-            running: work.running,
-            long: work.long,
-            prefill: work.prefill,
-            late: work.late,
-        };
-        let loads = beacon.work.iter().map(|work| (work.backend, load(work))).collect();
+        let loads = beacon.work.iter().map(|work| (work.backend, work.load())).collect();
         let old = std::mem::replace(&mut peer.loads, loads);
         subtract(&mut self.sum, &old);
         for (backend, load) in &peer.loads {
--- a/crates/gateway/src/peers/beacon.rs
+++ b/crates/gateway/src/peers/beacon.rs
@@ -6,22 +6,58 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::decision::urgency;
 use crate::decision::windows;
+use crate::directory;
 
 /// Work of a gateway's requests at one backend server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Work {
     /// Hash of the backend server's id.
     pub backend: u32,
+    /// Requests with long prompts.
+    pub long: u32,
+    /// Work of the ranks that have any.
+    pub ranks: Vec<Share>,
+}
+
+/// Work of the requests of one rank.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Share {
+    /// The rank.
+    pub rank: urgency::Rank,
     /// Requests sent and not finished.
     pub running: u32,
-    /// Those of them with long prompts.
-    pub long: u32,
-    /// Prompt tokens of requests that have not produced their first event.
+    /// Prompt tokens of those that have not produced their first event.
     pub prefill: u64,
-    /// Those of requests that can't be on time any more.
-    pub late: u64,
+}
+
+impl From<(u32, &directory::Load)> for Work {
+    fn from((backend, load): (u32, &directory::Load)) -> Self {
+        let ranks = (0..).zip(&load.ranks);
+        let busy = ranks.filter(|(_, part)| **part != directory::Part::default());
+        let share = |(rank, part): (urgency::Rank, &directory::Part)| Share {
+            rank,
+            running: part.running,
+            prefill: part.prefill,
+        };
+        Self { backend, long: load.long, ranks: busy.map(share).collect() }
+    }
+}
+
+impl Work {
+    /// The load at the backend server.
+    #[must_use]
+    pub fn load(&self) -> directory::Load {
+        let mut load = directory::Load { long: self.long, ..directory::Load::default() };
+        for share in &self.ranks {
+            let part = directory::Part { running: share.running, prefill: share.prefill };
+            *load.rank_mut(share.rank) += part;
+        }
+        load
+    }
 }
 
 /// Requests of one team that began to run in one window.
--- a/crates/gateway/src/proxy/choice.rs
+++ b/crates/gateway/src/proxy/choice.rs
@@ -33,16 +33,20 @@
     });
     let homes = homes.unwrap_or_default();
     let shared: u64 = parts.iter().rev().skip(1).map(|part| u64::from(part.tokens)).sum();
+    let rank = job.admitted.ranks.timely;
     let place = |hash: u32| homes.iter().position(|home| *home == hash);
     let candidate = |(known, load): (&&directory::Known, &directory::Load)| {
         let likely =
             place(known.hash).map_or(0.0, |at| shared as f64 * (1.0 - placement::UNSURE[at]));
         let kept = known.cache.kept(parts, now).max(likely as u64);
+        let (all, rivals) = (load.total(), load.until(rank));
         placement::Candidate {
             hash: known.hash,
-            running: load.running,
+            running: all.running,
+            rivals: rivals.running,
             slots: known.backend.slots,
-            prefill: load.prefill,
+            prefill: rivals.prefill,
+            behind: all.prefill - rivals.prefill,
             uncached: total.saturating_sub(kept),
             again: shared.saturating_sub(kept),
             slowness: known.standing.slowness(now),
@@ -58,7 +62,7 @@
         born: known.backend.born,
         address: known.backend.address,
         uncached: candidates[at].uncached,
-        before: candidates[at].prefill - loads[at].late.min(candidates[at].prefill),
+        before: candidates[at].prefill,
         home: place(known.hash).map_or(0, |at| at as u8 + 1),
     })
 }
@@ -114,7 +118,7 @@
     now: time::Instant,
 ) -> Option<u32> {
     let long: u32 = loads.iter().map(|load| load.long).sum();
-    let running: u32 = loads.iter().map(|load| load.running).sum();
+    let running: u32 = loads.iter().map(|load| load.total().running).sum();
     let work =
         division::Work { long: f64::from(long), short: f64::from(running.saturating_sub(long)) };
     let slots = usable.iter().map(|known| known.backend.slots).max().unwrap_or(1);
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -18,6 +18,7 @@
 use crate::decision::division;
 use crate::decision::refusal;
 use crate::decision::standing;
+use crate::decision::urgency;
 use crate::state;
 
 /// Sends of one request, those that reached no backend server included.
@@ -201,9 +202,13 @@
     }
 
     fn ticket(&self, target: &attempt::Target) -> ticket::Ticket {
-        let id = target.id.clone();
-        let kind = (self.is_long(), self.is_late(target));
-        ticket::Ticket::new(&self.state, id, target.born, target.uncached, kind.0, kind.1)
+        ticket::Ticket::new(&self.state, target, self.rank(target), self.is_long())
+    }
+
+    /// Rank of the request at a backend server.
+    fn rank(&self, target: &attempt::Target) -> urgency::Rank {
+        let ranks = self.admitted.ranks;
+        if self.is_late(target) { ranks.late } else { ranks.timely }
     }
 
     /// Whether the prompt is long enough to disturb the streams beside it.
@@ -221,12 +226,11 @@
     }
 
     async fn send(&self, target: &attempt::Target) -> attempt::Sent {
-        let ranks = self.admitted.ranks;
         let stamp = codec::Stamp {
             left: self.left(),
             backend: target.id.clone(),
             team: self.admitted.team.clone(),
-            rank: if self.is_late(target) { ranks.late } else { ranks.timely },
+            rank: self.rank(target),
             last_event: self.last_event,
         };
         let id = &self.admitted.ask.id;
--- a/crates/gateway/src/proxy/ticket.rs
+++ b/crates/gateway/src/proxy/ticket.rs
@@ -4,6 +4,9 @@
 
 use azuregap_core::ids;
 
+use super::attempt;
+use crate::decision::urgency;
+use crate::directory;
 use crate::state;
 
 /// A request that is being served by this process.
@@ -32,45 +35,37 @@
     state: rc::Rc<state::State>,
     backend: ids::BackendId,
     born: u64,
-    prefill: u64,
+    rank: urgency::Rank,
+    part: directory::Part,
     long: u32,
-    is_late: bool,
 }
 
 impl Ticket {
     /// Counts a request with unread prompt tokens at a backend server until the guard is dropped.
     pub(super) fn new(
         state: &rc::Rc<state::State>,
-        backend: ids::BackendId,
-        born: u64,
-        prefill: u64,
+        target: &attempt::Target,
+        rank: urgency::Rank,
         is_long: bool,
-        is_late: bool,
     ) -> Self {
-        let long = u32::from(is_long);
-        if let Some(known) = state.directory.borrow_mut().get_mut(&backend) {
-            known.load.running += 1;
-            known.load.long += long;
-            known.load.prefill += prefill;
-            known.load.late += if is_late { prefill } else { 0 };
-        }
-        Self { state: state.clone(), backend, born, prefill, long, is_late }
+        let part = directory::Part { running: 1, prefill: target.uncached };
+        let (backend, born, long) = (target.id.clone(), target.born, u32::from(is_long));
+        let ticket = Self { state: state.clone(), backend, born, rank, part, long };
+        ticket.change(|load| {
+            load.long += long;
+            *load.rank_mut(rank) += part;
+        });
+        ticket
     }
 
     /// The prompt was read: the first event came.
     pub(super) fn started(&mut self) {
-        let prefill = std::mem::take(&mut self.prefill);
-        self.change(|load| self.read(load, prefill));
-    }
-
-    fn read(&self, load: &mut crate::directory::Load, prefill: u64) {
-        load.prefill = load.prefill.saturating_sub(prefill);
-        if self.is_late {
-            load.late = load.late.saturating_sub(prefill);
-        }
+        let read = directory::Part { running: 0, prefill: self.part.prefill };
+        self.part -= read;
+        self.change(|load| *load.rank_mut(self.rank) -= read);
     }
 
-    fn change(&self, change: impl FnOnce(&mut crate::directory::Load)) {
+    fn change(&self, change: impl FnOnce(&mut directory::Load)) {
         let mut directory = self.state.directory.borrow_mut();
         let known = directory.get_mut(&self.backend);
         if let Some(known) = known.filter(|known| known.backend.born == self.born) {
@@ -81,11 +76,9 @@
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        let (prefill, long) = (self.prefill, self.long);
         self.change(|load| {
-            load.long = load.long.saturating_sub(long);
-            load.running = load.running.saturating_sub(1);
-            self.read(load, prefill);
+            load.long = load.long.saturating_sub(self.long);
+            *load.rank_mut(self.rank) -= self.part;
         });
         self.state.changed.notify_waiters();
     }
--- a/crates/gateway/src/service/gossip.rs
+++ b/crates/gateway/src/service/gossip.rs
@@ -215,14 +215,8 @@
 
 /// What this gateway says of its load.
 fn beacon(state: &state::State, incarnation: ids::Incarnation) -> peers::Beacon {
-    let work = |known: &directory::Known| peers::Work {
-        backend: known.hash,
-        running: known.load.running,
-        long: known.load.long,
-        prefill: known.load.prefill,
-        late: known.load.late,
-    };
-    let busy = |known: &&directory::Known| known.load.running > 0;
+    let work = |known: &directory::Known| peers::Work::from((known.hash, &known.load));
+    let busy = |known: &&directory::Known| known.load != directory::Load::default();
     peers::Beacon {
         node: state.settings.node.clone(),
         incarnation,
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -26,8 +26,10 @@
     placement::Candidate {
         hash,
         running: 0,
+        rivals: 0,
         slots: 32,
         prefill: 0,
+        behind: 0,
         uncached: 3_000,
         again: 0,
         slowness: 1.0,
@@ -42,7 +44,8 @@
     let table = [
         ("less prompt to read", placement::Candidate { prefill: 2_000, ..base }),
         ("fewer running", placement::Candidate { running: 9, ..base }),
-        ("a free slot", placement::Candidate { running: 32, ..base }),
+        ("a free slot", placement::Candidate { rivals: 32, ..base }),
+        ("less urgent work", placement::Candidate { behind: 2_000, ..base }),
         ("parts that are kept", placement::Candidate { uncached: 9_000, again: 6_000, ..base }),
         ("a sound server", placement::Candidate { slowness: 2.0, ..base }),
         ("the own kind", placement::Candidate { foreign: true, ..base }),
@@ -64,6 +67,16 @@
     expect_that!(placement::choose(&[home(90_000), other], 7), some(eq(1)));
 }
 
+#[gtest]
+fn a_request_whose_own_servers_are_full_goes_where_less_urgent_work_gives_way() {
+    let own = placement::Candidate { running: 64, rivals: 64, prefill: 20_000, ..candidate(1) };
+    let foreign = placement::Candidate { foreign: true, running: 33, ..candidate(2) };
+    let less_urgent = placement::Candidate { behind: 300_000, ..foreign };
+    expect_that!(placement::choose(&[own, less_urgent], 7), some(eq(1)));
+    let as_urgent = placement::Candidate { rivals: 33, prefill: 300_000, ..foreign };
+    expect_that!(placement::choose(&[own, as_urgent], 7), some(eq(0)));
+}
+
 #[gtest]
 fn equals_are_spread_by_the_draw() {
     let all: Vec<_> = (1..=8).map(|n| candidate(n * 0x1234_5679)).collect();
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -30,7 +30,8 @@
 }
 
 fn beacon(node: &str, running: u32) -> peers::Beacon {
-    let work = peers::Work { backend: 7, running, long: 1, prefill: 100, late: 0 };
+    let share = peers::Share { rank: 2, running, prefill: 100 };
+    let work = peers::Work { backend: 7, long: 1, ranks: vec![share] };
     peers::Beacon {
         node: node.to_owned(),
         incarnation: 1,
@@ -85,13 +86,16 @@
     let mut peers = peers::Peers::default();
     peers.heard(beacon("g-2", 3), address(2), start);
     peers.heard(beacon("g-3", 4), address(3), start);
-    let both = directory::Load { running: 7, long: 2, prefill: 200, late: 0 };
-    expect_that!(peers.load(7, start), eq(both));
+    let both = peers.load(7, start);
+    expect_that!(both.long, eq(2));
+    expect_that!(both.total(), eq(directory::Part { running: 7, prefill: 200 }));
+    expect_that!(both.until(1), eq(directory::Part::default()));
+    expect_that!(both.until(2), eq(both.total()));
     expect_that!(peers.load(8, start), eq(directory::Load::default()));
     // What a gateway said last replaces what it said before.
     peers.heard(beacon("g-3", 1), address(3), start);
-    expect_that!(peers.load(7, start).running, eq(4));
-    expect_that!(peers.load(7, start + Duration::from_secs(2)).running, eq(0));
+    expect_that!(peers.load(7, start).total().running, eq(4));
+    expect_that!(peers.load(7, start + Duration::from_secs(2)).total().running, eq(0));
     expect_that!(peers.alive(start + Duration::from_secs(2)), eq(2));
     expect_that!(peers.alive(start + Duration::from_secs(20)), eq(0));
 }
@@ -224,5 +228,5 @@
     expect_that!(large.unheard(now), approx_eq(2.0));
     let heard = [large.load(7, now), large.load(8, now)];
     let background = placement::unheard(&heard, large.unheard(now));
-    expect_that!(background.running, eq(100));
+    expect_that!(background.total().running, eq(100));
 }
