feat(gateway): work that gives way doesn't count in the cost of a server

Cause: a tenth of less urgent prompts was counted in a server's cost; the share was a guess.

The field goes.

--- a/crates/gateway/src/decision/placement.rs
+++ b/crates/gateway/src/decision/placement.rs
@@ -23,10 +23,6 @@
 /// lost for all requests there, and the part takes memory twice.
 const AGAIN_FACTOR: f64 = 12.0;
 
-/// Part of the prompts of less urgent requests that delays this one: what an engine has begun to
-/// read, and the streams that the preempted ones interrupt.
-const BEHIND_SHARE: f64 = 0.1;
-
 /// Added when a backend server has no free slot, in prompt tokens for each request over.
 const FULL_TOKENS: f64 = 3_000.0;
 
@@ -56,8 +52,6 @@
     pub slots: u32,
     /// Prompt tokens of the rivals that have not produced their first event.
     pub prefill: u64,
-    /// Prompt tokens of the other requests that have not.
-    pub behind: u64,
     /// Prompt tokens of this request that it has to read.
     pub uncached: u64,
     /// Those of them that other requests share, and that another backend server may keep.
@@ -76,7 +70,6 @@
     pub fn cost(&self) -> f64 {
         let over = f64::from((self.rivals + 1).saturating_sub(self.slots));
         let work = (self.prefill + self.uncached) as f64
-            + self.behind as f64 * BEHIND_SHARE
             + self.again as f64 * AGAIN_FACTOR
             + f64::from(self.running) * RUNNING_TOKENS
             + over * FULL_TOKENS;
--- a/crates/gateway/src/proxy/choice.rs
+++ b/crates/gateway/src/proxy/choice.rs
@@ -39,14 +39,13 @@
         let likely =
             place(known.hash).map_or(0.0, |at| shared as f64 * (1.0 - placement::UNSURE[at]));
         let kept = known.cache.kept(parts, now).max(likely as u64);
-        let (all, rivals) = (load.total(), load.until(rank));
+        let rivals = load.until(rank);
         placement::Candidate {
             hash: known.hash,
-            running: all.running,
+            running: load.total().running,
             rivals: rivals.running,
             slots: known.backend.slots,
             prefill: rivals.prefill,
-            behind: all.prefill - rivals.prefill,
             uncached: total.saturating_sub(kept),
             again: shared.saturating_sub(kept),
             slowness: known.standing.slowness(now),
