feat(gateway): short requests that don't fit at one server are dealt over all

Cause: what gateways hear of each other is up to a pause between beacons old, and all see the same cheapest server. When an engine becomes free, 28 gateways send it up to 90 chats within that time; it runs 32, the rest waits for over two seconds and leaves, while other engines take less urgent work.

Change: short requests without a home, and those whose shared part is under 1,000 tokens, are dealt in proportion to what each server would get if the requests expected within a quarter of the pause went one by one to the cheapest; if these fit there, it is chosen as before. The own rate stands for that of the others.

Tests: requests_that_fit_go_to_the_cheapest_and_more_are_dealt_over_all (all went to one before), what_others_send_meanwhile_is_expected_from_the_own_rate.

--- a/crates/gateway/src/decision.rs
+++ b/crates/gateway/src/decision.rs
@@ -1,5 +1,6 @@
 //! Decisions of a gateway, without I/O.
 
+pub mod arrivals;
 pub mod cache;
 pub mod division;
 pub mod freshness;
--- a/crates/gateway/src/decision/placement.rs
+++ b/crates/gateway/src/decision/placement.rs
@@ -32,6 +32,9 @@
 /// What crossing to another availability zone costs, in prompt tokens.
 const ZONE_TOKENS: f64 = 100.0;
 
+/// Steps in which the level of costs is found; each halves the range.
+const LEVEL_STEPS: u32 = 16;
+
 /// Homes of a session.
 pub const HOMES: usize = 3;
 
@@ -77,6 +80,25 @@
         let side = if self.foreign { FOREIGN_TOKENS } else { 0.0 };
         (work + way + side) * self.slowness
     }
+
+    /// Slots that requests like this one can have.
+    const fn free(&self) -> u32 {
+        self.slots.saturating_sub(self.rivals)
+    }
+
+    /// How many requests like this one bring the cost to a level.
+    fn until(&self, level: f64) -> f64 {
+        let room = level - self.cost();
+        if room <= 0.0 {
+            return 0.0;
+        }
+        let each = (self.uncached as f64 + RUNNING_TOKENS) * self.slowness;
+        let free = f64::from(self.free().saturating_sub(1));
+        if room <= free * each {
+            return room / each;
+        }
+        free + (room - free * each) / (each + FULL_TOKENS * self.slowness)
+    }
 }
 
 /// What gateways that aren't heard add to the load of each backend server, if there are `ratio` of
@@ -107,6 +129,43 @@
         .map(|(position, _)| position)
 }
 
+/// The position of a candidate for one of `expected` requests that gateways send before they hear
+/// of each other's; `draw` is between 0 and 1.
+///
+/// All of them see the same cheapest candidate. If they fit there, it is chosen; else each candidate
+/// is chosen in proportion to what it would get if the requests were dealt one after the other to
+/// the cheapest. This answers bursts in which a backend server that has just become free would be
+/// sent more than it can run.
+#[must_use]
+pub fn spread(candidates: &[Candidate], expected: f64, draw: f64) -> Option<usize> {
+    let cheapest = choose(candidates, 1)?;
+    if expected <= f64::from(candidates[cheapest].free()) {
+        return Some(cheapest);
+    }
+    let costs = || candidates.iter().map(Candidate::cost);
+    let (mut low, mut high) = (costs().min_by(f64::total_cmp)?, costs().max_by(f64::total_cmp)?);
+    let dealt = |level: f64| candidates.iter().map(|candidate| candidate.until(level)).sum::<f64>();
+    while dealt(high) < expected {
+        high = high * 2.0 + FULL_TOKENS;
+    }
+    for _ in 0..LEVEL_STEPS {
+        let middle = f64::midpoint(low, high);
+        if dealt(middle) < expected {
+            low = middle;
+        } else {
+            high = middle;
+        }
+    }
+    let mut point = draw * dealt(high);
+    for (position, candidate) in candidates.iter().enumerate() {
+        point -= candidate.until(high);
+        if point < 0.0 {
+            return Some(position);
+        }
+    }
+    Some(cheapest)
+}
+
 /// The candidates at which a part of a prompt is at home, the first one first.
 ///
 /// A home with too much work is passed over for the next one. All gateways agree on the order, so
--- a/crates/gateway/src/proxy/choice.rs
+++ b/crates/gateway/src/proxy/choice.rs
@@ -7,9 +7,17 @@
 use super::dispatch;
 use crate::decision::division;
 use crate::decision::placement;
+use crate::decision::rhythm;
 use crate::directory;
 use crate::state;
 
+/// Shared prompt tokens from which on a session's home is worth more than an even load.
+const LEAST_HOME: u64 = 1_000;
+
+/// Part of the pause between two beacons whose requests are not heard of when one is placed. Source:
+/// half of it on average, and half of that, since the others' shares differ.
+const UNHEARD_PART: f64 = 0.25;
+
 /// Backend servers of one service that fit without an allocation.
 type Few<T> = SmallVec<[T; 64]>;
 
@@ -54,7 +62,13 @@
         }
     };
     let candidates: Few<_> = usable.iter().zip(&loads).map(candidate).collect();
-    let at = placement::choose(&candidates, rand::random())?;
+    let cheapest = placement::choose(&candidates, rand::random())?;
+    let has_home = shared >= LEAST_HOME && place(candidates[cheapest].hash).is_some();
+    let at = if job.is_long() || has_home {
+        cheapest
+    } else {
+        placement::spread(&candidates, expected(job, now), rand::random())?
+    };
     let known = usable[at];
     Some(attempt::Target {
         id: known.backend.id.clone(),
@@ -66,6 +80,16 @@
     })
 }
 
+/// Requests like this one that all gateways send before they hear of each other's.
+fn expected(job: &dispatch::Job, now: time::Instant) -> f64 {
+    let state = &job.state;
+    let gateways = state.gateways();
+    let mut arrivals = state.arrivals.borrow_mut();
+    let arrivals = arrivals.entry(job.admitted.service.clone()).or_default();
+    arrivals.observe(now);
+    arrivals.expected(gateways, rhythm::load_interval(gateways - 1).mul_f64(UNHEARD_PART), now)
+}
+
 /// Backend servers that were not tried, can be reached and are not paused after a failure.
 fn usable<'a>(
     job: &dispatch::Job,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,6 +12,7 @@
 use crate::clock;
 use crate::codec;
 use crate::configuration;
+use crate::decision::arrivals;
 use crate::decision::division;
 use crate::decision::freshness;
 use crate::decision::pace;
@@ -72,6 +73,8 @@
     pub listed: cell::Cell<bool>,
     /// Division of each service's model engines.
     pub divisions: cell::RefCell<collections::HashMap<ids::PoolId, division::Division>>,
+    /// Own requests to each service that are short and not bound to a home.
+    pub arrivals: cell::RefCell<collections::HashMap<ids::PoolId, arrivals::Arrivals>>,
     /// Speed of each service's model engines.
     pub paces: cell::RefCell<collections::HashMap<ids::PoolId, pace::Pace>>,
     /// Losses on connections to each service that had rested.
@@ -117,6 +120,7 @@
             directory: cell::RefCell::default(),
             listed: cell::Cell::new(false),
             divisions: cell::RefCell::default(),
+            arrivals: cell::RefCell::default(),
             paces: cell::RefCell::default(),
             rests: cell::RefCell::default(),
             repeats: cell::RefCell::new(repeats::Repeats::new(settings.repeats)),
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use azuregap_gateway::codec;
+use azuregap_gateway::decision::arrivals;
 use azuregap_gateway::decision::cache;
 use azuregap_gateway::decision::division;
 use azuregap_gateway::decision::freshness;
@@ -74,6 +75,43 @@
     expect_that!(placement::choose(&[own, as_urgent], 7), some(eq(0)));
 }
 
+#[gtest]
+fn requests_that_fit_go_to_the_cheapest_and_more_are_dealt_over_all() {
+    let full = |hash| placement::Candidate { running: 40, rivals: 40, ..candidate(hash) };
+    let freed = placement::Candidate { running: 24, rivals: 24, ..candidate(9) };
+    let servers = [full(1), full(2), full(3), freed];
+    let dealt = |expected: f64| {
+        let mut counts = [0.0; 4];
+        for step in 0..1_000 {
+            let draw = f64::from(step) / 1_000.0;
+            counts[placement::spread(&servers, expected, draw).expect("a choice")] += 1.0;
+        }
+        counts.map(|count: f64| count / 1_000.0 * expected)
+    };
+    expect_that!(dealt(8.0), eq([0.0, 0.0, 0.0, 8.0]));
+    let many = dealt(100.0);
+    // 24 + 100 and three times 40: all end with about as many.
+    expect_that!(many[3], all![gt(30.0), lt(45.0)]);
+    for count in &many[..3] {
+        expect_that!(*count, all![gt(15.0), lt(25.0)]);
+    }
+    expect_that!(placement::spread(&[], 10.0, 0.5), none());
+}
+
+#[gtest]
+fn what_others_send_meanwhile_is_expected_from_the_own_rate() {
+    let start = time::Instant::now();
+    let mut arrivals = arrivals::Arrivals::default();
+    expect_that!(arrivals.expected(28, millis(700), start), eq(0.0));
+    for step in 0..100_u32 {
+        arrivals.observe(start + millis(50) * step);
+    }
+    let now = start + millis(5_000);
+    // 20 requests a second of each of 28 gateways, for a tenth of a second.
+    expect_that!(arrivals.expected(28, millis(100), now), all![gt(50.0), lt(62.0)]);
+    expect_that!(arrivals.expected(28, millis(100), now + millis(7_000)), lt(0.1));
+}
+
 #[gtest]
 fn equals_are_spread_by_the_draw() {
     let all: Vec<_> = (1..=8).map(|n| candidate(n * 0x1234_5679)).collect();
