--- /dev/null
+++ b/crates/gateway/tests/support/loopback.rs
@@ -0,0 +1,165 @@
+//! A gateway on loopback before backend servers that misbehave.
+
+use azuregap_gateway::configuration;
+use azuregap_gateway::directory;
+use azuregap_gateway::proxy;
+use azuregap_gateway::state;
+use std::cell;
+use std::net;
+use std::rc;
+use std::time::Duration;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net as tokio_net;
+use tokio::time;
+
+pub const WHOLE: &str = "HTTP/1.1 200 OK\r\nx-id: 1\r\ncontent-length: 5\r\n\r\nhello";
+pub const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nx-id: 1\r\ntransfer-encoding: chunked\r\n\r\n";
+
+/// What a backend server writes for one request, and whether it then closes the connection.
+#[derive(Clone)]
+pub struct Answer {
+    pub text: String,
+    pub closes: bool,
+    pub after: Duration,
+}
+
+pub fn keeps(text: impl Into<String>) -> Answer {
+    Answer { text: text.into(), closes: false, after: Duration::ZERO }
+}
+
+pub fn closes(text: impl Into<String>) -> Answer {
+    Answer { text: text.into(), closes: true, after: Duration::ZERO }
+}
+
+pub fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// A backend server that gives its answers in turn; the last one for ever.
+pub struct Backend {
+    pub address: net::SocketAddr,
+    pub heads: rc::Rc<cell::RefCell<Vec<String>>>,
+    /// Connections that the gateway closed while a request was at work.
+    pub left: rc::Rc<cell::Cell<u32>>,
+}
+
+pub async fn backend(answers: Vec<Answer>) -> Backend {
+    let listener = tokio_net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let heads = rc::Rc::new(cell::RefCell::new(Vec::new()));
+    let left = rc::Rc::new(cell::Cell::new(0));
+    let (seen, gone) = (heads.clone(), left.clone());
+    actix_rt::spawn(async move {
+        loop {
+            let Ok((mut stream, _)) = listener.accept().await else { return };
+            let (seen, gone, answers) = (seen.clone(), gone.clone(), answers.clone());
+            actix_rt::spawn(async move {
+                while let Some(head) = read_head(&mut stream).await {
+                    let turn = seen.borrow().len().min(answers.len() - 1);
+                    seen.borrow_mut().push(head);
+                    let answer = &answers[turn];
+                    let mut byte = [0];
+                    if time::timeout(answer.after, stream.read(&mut byte)).await.is_ok() {
+                        gone.set(gone.get() + 1);
+                        return;
+                    }
+                    if stream.write_all(answer.text.as_bytes()).await.is_err() || answer.closes {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    Backend { address, heads, left }
+}
+
+pub async fn read_head(stream: &mut tokio_net::TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    String::from_utf8(head).ok()
+}
+
+pub fn route(prefix: &str, kind: configuration::Kind, attempts: u32) -> configuration::Route {
+    configuration::Route {
+        name: prefix.to_owned(),
+        host: "h".to_owned(),
+        prefix: prefix.to_owned(),
+        kind,
+        shares: [configuration::Share { service: "s".to_owned(), weight: 1 }].into_iter().collect(),
+        timeout: Duration::from_secs(2),
+        goal: Duration::from_millis(200),
+        tier: 1,
+        attempts,
+        open: true,
+    }
+}
+
+pub fn stream_kind(resumable: bool) -> configuration::Kind {
+    configuration::Kind::Stream { resumable, pause: Duration::from_millis(100) }
+}
+
+/// A gateway before backend servers; returns where callers connect.
+pub async fn gateway(backends: &[&Backend]) -> (rc::Rc<state::State>, net::SocketAddr) {
+    let state = super::state("g-1");
+    let configuration = configuration::Configuration::new(1)
+        .route(route("/once/", configuration::Kind::Once, 2))
+        .route(route("/again/", configuration::Kind::Idempotent, 2))
+        .route(route("/stream/", stream_kind(false), 1))
+        .route(route("/resume/", stream_kind(true), 2))
+        .route(configuration::Route {
+            open: false,
+            ..route("/keyed/", configuration::Kind::Idempotent, 1)
+        })
+        .route(configuration::Route {
+            tier: 0,
+            ..route("/urgent/", configuration::Kind::Idempotent, 1)
+        })
+        .team(configuration::Team { name: "t".to_owned(), tier: 0 }, ["secret".to_owned()]);
+    *state.configuration.borrow_mut() = Some(rc::Rc::new(configuration));
+    state.freshness.borrow_mut().confirmed(state.clock.now());
+    for (at, backend) in backends.iter().enumerate() {
+        state.directory.borrow_mut().update(directory::Backend {
+            id: format!("b-{at}"),
+            born: 1,
+            service: "s".to_owned(),
+            address: backend.address,
+            zone: "a".to_owned(),
+            slots: 4,
+            draining: false,
+        });
+    }
+    let listener = tokio_net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    actix_rt::spawn(proxy::serve(state.clone(), listener));
+    (state, address)
+}
+
+/// Sends one request and reads until the gateway closes, or nothing comes for a while.
+pub async fn call(address: net::SocketAddr, path: &str, headers: &str) -> String {
+    let mut stream = tokio_net::TcpStream::connect(address).await.expect("a connection");
+    let head = format!("GET {path} HTTP/1.1\r\nhost: h\r\nx-id: 1\r\n{headers}\r\n");
+    stream.write_all(head.as_bytes()).await.expect("a request");
+    let mut answer = Vec::new();
+    let mut bytes = [0; 4096];
+    while let Ok(Ok(count)) =
+        time::timeout(Duration::from_millis(900), stream.read(&mut bytes)).await
+    {
+        if count == 0 {
+            answer.extend_from_slice(b"<closed>");
+            break;
+        }
+        answer.extend_from_slice(&bytes[..count]);
+    }
+    String::from_utf8(answer).expect("text")
+}
+
+pub fn status(answer: &str) -> &str {
+    answer.split(' ').nth(1).unwrap_or("none")
+}
+
+pub fn run<F: Future<Output = ()>>(test: F) {
+    actix_rt::System::new().block_on(test);
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, unreachable_pub)]
 
+pub mod loopback;
+
 use std::cell::RefCell;
 use std::collections;
 use std::net;
