test(cli): each test of explain writes its logs into a folder of its own

Ruled out: explain itself, whose output was right for the file as it was. Change: the folder is named after the test; no check changed.

--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -28,8 +28,9 @@
  9.0 g-2 {"timestamp":"2026-03-14T18:00:09.0Z","level":"INFO","message":"request denied","request":"a6","path":"/x","configuration":5,"configuration_age_ms":30,"status":401,"reason":"6403: the key is missing or not valid"}
 "#;
 
-fn logs() -> [String; 2] {
-    let folder = format!("{}/cli-explain", env!("CARGO_TARGET_TMPDIR"));
+/// Writes the logs into a folder of the test, since tests of this file run at the same time.
+fn logs(test: &str) -> [String; 2] {
+    let folder = format!("{}/cli-explain/{test}", env!("CARGO_TARGET_TMPDIR"));
     std::fs::create_dir_all(&folder).unwrap();
     [("g-1", FIRST), ("all", SECOND)].map(|(name, text)| {
         let path = format!("{folder}/{name}.log");
@@ -40,7 +41,7 @@
 
 #[gtest]
 fn the_cause_of_each_kind_of_end_is_told_with_its_evidence() {
-    let [first, second] = logs();
+    let [first, second] = logs("the_cause_of_each_kind_of_end_is_told_with_its_evidence");
     let table = [
         ("a1", 0, "none: it was served by b-1", ""),
         ("a2", 0, "its answer was lost", "others at b-1 in that second: 1 served, 1 failed"),
@@ -63,14 +64,14 @@
 
 #[gtest]
 fn a_story_is_told_in_the_order_of_time() {
-    let [first, second] = logs();
+    let [first, second] = logs("a_story_is_told_in_the_order_of_time");
     let said = command::run(&["explain", "a2", &second, &first]);
     insta::assert_snapshot!("story", said.out);
 }
 
 #[gtest]
 fn an_incident_is_summed_up_over_all_processes() {
-    let [first, second] = logs();
+    let [first, second] = logs("an_incident_is_summed_up_over_all_processes");
     let said = command::run(&["incident", &first, &second]);
     insta::assert_snapshot!("incident", said.out);
     let said = command::run(&["--json", "incident", &first, &second]);
