--- a/crates/gateway/src/decision.rs
+++ b/crates/gateway/src/decision.rs
@@ -1,6 +1,7 @@
 //! Decision logic of a gateway. It does no I/O and takes the current time as an argument.
 
 pub mod arrival_rate;
+pub mod candidacy;
 pub mod engine_partition;
 pub mod failure;
 pub mod freshness;
@@ -12,5 +13,6 @@
 pub mod prefill_speed;
 pub mod prefix_cache;
 pub mod priority;
+pub mod report_readiness;
 pub mod retry_budget;
 pub mod usage_counts;
--- a/crates/gateway/src/decision/freshness.rs
+++ b/crates/gateway/src/decision/freshness.rs
@@ -21,13 +21,15 @@
     bound: Duration,
     confirmed_at: Option<time::Instant>,
     last_failed: bool,
+    /// When the store was reached again after the last failure.
+    recovered_at: Option<time::Instant>,
 }
 
 impl Freshness {
     /// Creates a state without a confirmation; a revoked key must stop working within `bound`.
     #[must_use]
     pub const fn new(bound: Duration) -> Self {
-        Self { bound, confirmed_at: None, last_failed: false }
+        Self { bound, confirmed_at: None, last_failed: false, recovered_at: None }
     }
 
     /// Sets the time within which a revoked key must stop working; returns whether it changed.
@@ -38,7 +40,9 @@
     /// Records that the store had no newer configuration when it was queried at `queried_at`.
     pub fn record_confirmation(&mut self, queried_at: time::Instant) {
         self.confirmed_at = Some(self.confirmed_at.map_or(queried_at, |at| at.max(queried_at)));
-        self.last_failed = false;
+        if std::mem::take(&mut self.last_failed) {
+            self.recovered_at = Some(queried_at);
+        }
     }
 
     /// Records that the store did not respond to the last query.
@@ -52,6 +56,19 @@
         self.confirmed_at.is_some() && !self.last_failed
     }
 
+    /// Whether the last query was answered, or none has failed yet.
+    #[must_use]
+    pub const fn is_store_answering(&self) -> bool {
+        !self.last_failed
+    }
+
+    /// For how long the store has been reached without a failure; `None` since the last failure.
+    #[must_use]
+    pub fn reachable_for(&self, now: time::Instant) -> Option<Duration> {
+        let recovered = self.recovered_at.map(|at| now.saturating_duration_since(at));
+        (!self.last_failed).then_some(recovered.unwrap_or(Duration::MAX))
+    }
+
     /// Age of the newest confirmation.
     #[must_use]
     pub fn age(&self, now: time::Instant) -> Option<Duration> {
--- a/crates/gateway/src/decision/gossip_timing.rs
+++ b/crates/gateway/src/decision/gossip_timing.rs
@@ -12,6 +12,9 @@
 
 use std::time::Duration;
 
+/// Recipients of the load at most, so that a load that is repeated at this interval stays valid.
+pub const MAX_NEIGHBOURS: usize = 40;
+
 /// Minimum interval between two load messages: a small part of the time for which a load is valid.
 const MIN_LOAD_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -26,20 +29,36 @@
 /// two percent of a core of a gateway that receives all of them.
 const COUNT_INTERVAL_EACH: Duration = Duration::from_millis(2);
 
-/// Minimum delay from the end of a window until its counts are frozen: several messages of the
+/// Requests to a gateway that stay without an answer until it is considered silent.
+const DISCOVERY_ROUNDS: u32 = 3;
+
+/// Minimum delay from the end of a window until its counts have arrived: several messages of the
 /// other gateways and the time in which a response is read.
 const MIN_SETTLE_DELAY: Duration = Duration::from_millis(2_500);
 
 /// Time for which counts may be in transit.
 const COUNT_TRANSIT: Duration = Duration::from_millis(1_000);
 
-/// Share of the time until a report is due that is reserved for sending it.
-const REPORT_SHARE: f64 = 0.2;
+/// Minimum time for which a load stays valid.
+const MIN_LOAD_TTL: Duration = Duration::from_millis(1_500);
+
+/// Number of intervals for which a load stays valid: one lost message doesn't make it expire.
+const LOAD_TTL_INTERVALS: f64 = 2.5;
 
 /// Interval between two load messages that are sent to `recipients` gateways.
+///
+/// Silent recipients, to which messages are sent as well, don't lengthen it beyond that for
+/// [`MAX_NEIGHBOURS`].
 #[must_use]
 pub fn load_interval(recipients: usize) -> Duration {
-    scale(LOAD_INTERVAL_EACH, recipients).max(MIN_LOAD_INTERVAL)
+    scale(LOAD_INTERVAL_EACH, recipients.min(MAX_NEIGHBOURS)).max(MIN_LOAD_INTERVAL)
+}
+
+/// Time for which the load and the time of day in a message stay valid, if messages are sent to
+/// `recipients` gateways.
+#[must_use]
+pub fn load_ttl(recipients: usize) -> Duration {
+    load_interval(recipients).mul_f64(LOAD_TTL_INTERVALS).max(MIN_LOAD_TTL)
 }
 
 /// Interval between two messages with usage counts in a fleet of `gateways`.
@@ -48,12 +67,23 @@
     scale(COUNT_INTERVAL_EACH, gateways).max(MIN_COUNT_INTERVAL)
 }
 
-/// Delay from the end of a window until its counts are frozen, if the report is due `due` after the
-/// end of the window.
+/// Time in which a gateway that asks all others for their counts has received them.
+#[must_use]
+pub fn collection_time(gateways: usize) -> Duration {
+    count_interval(gateways) + COUNT_TRANSIT
+}
+
+/// Time after which a gateway that asks all others for their counts has heard each of them that is
+/// alive, even if messages were lost.
+#[must_use]
+pub fn discovery_time(gateways: usize) -> Duration {
+    count_interval(gateways) * DISCOVERY_ROUNDS + COUNT_TRANSIT
+}
+
+/// Delay from the end of a window until the counts of all gateways that can be reached have arrived.
 #[must_use]
-pub fn settle_delay(gateways: usize, due: Duration) -> Duration {
-    let received = (count_interval(gateways) + COUNT_TRANSIT).max(MIN_SETTLE_DELAY);
-    received.min(due.mul_f64(1.0 - REPORT_SHARE))
+pub fn settle_delay(gateways: usize) -> Duration {
+    collection_time(gateways).max(MIN_SETTLE_DELAY)
 }
 
 fn scale(interval: Duration, count: usize) -> Duration {
--- /dev/null
+++ b/crates/gateway/src/decision/report_readiness.rs
@@ -0,0 +1,61 @@
+//! Decides when the usage counts of a window are frozen for its report.
+//!
+//! A report can't be changed once it is stored, so it is not stored while counts are on their way
+//! and there is time left. This handles gateways that are frozen, cut off or restarted around the
+//! end of a window: their counts arrive seconds later.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use azuregap_gateway::decision::report_readiness;
+//!
+//! let due = Duration::from_secs(10);
+//! let mut progress = report_readiness::Progress {
+//!     ended: Duration::from_secs(3),
+//!     collecting: Duration::from_secs(60),
+//!     missing: 0,
+//! };
+//! assert!(report_readiness::may_freeze(progress, 68, due));
+//! progress.missing = 1;
+//! assert!(!report_readiness::may_freeze(progress, 68, due));
+//! progress.ended = Duration::from_secs(8);
+//! assert!(report_readiness::may_freeze(progress, 68, due));
+//! ```
+
+use std::time::Duration;
+
+use crate::decision::gossip_timing;
+
+/// Share of the time until a report is due after which it doesn't wait for gateways any longer.
+const WAIT_SHARE: f64 = 0.8;
+
+/// Time before a report is due at which it must be stored: one call to store it and one to send it.
+const SEND_TIME: Duration = Duration::from_millis(900);
+
+/// Time from the end of a window after which nearly all requests that started to run in it have
+/// been counted: they are counted when their response begins.
+pub const RESPONSE_LAG: Duration = Duration::from_millis(1_300);
+
+/// How far the collection of a window's counts has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Progress {
+    /// Time since the end of the window.
+    pub ended: Duration,
+    /// For how long this gateway has collected the counts as the reporter.
+    pub collecting: Duration,
+    /// Gateways that may have counts that are not known here.
+    pub missing: usize,
+}
+
+/// Whether the counts of a window may be frozen in a fleet of `gateways`; the report is due `due`
+/// after the end of the window.
+#[must_use]
+pub fn may_freeze(progress: Progress, gateways: usize, due: Duration) -> bool {
+    let settle_delay = gossip_timing::settle_delay(gateways);
+    let latest = due.mul_f64(WAIT_SHARE);
+    if progress.missing == 0 {
+        return progress.ended >= settle_delay.min(latest);
+    }
+    let has_asked = progress.collecting >= gossip_timing::collection_time(gateways);
+    progress.ended >= latest && (has_asked || progress.ended + SEND_TIME >= due)
+}
--- a/crates/gateway/src/decision/usage_counts.rs
+++ b/crates/gateway/src/decision/usage_counts.rs
@@ -6,7 +6,7 @@
 use xxhash_rust::xxh3;
 
 /// Number of windows that are retained, including the current one.
-const RETAINED_WINDOWS: u64 = 6;
+pub const RETAINED_WINDOWS: u64 = 6;
 
 /// Hash of a team's name, the same at every gateway.
 pub type TeamHash = u32;
@@ -23,6 +23,28 @@
     counts: collections::BTreeMap<u64, collections::BTreeMap<TeamHash, u64>>,
 }
 
+/// A usage window that has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndedWindow {
+    /// Its number.
+    pub number: u64,
+    /// Time of day at which it ended.
+    pub end: Duration,
+    /// Time since then.
+    pub ended: Duration,
+    /// Its length.
+    pub length: Duration,
+}
+
+impl EndedWindow {
+    /// The window with a number, as of the time of day `now`.
+    #[must_use]
+    pub fn new(number: u64, length: Duration, now: Duration) -> Self {
+        let end = length * u32::try_from(number + 1).unwrap_or(u32::MAX);
+        Self { number, end, ended: now.saturating_sub(end), length }
+    }
+}
+
 /// Number of the window that contains a time of day.
 #[must_use]
 pub fn window_at(time: Duration, length: Duration) -> u64 {
@@ -69,6 +91,13 @@
             .flat_map(|(window, teams)| teams.iter().map(|(team, count)| (*window, *team, *count)))
     }
 
+    /// Sum of the counts in each of the newest windows, by window.
+    #[must_use]
+    pub fn totals(&self, windows: usize) -> Vec<(u64, u64)> {
+        let newest = self.counts.iter().rev().take(windows);
+        newest.map(|(window, teams)| (*window, teams.values().sum())).collect()
+    }
+
     /// Removes windows that are no longer retained if `window` is the current one.
     pub fn prune(&mut self, window: u64) {
         self.counts.retain(|retained, _| retained + RETAINED_WINDOWS > window);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,7 +1,9 @@
 //! What a gateway knows about the other gateways: their load at each backend server, their usage
 //! counts and their estimates of the time of day.
 
+mod collected_counts;
 mod message;
+mod notice;
 
 use std::collections;
 use std::net;
@@ -10,6 +12,9 @@
 use azuregap_core::ids;
 use tokio::time;
 
+use crate::decision::candidacy;
+use crate::decision::gossip_timing;
+use crate::decision::report_readiness;
 use crate::decision::usage_counts;
 use crate::directory;
 
@@ -17,9 +22,8 @@
 pub use message::GossipMessage;
 pub use message::RankEntry;
 pub use message::UsageCount;
-
-/// How long the load and the time in a message stay valid.
-const LOAD_TTL: Duration = Duration::from_millis(1_500);
+pub use notice::RelayedCounts;
+pub use notice::UsageNotice;
 
 /// A gateway that has been silent for this long is not counted as alive and has no share of the
 /// budgets.
@@ -30,12 +34,11 @@
 
 /// Neighbours on each side of the ring. Sending and receiving forty messages per second takes one
 /// percent of a core, and each message must be repeated while its load is valid.
-const NEIGHBOURS_PER_SIDE: usize = 20;
+const NEIGHBOURS_PER_SIDE: usize = gossip_timing::MAX_NEIGHBOURS / 2;
 
-/// Gateways that compete for the reporting lease and receive all usage counts. Other gateways
-/// compete only while fewer gateways than this, of those before them in the ring, send them
-/// messages.
-pub const REPORTER_COUNT: usize = 3;
+/// Gateways that compete for the reporting lease and receive all usage counts; see
+/// [`candidacy::competes`].
+pub const REPORTER_COUNT: usize = candidacy::CANDIDATES;
 
 /// Maximum number of gateways that receive the usage counts, including silent ones.
 const MAX_COUNT_RECIPIENTS: usize = 12;
@@ -56,6 +59,29 @@
     heard_at: time::Instant,
     loads: collections::HashMap<u32, directory::Load>,
     wall_time: Option<(time::Instant, Duration)>,
+    /// Whether it may become the reporter, as far as is known.
+    can_report: bool,
+    /// Whether its version is too old to tell which of its counts are missing.
+    is_older: bool,
+}
+
+/// The gateway that reports usage, as it introduced itself.
+#[derive(Debug)]
+struct Reporter {
+    address: net::SocketAddr,
+    fence: ids::Fence,
+    heard_at: time::Instant,
+}
+
+/// What the sender of a message expects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// Nothing.
+    None,
+    /// A message that shows that its counts have arrived.
+    Acknowledgement,
+    /// The usage counts of this gateway.
+    Counts,
 }
 
 impl Peer {
@@ -68,11 +94,13 @@
 ///
 /// Each gateway sends its load to its neighbours in the ring, so the cost doesn't grow with the
 /// fleet; in a small fleet all gateways are neighbours. Usage counts go to the first gateways in
-/// the order, one of which reports them.
+/// the order and to the one that reports them, which asks every gateway for its counts: any
+/// gateway may become the reporter after failures.
 #[derive(Debug, Default)]
 pub struct Peers {
     peers: collections::BTreeMap<Position, Peer>,
-    counts: collections::HashMap<(ids::NodeId, ids::Incarnation), usage_counts::UsageCounts>,
+    counts: collected_counts::CollectedCounts,
+    reporter: Option<Reporter>,
     /// Sum of the valid loads.
     total_loads: collections::HashMap<u32, directory::Load>,
     /// When the first of these loads expires.
@@ -88,6 +116,8 @@
             heard_at: now,
             loads: collections::HashMap::new(),
             wall_time: None,
+            can_report: true,
+            is_older: false,
         });
         peer.address = address;
         peer.listed_at = now;
@@ -99,23 +129,50 @@
         message: GossipMessage,
         from: net::SocketAddr,
         now: time::Instant,
-    ) {
-        if !message.counts.is_empty() {
-            let counts =
-                self.counts.entry((message.node.clone(), message.incarnation)).or_default();
-            counts.merge(message.counts.iter().map(|c| (c.window, c.team, c.requests)));
-        }
+    ) -> Reply {
+        self.counts.merge(&message, now);
         self.add_listed(message.node.clone(), from, now);
-        let Some(peer) = self.peers.get_mut(&position(&message.node)) else { return };
+        let reply = self.handle_notice(&message, from, now);
+        let ttl = self.load_ttl();
+        let Some(peer) = self.peers.get_mut(&position(&message.node)) else { return reply };
         peer.heard_at = now;
         peer.wall_time = Some((now, message.wall_time));
+        peer.can_report = message.notice.as_ref().is_none_or(|notice| notice.can_report);
+        peer.is_older = message.notice.is_none();
         let loads = message.loads.iter().map(|load| (load.backend_hash, load.load())).collect();
         let old = std::mem::replace(&mut peer.loads, loads);
         subtract(&mut self.total_loads, &old);
         for (backend, load) in &peer.loads {
             *self.total_loads.entry(*backend).or_default() += *load;
         }
-        self.next_expiry.get_or_insert(now + LOAD_TTL);
+        self.next_expiry.get_or_insert(now + ttl);
+        reply
+    }
+
+    /// Remembers the reporter if the message is from it; returns what the sender expects.
+    ///
+    /// In a small fleet every message goes to all gateways, so nothing is expected.
+    fn handle_notice(
+        &mut self,
+        message: &GossipMessage,
+        from: net::SocketAddr,
+        now: time::Instant,
+    ) -> Reply {
+        let notice = message.notice.as_ref();
+        if let Some(fence) = notice.and_then(|notice| notice.counts_wanted) {
+            if self.reporter.as_ref().is_none_or(|reporter| reporter.fence <= fence) {
+                self.reporter = Some(Reporter { address: from, fence, heard_at: now });
+            }
+            return if self.is_partial_mesh() { Reply::Counts } else { Reply::None };
+        }
+        let has_counts =
+            !message.counts.is_empty() || notice.is_some_and(|notice| notice.totals.is_some());
+        if has_counts && self.is_partial_mesh() { Reply::Acknowledgement } else { Reply::None }
+    }
+
+    /// Time for which the load and the time of day in a message stay valid.
+    fn load_ttl(&self) -> Duration {
+        gossip_timing::load_ttl(self.peers.len())
     }
 
     /// Valid load of all other gateways at a backend server.
@@ -131,8 +188,9 @@
             return;
         }
         self.next_expiry = None;
+        let ttl = self.load_ttl();
         for peer in self.peers.values_mut().filter(|peer| !peer.loads.is_empty()) {
-            let until = peer.heard_at + LOAD_TTL;
+            let until = peer.heard_at + ttl;
             if now <= until {
                 self.next_expiry = Some(self.next_expiry.map_or(until, |at| at.min(until)));
             } else {
@@ -141,33 +199,69 @@
         }
     }
 
-    /// Number of gateways whose load is not known here for each one whose load is.
+    /// Number of live gateways whose load is not known to `node` for each one whose load is.
     ///
     /// Zero in a fleet in which all gateways are neighbours.
     #[must_use]
-    pub fn unreported_ratio(&self, now: time::Instant) -> f64 {
+    pub fn unreported_ratio(&self, node: &str, now: time::Instant) -> f64 {
         if !self.is_partial_mesh() {
             return 0.0;
         }
-        let heard = self.peers.values().filter(|peer| peer.was_heard(LOAD_TTL, now)).count();
-        self.peers.len().saturating_sub(heard) as f64 / heard.max(1) as f64
+        let ttl = self.load_ttl();
+        let heard = self.peers.values().filter(|peer| peer.was_heard(ttl, now)).count();
+        self.live_count(node, now).saturating_sub(heard) as f64 / heard.max(1) as f64
     }
 
-    /// Number of other gateways that are alive; if not all gateways are neighbours, of all that are
-    /// known.
+    /// Number of other gateways that are alive, as known to `node`.
+    ///
+    /// If not all gateways are neighbours, it is estimated from the share of the neighbours that
+    /// are alive. If most of them are silent, it is rather the links of `node` that fail, so all
+    /// known gateways are counted: the budgets that they share must not be exceeded.
     #[must_use]
-    pub fn live_count(&self, now: time::Instant) -> usize {
-        if self.is_partial_mesh() {
+    pub fn live_count(&self, node: &str, now: time::Instant) -> usize {
+        if !self.is_partial_mesh() {
+            let is_live = |peer: &&Peer| peer.was_heard(LIVENESS_TIMEOUT, now);
+            return self.peers.values().filter(is_live).count();
+        }
+        let neighbours = self.ring_neighbours(node, now);
+        let is_live = |peer: &&&Peer| peer.was_heard(LIVENESS_TIMEOUT, now);
+        let live = neighbours.iter().filter(is_live).count();
+        if live * 2 < neighbours.len() {
             return self.peers.len();
         }
-        self.peers.values().filter(|peer| peer.was_heard(LIVENESS_TIMEOUT, now)).count()
+        self.peers.len() * live / neighbours.len().max(1)
+    }
+
+    /// What a gateway knows about its place among the candidates for the lease; `reachable` is for
+    /// how long it has reached the store.
+    #[must_use]
+    pub fn standing(
+        &self,
+        node: &str,
+        reachable: Option<Duration>,
+        now: time::Instant,
+    ) -> candidacy::Standing {
+        let ttl = self.load_ttl();
+        let before = self.peers.range(..position(node)).map(|(_, peer)| peer);
+        let alive = before.filter(|peer| peer.was_heard(ttl, now));
+        let (mut alive_before, mut able_before) = (0, 0);
+        for peer in alive {
+            alive_before += 1;
+            able_before += usize::from(peer.can_report);
+        }
+        candidacy::Standing { alive_before, able_before, reachable }
+    }
+
+    /// Time within which a change at a gateway is known to the gateways that it sends messages to.
+    #[must_use]
+    pub fn news_delay(&self) -> Duration {
+        self.load_ttl()
     }
 
     /// Whether a gateway is among the first `count` live gateways in the common order.
     #[must_use]
     pub fn is_among_first(&self, node: &str, count: usize, now: time::Instant) -> bool {
-        let before = self.peers.range(..position(node)).map(|(_, peer)| peer);
-        before.filter(|peer| peer.was_heard(LOAD_TTL, now)).count() < count
+        self.standing(node, None, now).alive_before < count
     }
 
     /// Addresses of the neighbours of a gateway, to which it sends its load.
@@ -176,37 +270,51 @@
     /// the two sides of a network partition find each other again.
     #[must_use]
     pub fn neighbours(&self, node: &str, now: time::Instant) -> Vec<net::SocketAddr> {
+        if !self.is_partial_mesh() {
+            let others = self.peers.iter().filter(|((_, name), _)| name != node);
+            return others.map(|(_, peer)| peer.address).collect();
+        }
+        let mut seen = collections::HashSet::new();
+        let neighbours = self.ring_neighbours(node, now).into_iter();
+        neighbours.map(|peer| peer.address).filter(|address| seen.insert(*address)).collect()
+    }
+
+    /// Neighbours on both sides of a gateway in the ring.
+    fn ring_neighbours(&self, node: &str, now: time::Instant) -> Vec<&Peer> {
         let own = position(node);
         let after = self.peers.range(&own..).chain(self.peers.range(..&own));
         let after = after.filter(|(position, _)| **position != own).map(|(_, peer)| peer);
-        if !self.is_partial_mesh() {
-            return after.map(|peer| peer.address).collect();
-        }
-        let (mut addresses, mut seen) = (Vec::new(), collections::HashSet::new());
-        let mut add_side = |side: &mut dyn Iterator<Item = &Peer>| {
+        let mut neighbours = Vec::new();
+        let sides: [&mut dyn Iterator<Item = &Peer>; 2] = [&mut after.clone(), &mut after.rev()];
+        for side in sides {
             let mut live = 0;
             for peer in side.take(NEIGHBOURS_PER_SIDE * 2) {
+                neighbours.push(peer);
                 live += usize::from(peer.was_heard(LIVENESS_TIMEOUT, now));
-                if seen.insert(peer.address) {
-                    addresses.push(peer.address);
-                }
                 if live == NEIGHBOURS_PER_SIDE {
                     break;
                 }
             }
-        };
-        add_side(&mut after.clone());
-        add_side(&mut after.rev());
-        addresses
+        }
+        neighbours
+    }
+
+    /// Addresses of all other gateways.
+    pub fn addresses(&self) -> impl Iterator<Item = net::SocketAddr> {
+        self.peers.values().map(|peer| peer.address)
     }
 
     /// Addresses of the first gateways in the common order, up to the one that completes
     /// [`REPORTER_COUNT`] live ones; one of these reports the usage counts.
     ///
     /// They reply to each message with counts; such messages are sent at intervals of `interval`.
+    /// The one that asks for the counts itself is left out.
     #[must_use]
     pub fn reporters(&self, interval: Duration, now: time::Instant) -> Vec<net::SocketAddr> {
         let timeout = LIVENESS_TIMEOUT.max(interval * 3);
+        let asks =
+            |reporter: &&Reporter| now.saturating_duration_since(reporter.heard_at) <= interval * 2;
+        let asking = self.reporter.as_ref().filter(asks).map(|reporter| reporter.address);
         let mut live = 0;
         let mut addresses = Vec::new();
         for peer in self.peers.values().take(MAX_COUNT_RECIPIENTS) {
@@ -216,6 +324,7 @@
                 break;
             }
         }
+        addresses.retain(|address| Some(*address) != asking);
         addresses
     }
 
@@ -246,34 +355,41 @@
 
     /// Current time of day according to each gateway with a recent message.
     pub fn clock_estimates(&self, now: time::Instant) -> Vec<Duration> {
+        let ttl = self.load_ttl();
         let recent = |peer: &Peer| {
             let (at, time) = peer.wall_time?;
             let age = now.saturating_duration_since(at);
-            (age < LOAD_TTL).then_some(time + age)
+            (age < ttl).then_some(time + age)
         };
         self.peers.values().filter_map(recent).collect()
     }
 
-    /// Adds the counts of the other gateways in a window to `sum`.
-    pub fn add_counts(
-        &self,
-        window: u64,
-        sum: &mut collections::BTreeMap<usage_counts::TeamHash, u64>,
-    ) {
-        for counts in self.counts.values() {
-            counts.add_to(window, sum);
-        }
+    /// Usage counts of the other gateways.
+    #[must_use]
+    pub const fn counts(&self) -> &collected_counts::CollectedCounts {
+        &self.counts
     }
 
-    /// Total count of each other gateway in a window.
+    /// Gateways that may have counts of a window which are not known here; this gateway has asked
+    /// for them for `collecting`.
+    ///
+    /// A gateway that was silent all through the window and since then is not waited for, once it
+    /// has been asked several times. One of an earlier version can't tell what is missing.
     #[must_use]
-    pub fn counts_by_peer(&self, window: u64) -> Vec<(&str, u64)> {
-        let total = |counts: &usage_counts::UsageCounts| {
-            let mut sum = collections::BTreeMap::new();
-            counts.add_to(window, &mut sum);
-            sum.values().sum()
-        };
-        self.counts.iter().map(|((node, _), counts)| (node.as_str(), total(counts))).collect()
+    pub fn missing_counts(
+        &self,
+        window: &usage_counts::EndedWindow,
+        collecting: Duration,
+        now: time::Instant,
+    ) -> Vec<&str> {
+        let since = window.end + report_readiness::RESPONSE_LAG;
+        let silence = window.ended + window.length + self.load_ttl();
+        let is_discovering = collecting < gossip_timing::discovery_time(self.peers.len() + 1);
+        let may_count =
+            |peer: &Peer| !peer.is_older && (is_discovering || peer.was_heard(silence, now));
+        let peers = self.peers.iter().filter(|(_, peer)| may_count(peer));
+        let names = peers.map(|((_, node), _)| node.as_str());
+        names.filter(|node| !self.counts.is_complete(node, window.number, since)).collect()
     }
 
     /// Time since the last message of each other gateway, in milliseconds.
@@ -283,12 +399,10 @@
         self.peers.iter().map(|((_, node), peer)| (node.as_str(), age(peer))).collect()
     }
 
-    /// Removes counts of windows that are no longer retained, and processes without any counts.
-    pub fn prune_counts(&mut self, window: u64) {
-        for counts in self.counts.values_mut() {
-            counts.prune(window);
-        }
-        self.counts.retain(|_, counts| !counts.is_empty());
+    /// Removes counts of windows of `length` that are no longer retained if `window` is the current
+    /// one.
+    pub fn prune_counts(&mut self, window: u64, length: Duration) {
+        self.counts.prune(window, length);
     }
 }
 
--- /dev/null
+++ b/crates/gateway/src/peers/collected_counts.rs
@@ -0,0 +1,133 @@
+//! Usage counts received from other gateways, and which of them are complete.
+
+use std::collections;
+use std::time::Duration;
+
+use azuregap_core::ids;
+use tokio::time;
+
+use super::message;
+use super::notice;
+use crate::decision::usage_counts;
+
+/// What one process reported of its counts.
+#[derive(Debug, Default)]
+struct ProcessCounts {
+    counts: usage_counts::UsageCounts,
+    /// Sums of the counts in its newest windows, as of `totals_at`.
+    totals: Vec<(u64, u64)>,
+    /// Time of day at the sender when it stated the sums.
+    totals_at: Option<Duration>,
+    /// When its last message with counts came; `None` if its counts were passed on by others only.
+    heard_at: Option<time::Instant>,
+}
+
+impl ProcessCounts {
+    fn merge(&mut self, counts: &[message::UsageCount]) {
+        self.counts.merge(counts.iter().map(|count| (count.window, count.team, count.requests)));
+    }
+
+    fn sum(&self, window: u64) -> u64 {
+        let mut sum = collections::BTreeMap::new();
+        self.counts.add_to(window, &mut sum);
+        sum.values().sum()
+    }
+
+    /// Whether all counts of a window are known as of `since` or later.
+    fn is_complete(&self, window: u64, since: Duration) -> bool {
+        let total = self.totals.iter().find(|(other, _)| *other == window);
+        let total = total.map_or(0, |(_, total)| *total);
+        self.totals_at.is_some_and(|at| at >= since) && self.sum(window) >= total
+    }
+}
+
+/// Usage counts of the other gateways, by process.
+#[derive(Debug, Default)]
+pub struct CollectedCounts {
+    processes: collections::HashMap<(ids::NodeId, ids::Incarnation), ProcessCounts>,
+}
+
+impl CollectedCounts {
+    /// Merges the counts of a message, and those that it passes on.
+    pub fn merge(&mut self, message: &message::GossipMessage, now: time::Instant) {
+        let notice = message.notice.as_ref();
+        for relayed in notice.into_iter().flat_map(|notice| &notice.relayed) {
+            let key = (relayed.node.clone(), relayed.incarnation);
+            self.processes.entry(key).or_default().merge(&relayed.counts);
+        }
+        let totals = notice.and_then(|notice| notice.totals.as_ref());
+        if message.counts.is_empty() && totals.is_none() {
+            return;
+        }
+        let key = (message.node.clone(), message.incarnation);
+        let process = self.processes.entry(key).or_default();
+        process.merge(&message.counts);
+        process.heard_at = Some(now);
+        if let Some(totals) = totals {
+            process.totals.clone_from(totals);
+            process.totals_at = Some(message.wall_time);
+        }
+    }
+
+    /// Whether all counts of a gateway in a window are known as of `since`, a time of day at the
+    /// gateway.
+    #[must_use]
+    pub fn is_complete(&self, node: &str, window: u64, since: Duration) -> bool {
+        let mut processes = self.processes.iter().filter(|((name, _), _)| name == node);
+        processes.any(|(_, process)| process.is_complete(window, since))
+    }
+
+    /// Counts of the newest `windows` of the processes that have sent none for `silence`.
+    ///
+    /// These have ended, or can't be reached; another gateway may not know their counts.
+    pub fn of_silent(
+        &self,
+        silence: Duration,
+        windows: usize,
+        now: time::Instant,
+    ) -> impl Iterator<Item = notice::RelayedCounts> {
+        let is_silent = move |process: &ProcessCounts| {
+            let age = process.heard_at.map(|at| now.saturating_duration_since(at));
+            age.is_none_or(|age| age >= silence)
+        };
+        let silent = self.processes.iter().filter(move |(_, process)| is_silent(process));
+        silent.map(move |((node, incarnation), process)| {
+            let count = |(window, team, requests)| message::UsageCount { window, team, requests };
+            notice::RelayedCounts {
+                node: node.clone(),
+                incarnation: *incarnation,
+                counts: process.counts.newest(windows).map(count).collect(),
+            }
+        })
+    }
+
+    /// Adds the counts of all gateways in a window to `sum`.
+    pub fn add_to(
+        &self,
+        window: u64,
+        sum: &mut collections::BTreeMap<usage_counts::TeamHash, u64>,
+    ) {
+        for process in self.processes.values() {
+            process.counts.add_to(window, sum);
+        }
+    }
+
+    /// Sum of the counts of each process in a window.
+    pub fn sums(&self, window: u64) -> impl Iterator<Item = (&str, u64)> {
+        self.processes.iter().map(move |((node, _), process)| (node.as_str(), process.sum(window)))
+    }
+
+    /// Removes windows that are no longer retained if `window` is the current one, and processes
+    /// without any counts.
+    pub fn prune(&mut self, window: u64, length: Duration) {
+        for process in self.processes.values_mut() {
+            process.counts.prune(window);
+        }
+        self.processes.retain(|_, process| {
+            let told_recently = process.totals_at.is_some_and(|at| {
+                usage_counts::window_at(at, length) + usage_counts::RETAINED_WINDOWS > window
+            });
+            !process.counts.is_empty() || told_recently
+        });
+    }
+}
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::notice;
 use crate::decision::priority;
 use crate::decision::usage_counts;
 use crate::directory;
@@ -90,4 +91,49 @@
     pub loads: Vec<BackendLoad>,
     /// Its usage counts of the newest windows.
     pub counts: Vec<UsageCount>,
+    /// Its part in usage reporting; `None` from a gateway of an earlier version.
+    #[serde(skip)]
+    pub notice: Option<notice::UsageNotice>,
+}
+
+impl GossipMessage {
+    /// Encodes the message as a datagram.
+    ///
+    /// The notice follows the fields that every version knows; gateways of earlier versions ignore
+    /// bytes after these.
+    ///
+    /// # Panics
+    ///
+    /// Never: all fields can be encoded.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        let mut bytes = postcard::to_allocvec(self).expect("a message can be encoded");
+        if let Some(notice) = &self.notice {
+            bytes = postcard::to_extend(notice, bytes).expect("a notice can be encoded");
+        }
+        bytes
+    }
+
+    /// Removes counts of a process that were passed on by another one: the recipient's own counts,
+    /// which it knows better and must not add twice.
+    pub fn discard_relayed(&mut self, node: &str, incarnation: ids::Incarnation) {
+        if let Some(notice) = &mut self.notice {
+            notice
+                .relayed
+                .retain(|counts| counts.node != node || counts.incarnation != incarnation);
+        }
+    }
+
+    /// Decodes a datagram.
+    ///
+    /// # Errors
+    ///
+    /// If the bytes are no message, or the notice that follows it is malformed.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        let (mut message, rest) = postcard::take_from_bytes::<Self>(bytes)?;
+        if !rest.is_empty() {
+            message.notice = Some(postcard::from_bytes(rest)?);
+        }
+        Ok(message)
+    }
 }
--- a/crates/gateway/src/proxy/selection.rs
+++ b/crates/gateway/src/proxy/selection.rs
@@ -135,7 +135,8 @@
     let now = state.clock.now();
     let reported: PerBackend<_> =
         usable.iter().map(|server| peers.load(server.hash, now)).collect();
-    let unreported = placement::extrapolate_load(&reported, peers.unreported_ratio(now));
+    let unreported =
+        placement::extrapolate_load(&reported, peers.unreported_ratio(&state.settings.node, now));
     let total = |(server, reported): (&&directory::BackendState, &directory::Load)| {
         let mut load = server.own_load;
         load += *reported;
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -3,6 +3,7 @@
 mod backends;
 mod configuration;
 mod endpoints;
+mod gateway_list;
 mod gossip;
 mod usage;
 mod watcher;
--- a/crates/gateway/src/service/gossip.rs
+++ b/crates/gateway/src/service/gossip.rs
@@ -5,11 +5,10 @@
 use std::time::Duration;
 
 use azuregap_core::ids;
-use serde::Deserialize;
-use serde::Serialize;
 use tokio::net as tokio_net;
 use tokio::time;
 
+use super::gateway_list;
 use crate::decision::gossip_timing;
 use crate::decision::usage_counts;
 use crate::directory;
@@ -20,22 +19,18 @@
 /// Delay after a failed receive.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(200);
 
-/// Minimum interval between reads of the list of gateways, once the initial backoff has ended.
-const MIN_LIST_INTERVAL: Duration = Duration::from_secs(20);
-
-/// Interval between reads of the list per listed gateway: all gateways together read it ten times a
-/// second, a small part of the store's capacity.
-const LIST_INTERVAL_PER_GATEWAY: Duration = Duration::from_millis(100);
-
-/// First interval between reads of the list of gateways; doubles with each successful read.
-const INITIAL_LIST_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Newest usage windows whose counts are sent; given the report deadline, these include all windows
 /// that may still be unreported.
 const SENT_WINDOWS: usize = 4;
 
-/// Maximum entries of silent gateways that are removed after one read of the list.
-const MAX_REMOVALS: usize = 10;
+/// Interval at which a gateway checks whether it has become the reporter of a large fleet.
+const REPORTING_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Share of the interval between two requests for the counts over which the datagrams are spread.
+const REQUEST_SHARE: f64 = 0.5;
+
+/// Requests that are sent without a pause.
+const REQUEST_BATCH: usize = 16;
 
 /// Maximum size of a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
@@ -43,13 +38,6 @@
 /// Maximum counts per datagram, of at most 12 bytes each; further counts go into more datagrams.
 const MAX_COUNTS: usize = 800;
 
-/// Entry of a gateway in the store.
-#[derive(Debug)]
-#[derive(Serialize, Deserialize)]
-struct Entry {
-    address: net::SocketAddr,
-}
-
 /// Registers this gateway and exchanges messages with the others; never returns.
 pub async fn run(
     state: rc::Rc<state::State>,
@@ -58,114 +46,11 @@
     incarnation: ids::Incarnation,
 ) {
     let socket = rc::Rc::new(socket);
-    let list = maintain_list(state.clone(), store);
+    let list = gateway_list::maintain(state.clone(), store);
     let sender = rc::Rc::new(Sender { state, socket, incarnation });
     let receive = receive(sender.clone());
-    futures::future::join4(list, send_loads(sender.clone()), send_counts(sender), receive).await;
-}
-
-/// Registers this gateway in the store and reads the list of the others.
-///
-/// It registers before it reads: of two gateways that start at the same time, at least one finds
-/// the other and introduces itself with its first message.
-async fn maintain_list(state: rc::Rc<state::State>, store: rc::Rc<store::Store>) {
-    let mut interval = INITIAL_LIST_INTERVAL;
-    let mut reporter_since = None;
-    loop {
-        let result = register_and_list(&state, &store).await;
-        match &result {
-            Ok(rows) => remove_silent(&state, &store, rows, &mut reporter_since).await,
-            Err(error) => {
-                tracing::info!(
-                    reason = error.to_string(),
-                    "failed to register or to read the list of gateways"
-                );
-            }
-        }
-        time::sleep(interval).await;
-        if result.is_ok() {
-            let gateways = u32::try_from(state.gateway_count()).unwrap_or(u32::MAX);
-            interval =
-                (interval * 2).min(MIN_LIST_INTERVAL.max(LIST_INTERVAL_PER_GATEWAY * gateways));
-        }
-    }
-}
-
-async fn register_and_list(
-    state: &state::State,
-    store: &store::Store,
-) -> Result<store::Rows, store::StoreError> {
-    let table = store::Table::Gateways;
-    let node = &state.settings.node;
-    let entry = Entry { address: state.settings.gossip_address };
-    let data = serde_json::to_vec(&entry).expect("an entry can be encoded as JSON");
-    if !state.registered.get() {
-        let write =
-            store::Write { key: node.clone(), data: Some(data.clone()), expected_version: None };
-        (store.commit)(store::Commit { table, writes: vec![write], preconditions: Vec::new() })
-            .await?;
-        state.registered.set(true);
-        tracing::info!(address = %entry.address, "registered in the list of gateways");
-    }
-    let rows = (store.read)(table).await?;
-    let own = rows.rows.iter().find(|row| row.key == *node);
-    state.registered.set(own.is_some_and(|row| row.data.as_ref() == Some(&data)));
-    let now = state.clock.now();
-    for row in rows.rows.iter().filter(|row| row.key != *node) {
-        let entry: Result<Entry, _> =
-            serde_json::from_slice(row.data.as_deref().unwrap_or_default());
-        match entry {
-            Ok(entry) => state.peers.borrow_mut().add_listed(row.key.clone(), entry.address, now),
-            Err(error) => {
-                tracing::warn!(
-                    gateway = row.key,
-                    reason = error.to_string(),
-                    "invalid gateway entry"
-                );
-            }
-        }
-    }
-    Ok(rows)
-}
-
-/// Removes the entries of gateways that have been silent for long.
-///
-/// Only gateways that may report usage receive messages from every gateway, and only some time
-/// after they became one. A live gateway that was removed registers again at its next read of the
-/// list.
-async fn remove_silent(
-    state: &state::State,
-    store: &store::Store,
-    rows: &store::Rows,
-    reporter_since: &mut Option<time::Instant>,
-) {
-    let now = state.clock.now();
-    if !state.peers.borrow().is_among_first(&state.settings.node, peers::REPORTER_COUNT, now) {
-        *reporter_since = None;
-        return;
-    }
-    let since = *reporter_since.get_or_insert(now);
-    if now.saturating_duration_since(since) < peers::PEER_EXPIRY {
-        return;
-    }
-    let is_silent = |row: &&store::Row| state.peers.borrow().is_expired(&row.key, now);
-    for row in rows.rows.iter().filter(is_silent).take(MAX_REMOVALS) {
-        let (key, expected_version) = (row.key.clone(), Some(row.version));
-        let writes = vec![store::Write { key, data: None, expected_version }];
-        let commit =
-            store::Commit { table: store::Table::Gateways, writes, preconditions: Vec::new() };
-        match (store.commit)(commit).await {
-            Ok(_) => tracing::info!(gateway = row.key, "removed the entry of a silent gateway"),
-            Err(error) => {
-                let reason = error.to_string();
-                tracing::info!(
-                    gateway = row.key,
-                    reason,
-                    "failed to remove the entry of a silent gateway"
-                );
-            }
-        }
-    }
+    let counts = futures::future::join(send_counts(sender.clone()), request_counts(sender.clone()));
+    futures::future::join4(list, send_loads(sender), counts, receive).await;
 }
 
 /// Sends messages to other gateways.
@@ -177,7 +62,7 @@
 
 impl Sender {
     async fn send(&self, message: &peers::GossipMessage, addresses: &[net::SocketAddr]) {
-        let bytes = postcard::to_allocvec(message).expect("a message can be encoded with postcard");
+        let bytes = message.encode();
         for address in addresses {
             if let Err(error) = self.socket.send_to(&bytes, address).await {
                 tracing::debug!(reason = error.to_string(), %address, "failed to send a message");
@@ -185,10 +70,37 @@
         }
     }
 
+    /// Sends its own counts and those of silent processes to the gateway that asked for them.
+    async fn answer_request(&self, address: net::SocketAddr) {
+        self.send_counts(&[address]).await;
+        let silence = gossip_timing::count_interval(self.state.gateway_count()) * 2;
+        let now = self.state.clock.now();
+        let silent: Vec<_> =
+            self.state.peers.borrow().counts().of_silent(silence, SENT_WINDOWS, now).collect();
+        let mut message = load_message(&self.state, self.incarnation);
+        message.loads.clear();
+        for process in silent {
+            for chunk in process.counts.chunks(MAX_COUNTS) {
+                let relayed = peers::RelayedCounts {
+                    node: process.node.clone(),
+                    incarnation: process.incarnation,
+                    counts: chunk.to_vec(),
+                };
+                if let Some(notice) = &mut message.notice {
+                    notice.relayed = vec![relayed];
+                }
+                self.send(&message, &[address]).await;
+            }
+        }
+    }
+
     /// Sends the load and the counts, in as many datagrams as the counts need.
     async fn send_counts(&self, addresses: &[net::SocketAddr]) {
         let counts = recent_counts(&self.state);
         let mut message = load_message(&self.state, self.incarnation);
+        if let Some(notice) = &mut message.notice {
+            notice.totals = Some(self.state.usage_counts.borrow().totals(SENT_WINDOWS));
+        }
         if counts.is_empty() {
             return self.send(&message, addresses).await;
         }
@@ -230,6 +142,39 @@
     }
 }
 
+/// While this gateway reports usage in a large fleet, asks all others for their counts: at once
+/// when it becomes the reporter, then at regular intervals.
+///
+/// Any gateway may become the reporter, also one to which the others send no counts by themselves.
+async fn request_counts(sender: rc::Rc<Sender>) {
+    let state = &sender.state;
+    let mut reporting = state.reporting.subscribe();
+    loop {
+        let fence = *reporting.borrow_and_update();
+        let Some(fence) = fence.filter(|_| state.peers.borrow().is_partial_mesh()) else {
+            // The sender is part of the state, so the channel stays open.
+            let _ = time::timeout(REPORTING_CHECK_INTERVAL, reporting.changed()).await;
+            continue;
+        };
+        let started = time::Instant::now();
+        let interval = gossip_timing::count_interval(state.gateway_count());
+        let addresses: Vec<_> = state.peers.borrow().addresses().collect();
+        let mut message = load_message(state, sender.incarnation);
+        message.loads.clear();
+        if let Some(notice) = &mut message.notice {
+            notice.counts_wanted = Some(fence);
+        }
+        let pause = interval.mul_f64(REQUEST_SHARE) / addresses.len().max(1) as u32;
+        for batch in addresses.chunks(REQUEST_BATCH) {
+            sender.send(&message, batch).await;
+            time::sleep(pause * REQUEST_BATCH as u32).await;
+        }
+        let rest = interval.saturating_sub(started.elapsed());
+        // Ends early if another gateway has become the reporter.
+        let _ = time::timeout(rest, reporting.changed()).await;
+    }
+}
+
 /// Builds a message with the current load and without counts.
 fn load_message(state: &state::State, incarnation: ids::Incarnation) -> peers::GossipMessage {
     let backend_load = |server: &directory::BackendState| {
@@ -242,6 +187,10 @@
         wall_time: state.median_clock.borrow().time_at(state.clock.now()),
         loads: state.directory.borrow().all().filter(busy).map(backend_load).collect(),
         counts: Vec::new(),
+        notice: Some(peers::UsageNotice {
+            can_report: state.freshness.borrow().is_store_answering() && !state.is_stopping(),
+            ..peers::UsageNotice::default()
+        }),
     }
 }
 
@@ -255,11 +204,8 @@
     let others = state.peers.borrow().clock_estimates(now);
     let wall = state.clock.wall();
     state.median_clock.borrow_mut().adjust(now, wall, others);
-    let time = state.median_clock.borrow().time_at(now);
-    state
-        .peers
-        .borrow_mut()
-        .prune_counts(usage_counts::window_at(time, state.settings.usage_window));
+    let (time, length) = (state.median_clock.borrow().time_at(now), state.settings.usage_window);
+    state.peers.borrow_mut().prune_counts(usage_counts::window_at(time, length), length);
 }
 
 async fn receive(sender: rc::Rc<Sender>) {
@@ -274,13 +220,19 @@
                 continue;
             }
         };
-        match postcard::from_bytes::<peers::GossipMessage>(&buffer[..length]) {
-            Ok(message) => {
-                let has_counts = !message.counts.is_empty();
-                state.peers.borrow_mut().handle_message(message, from, state.clock.now());
-                if has_counts && state.peers.borrow().is_partial_mesh() {
-                    // Tells the sender that its counts were received.
-                    sender.send(&load_message(state, sender.incarnation), &[from]).await;
+        match peers::GossipMessage::decode(&buffer[..length]) {
+            Ok(mut message) => {
+                let now = state.clock.now();
+                message.discard_relayed(&state.settings.node, sender.incarnation);
+                // The requests for the counts show a gateway that its counts arrive.
+                let is_requested = message.notice.is_some() && state.reporting.borrow().is_some();
+                let reply = state.peers.borrow_mut().handle_message(message, from, now);
+                match reply {
+                    peers::Reply::Counts => sender.answer_request(from).await,
+                    peers::Reply::Acknowledgement if !is_requested => {
+                        sender.send(&load_message(state, sender.incarnation), &[from]).await;
+                    }
+                    peers::Reply::Acknowledgement | peers::Reply::None => {}
                 }
             }
             Err(error) => {
--- a/crates/gateway/src/service/usage.rs
+++ b/crates/gateway/src/service/usage.rs
@@ -19,9 +19,9 @@
 use tokio::time;
 
 use crate::codec;
-use crate::decision::gossip_timing;
+use crate::decision::candidacy;
+use crate::decision::report_readiness;
 use crate::decision::usage_counts;
-use crate::peers;
 use crate::state;
 use crate::store;
 
@@ -82,10 +82,12 @@
 ) {
     let terms = lease::Timing::new(state.settings.lease_duration);
     let mut task = ReportingTask {
-        lease: lease::Lease::new(state.settings.node.clone(), incarnation, terms),
+        // The addresses of this VM were bound before, so no earlier process of it is running.
+        lease: lease::Lease::new(state.settings.node.clone(), incarnation, terms).succeeds_itself(),
         event: lease::Event::Tick,
         rejected_fence: None,
         lease_readable: true,
+        held_since: None,
         reported: collections::BTreeSet::new(),
         state,
         store,
@@ -103,6 +105,8 @@
     rejected_fence: Option<ids::Fence>,
     /// Whether the last attempt to read the lease row succeeded.
     lease_readable: bool,
+    /// Since when this gateway has held the lease without a break.
+    held_since: Option<time::Instant>,
     /// Windows whose report was acknowledged.
     reported: collections::BTreeSet<u64>,
     state: rc::Rc<state::State>,
@@ -114,11 +118,12 @@
     /// Executes the next action of the lease state machine; sends due reports while it waits.
     async fn step(&mut self) {
         let now = self.state.clock.now();
-        let node = &self.state.settings.node;
-        let competes = self.state.peers.borrow().is_among_first(node, peers::REPORTER_COUNT, now);
-        if !competes && self.lease.row_version().is_none() {
+        if !self.competes(now) && self.lease.row_version().is_none() {
             return time::sleep(TICK_INTERVAL).await;
         }
+        if self.state.is_stopping() && self.event == lease::Event::Tick {
+            self.event = lease::Event::Resign;
+        }
         let before = self.lease.fencing_token(now);
         let event = std::mem::replace(&mut self.event, lease::Event::Tick);
         match self.lease.handle(event, now) {
@@ -136,10 +141,38 @@
             }
             lease::Action::Pending | lease::Action::Resigned => time::sleep(TICK_INTERVAL).await,
         }
-        let after = self.lease.fencing_token(self.state.clock.now());
+        let now = self.state.clock.now();
+        let after = self.lease.fencing_token(now);
         if before != after {
             tracing::info!(before, after, holder = self.lease.holder(), "lease for usage reports");
         }
+        self.publish_holding(now);
+    }
+
+    /// Tells the other tasks whether this gateway holds the lease; they start to collect the counts
+    /// before it may act.
+    fn publish_holding(&mut self, now: time::Instant) {
+        let is_held = self.lease.valid_until().is_some_and(|until| now < until);
+        let fence = self.lease.held_fence().filter(|_| is_held && !self.state.is_stopping());
+        let changed = self
+            .state
+            .reporting
+            .send_if_modified(|reporting| std::mem::replace(reporting, fence) != fence);
+        if changed {
+            self.held_since = fence.map(|_| now);
+        }
+    }
+
+    /// Whether this gateway competes for the lease. A stopping one releases it instead, so that its
+    /// successor need not wait until it expires.
+    fn competes(&self, now: time::Instant) -> bool {
+        if self.state.is_stopping() {
+            return false;
+        }
+        let reachable = self.state.freshness.borrow().reachable_for(now);
+        let peers = self.state.peers.borrow();
+        let standing = peers.standing(&self.state.settings.node, reachable, now);
+        candidacy::competes(standing, peers.news_delay())
     }
 
     /// Logs when the lease row becomes unreadable or readable again.
@@ -204,25 +237,50 @@
             return;
         }
         let length = self.state.settings.usage_window;
-        let now = self.state.median_clock.borrow().time_at(self.state.clock.now());
+        let monotonic = self.state.clock.now();
+        let now = self.state.median_clock.borrow().time_at(monotonic);
         let deadline =
             self.state.settings.report_deadline.saturating_sub(Duration::from_millis(300));
-        let settle = gossip_timing::settle_delay(self.state.gateway_count(), deadline);
-        let newest = usage_counts::window_at(now.saturating_sub(settle), length);
+        let newest = usage_counts::window_at(now, length);
         let oldest =
             usage_counts::window_at(now.saturating_sub(deadline), length).saturating_sub(1);
-        for window in oldest..newest {
-            let end = length * u32::try_from(window + 1).unwrap_or(u32::MAX);
-            if self.reported.contains(&window) || now.saturating_sub(end) > deadline {
+        for number in oldest..newest {
+            let window = usage_counts::EndedWindow::new(number, length, now);
+            if self.reported.contains(&number) || window.ended > deadline {
+                continue;
+            }
+            let progress = report_readiness::Progress {
+                ended: window.ended,
+                collecting: self.collecting(monotonic),
+                missing: self.missing_counts(&window, monotonic).len(),
+            };
+            let gateways = self.state.gateway_count();
+            if !report_readiness::may_freeze(progress, gateways, deadline) {
                 continue;
             }
-            let Some(body) = self.store_report(window).await else { return };
+            let Some(body) = self.store_report(&window).await else { return };
             let Some(fence) = self.current_fence() else { return };
-            self.send(window, body, fence).await;
+            self.send(number, body, fence).await;
         }
         self.reported.retain(|window| window + RETAINED_REPORTS > newest);
     }
 
+    /// For how long this gateway has collected the counts as the reporter.
+    fn collecting(&self, now: time::Instant) -> Duration {
+        self.held_since.map(|at| now.saturating_duration_since(at)).unwrap_or_default()
+    }
+
+    /// Gateways that may have counts of a window which are not known here.
+    fn missing_counts(
+        &self,
+        window: &usage_counts::EndedWindow,
+        now: time::Instant,
+    ) -> Vec<ids::NodeId> {
+        let peers = self.state.peers.borrow();
+        let missing = peers.missing_counts(window, self.collecting(now), now);
+        missing.into_iter().map(str::to_owned).collect()
+    }
+
     async fn send(&mut self, window: u64, body: Vec<u8>, fence: ids::Fence) {
         let report = codec::UsageReport { window, body, fence };
         let sent = time::timeout(CALL_TIMEOUT, (self.reporter.send)(report)).await;
@@ -243,7 +301,8 @@
     }
 
     /// Stores the report of a window and returns it, or the one that a gateway has stored before.
-    async fn store_report(&self, window: u64) -> Option<Vec<u8>> {
+    async fn store_report(&self, ended: &usage_counts::EndedWindow) -> Option<Vec<u8>> {
+        let window = ended.number;
         let version = self.lease.row_version()?;
         let body = (self.state.codec.encode_usage)(window, &self.counts(window));
         let write = |window: u64, data, expected_version| store::Write {
@@ -261,7 +320,7 @@
         };
         match time::timeout(CALL_TIMEOUT, (self.store.commit)(commit)).await {
             Ok(Ok(_)) => {
-                self.log_stored_counts(window);
+                self.log_stored_counts(ended);
                 Some(body)
             }
             Ok(Err(store::StoreError::Conflict(rows))) => {
@@ -281,30 +340,44 @@
     }
 
     /// Logs the counts in a stored report and the gateways that they come from.
-    fn log_stored_counts(&self, window: u64) {
-        let peers = self.state.peers.borrow();
+    fn log_stored_counts(&self, ended: &usage_counts::EndedWindow) {
         let now = self.state.clock.now();
+        let window = ended.number;
+        let mut missing = self.missing_counts(ended, now);
+        let peers = self.state.peers.borrow();
         let mut own = collections::BTreeMap::new();
         self.state.usage_counts.borrow().add_to(window, &mut own);
-        let (counted, mut ages) = (peers.counts_by_peer(window), peers.last_heard_ages(now));
+        let counted: Vec<_> = peers.counts().sums(window).filter(|(_, sum)| *sum > 0).collect();
+        let mut ages = peers.last_heard_ages(now);
         let gateways = counted.len() + 1;
         ages.sort_unstable_by_key(|(_, age)| cmp::Reverse(*age));
         ages.truncate(MAX_LOGGED_GATEWAYS);
         tracing::info!(
             window,
+            ended_ms = ended.ended.as_millis() as u64,
             own = own.values().sum::<u64>(),
             gateways,
             others = ?counted.iter().take(MAX_LOGGED_GATEWAYS).collect::<Vec<_>>(),
             heard_ms = ?ages,
             "counts frozen"
         );
+        if !missing.is_empty() {
+            let count = missing.len();
+            missing.truncate(MAX_LOGGED_GATEWAYS);
+            tracing::warn!(
+                window,
+                count,
+                ?missing,
+                "the usage report lacks counts of gateways that did not send them in time"
+            );
+        }
     }
 
     /// Requests of each team in a window, summed over all gateways.
     fn counts(&self, window: u64) -> Vec<codec::TeamCount> {
         let mut sum = collections::BTreeMap::new();
         self.state.usage_counts.borrow().add_to(window, &mut sum);
-        self.state.peers.borrow().add_counts(window, &mut sum);
+        self.state.peers.borrow().counts().add_to(window, &mut sum);
         let teams = self.state.team_names.borrow();
         let named = |(hash, count): (usage_counts::TeamHash, u64)| {
             let name = teams.get(&hash).cloned();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -104,6 +104,8 @@
     pub stopping: sync::watch::Sender<bool>,
     /// Whether this gateway has an entry in the list of gateways.
     pub registered: cell::Cell<bool>,
+    /// Fencing token while this gateway reports usage.
+    pub reporting: sync::watch::Sender<Option<ids::Fence>>,
     /// Which new requests are admitted.
     pub admission: cell::Cell<Admission>,
     /// Number of requests that are being served.
@@ -137,6 +139,7 @@
             capacity_changed: sync::Notify::new(),
             stopping: sync::watch::Sender::new(false),
             registered: cell::Cell::new(false),
+            reporting: sync::watch::Sender::new(None),
             admission: cell::Cell::new(Admission::Open),
             active_requests: cell::Cell::new(0),
             settings,
@@ -176,7 +179,7 @@
     /// Number of live gateways, including this one.
     #[must_use]
     pub fn gateway_count(&self) -> usize {
-        self.peers.borrow().live_count(self.clock.now()) + 1
+        self.peers.borrow().live_count(&self.settings.node, self.clock.now()) + 1
     }
 
     /// Counts a request of a team whose execution began `elapsed` before now.
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -38,6 +38,7 @@
         wall_time: support::START_TIME,
         loads: vec![load],
         counts: Vec::new(),
+        notice: None,
     }
 }
 
@@ -96,8 +97,8 @@
     peers.handle_message(message("g-3", 1), address(3), start);
     expect_that!(peers.load(7, start).total().in_flight, eq(4));
     expect_that!(peers.load(7, start + Duration::from_secs(2)).total().in_flight, eq(0));
-    expect_that!(peers.live_count(start + Duration::from_secs(2)), eq(2));
-    expect_that!(peers.live_count(start + Duration::from_secs(20)), eq(0));
+    expect_that!(peers.live_count("g-1", start + Duration::from_secs(2)), eq(2));
+    expect_that!(peers.live_count("g-1", start + Duration::from_secs(20)), eq(0));
 }
 
 #[gtest]
@@ -208,7 +209,7 @@
                 let window = newest.map(|(window, ..)| window).unwrap_or_default();
                 let mut sum = collections::BTreeMap::new();
                 state.usage_counts.borrow().add_to(window, &mut sum);
-                peers.add_counts(window, &mut sum);
+                peers.counts().add_to(window, &mut sum);
                 expect_that!(sum.values().sum::<u64>(), eq(60), "{}", state.settings.node);
             }
         }
@@ -221,15 +222,15 @@
 async fn the_load_of_unreported_gateways_is_extrapolated_evenly() {
     let start = time::Instant::now();
     let mut small = listed_peers(20, start);
-    expect_that!(small.unreported_ratio(start + Duration::from_secs(3)), eq(0.0));
+    expect_that!(small.unreported_ratio("g-300", start + Duration::from_secs(3)), eq(0.0));
     let now = start + Duration::from_secs(3);
     let mut large = listed_peers(300, start);
     for n in 0..100_u16 {
         large.handle_message(message(&format!("g-{n}"), 1), address(n), now);
         small.handle_message(message(&format!("g-{}", n % 20), 1), address(n), now);
     }
-    expect_that!(large.unreported_ratio(now), approx_eq(2.0));
+    expect_that!(large.unreported_ratio("g-300", now), approx_eq(2.0));
     let known = [large.load(7, now), large.load(8, now)];
-    let unreported = placement::extrapolate_load(&known, large.unreported_ratio(now));
+    let unreported = placement::extrapolate_load(&known, large.unreported_ratio("g-300", now));
     expect_that!(unreported.total().in_flight, eq(100));
 }
--- a/crates/gateway/tests/usage.rs
+++ b/crates/gateway/tests/usage.rs
@@ -224,6 +224,7 @@
             wall_time: support::START_TIME,
             loads: Vec::new(),
             counts: vec![peers::UsageCount { window: first_window(), team, requests: 30 }],
+            notice: None,
         };
         let from = std::net::SocketAddr::from(([127, 0, 0, 1], 9));
         state.peers.borrow_mut().handle_message(message, from, state.clock.now());
@@ -246,3 +247,44 @@
     })
     .await;
 }
+
+fn fence_in_store(fake: &support::FakeStore) -> Option<String> {
+    fake.get(Table::Usage, "usage-lease")
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn stopping_gateway_releases_the_lease_and_takes_it_no_more() {
+    run_local(async {
+        let fake = support::FakeStore::default();
+        let received = Received::default();
+        let start = |node: &str, incarnation| {
+            let state = support::state(node);
+            let report = recording_reporter(&received, |_| Ok(()));
+            let store = rc::Rc::new(fake.store());
+            task::spawn_local(service::run_usage_reporting(
+                state.clone(),
+                store,
+                report,
+                incarnation,
+            ));
+            state
+        };
+        let first = start("g-1", 1);
+        time::sleep(Duration::from_secs(6)).await;
+        expect_that!(fence_in_store(&fake), some(contains_substring("g-1")));
+        let second = start("g-2", 2);
+        time::sleep(Duration::from_secs(2)).await;
+        // Twice the send deadline is enough for a release; an expired lease takes four seconds.
+        first.stopping.send_replace(true);
+        time::sleep(Duration::from_secs(2)).await;
+        expect_that!(fence_in_store(&fake), some(contains_substring("g-2")));
+        expect_that!(*first.reporting.borrow(), none());
+        second.stopping.send_replace(true);
+        time::sleep(Duration::from_secs(20)).await;
+        let holders =
+            ["g-1", "g-2"].map(|node| fence_in_store(&fake).unwrap_or_default().contains(node));
+        expect_that!(holders, eq([false, false]));
+    })
+    .await;
+}
