test(gateway): the ring of gossip at 68 and 3,000 gateways

Checks on the paused clock what the last change of the gateway made of the ring: a lost datagram doesn't make a neighbour's load vanish, silent neighbours don't stretch the interval beyond the validity, gateways that are gone have no share of the budgets, one that hears nobody takes no larger share, and the reporter knows whose counts are missing. No change of the product.

--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use azuregap_gateway::clock;
+use azuregap_gateway::decision::gossip_timing;
 use azuregap_gateway::decision::placement;
+use azuregap_gateway::decision::usage_counts;
 use azuregap_gateway::directory;
 use azuregap_gateway::peers;
 use azuregap_gateway::service;
@@ -234,3 +236,109 @@
     let unreported = placement::extrapolate_load(&known, large.unreported_ratio("g-300", now));
     expect_that!(unreported.total().in_flight, eq(100));
 }
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_lost_datagram_does_not_make_the_load_of_a_neighbour_vanish() {
+    for fleet in [42, 68, 3_000] {
+        let start = time::Instant::now();
+        let mut peers = listed_peers(fleet, start);
+        peers.handle_message(message("g-1", 5), address(1), start);
+        let interval = gossip_timing::load_interval(peers.neighbours("g-0", start).len());
+        // The message after one interval is lost, the next one comes a little late.
+        let next = start + interval * 2 + Duration::from_millis(200);
+        expect_that!(peers.load(7, next).total().in_flight, eq(5), "{fleet} gateways");
+        let gone = start + interval * 3;
+        expect_that!(peers.load(7, gone).total().in_flight, eq(0), "{fleet} gateways");
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn silent_neighbours_do_not_delay_the_load_until_it_expires() {
+    for fleet in [68, 3_000] {
+        let start = time::Instant::now();
+        let mut peers = listed_peers(fleet, start);
+        let now = start + Duration::from_secs(20);
+        for n in (0..fleet as u16).filter(|n| n % 2 == 0) {
+            peers.handle_message(message(&format!("g-{n}"), 1), address(n), now);
+        }
+        let neighbours = peers.neighbours("g-0", now).len();
+        expect_that!(neighbours, gt(40), "{fleet} gateways");
+        let interval = gossip_timing::load_interval(neighbours);
+        let before_next = now + interval * 2;
+        expect_that!(peers.load(7, before_next).total().in_flight, gt(0), "{fleet} gateways");
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn gateways_that_are_gone_have_no_share_of_the_budgets() {
+    for fleet in [68_u16, 3_000] {
+        for gone_of_ten in [0, 1, 3] {
+            let start = time::Instant::now();
+            let mut peers = listed_peers(usize::from(fleet), start);
+            let now = start + Duration::from_secs(20);
+            let alive = || (0..fleet).filter(|n| n % 10 >= gone_of_ten);
+            // The neighbours beyond silent ones find each other too.
+            let neighbours = ports(&peers.neighbours("g-9", now));
+            for n in alive().filter(|n| neighbours.contains(n)) {
+                peers.handle_message(message(&format!("g-{n}"), 0), address(n), now);
+            }
+            let live = alive().count();
+            let estimate = peers.live_count("g-9", now);
+            // The retry budget leaves three tenths for gateways that are not known.
+            expect_that!(estimate * 10, ge(live * 7), "{gone_of_ten} of ten of {fleet} gone");
+            expect_that!(estimate * 10, le(live * 12), "{gone_of_ten} of ten of {fleet} gone");
+        }
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_gateway_that_hears_nobody_takes_no_larger_share_of_the_budgets() {
+    for fleet in [68, 3_000] {
+        let start = time::Instant::now();
+        let peers = listed_peers(fleet, start);
+        let later = start + Duration::from_secs(60);
+        expect_that!(peers.live_count("g-0", later), eq(fleet), "{fleet} gateways");
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn the_reporter_knows_whose_counts_are_missing_in_a_fleet_of_thousands() {
+    for fleet in [68_u16, 3_000] {
+        let start = time::Instant::now();
+        let mut peers = listed_peers(usize::from(fleet), start);
+        let now = start + Duration::from_secs(8);
+        let (number, length) = (support::START_TIME.as_secs() / 5, Duration::from_secs(5));
+        let ended = Duration::from_secs(3);
+        let wall = support::START_TIME + length + ended;
+        let window = usage_counts::EndedWindow::new(number, length, wall);
+        let mut tell = |n: u16, requests: u64, total: u64| {
+            let mut message = message(&format!("g-{n}"), 0);
+            message.wall_time = wall;
+            message.counts = vec![peers::UsageCount { window: number, team: 1, requests }];
+            message.notice = Some(peers::UsageNotice {
+                can_report: true,
+                totals: Some(vec![(number, total)]),
+                ..peers::UsageNotice::default()
+            });
+            peers.handle_message(message, address(n), now);
+        };
+        // The counts of one gateway need two datagrams, of which one was lost; another one is
+        // silent. Both are known to the store's list.
+        (2..fleet).for_each(|n| tell(n, 3, 3));
+        tell(1, 2, 5);
+        let collecting = Duration::from_secs(1);
+        let missing = peers.missing_counts(&window, collecting, now);
+        expect_that!(missing, unordered_elements_are![eq(&"g-0"), eq(&"g-1")]);
+        // After several requests without an answer only those that were heard are waited for.
+        let missing = peers.missing_counts(&window, Duration::from_secs(60), now + ended);
+        expect_that!(missing, contains(eq(&"g-1")));
+        let mut sum = collections::BTreeMap::new();
+        peers.counts().add_to(number, &mut sum);
+        expect_that!(sum[&1], eq(u64::from(fleet - 2) * 3 + 2));
+    }
+}
