fix(daemon): a signal that arrives while a hosted gateway starts is handled

Starts were traced with the binary evicted from the page cache beside 12 writers and 10 busy loops: 0.5 to 1.5 s until the first line instead of 0.02 s, warm beside the loops alone 0.03 s; so it is the disk, not the processor, that delays a start. The failure itself was not brought about again under load. Change: the handlers are installed before anything else. Tests: daemon::hosted_start, with settings that come through a pipe so that the start waits: both failed before (ended by the signal), both pass now.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -50,7 +50,7 @@
     let role = Arguments::parse().role;
     let _guard = init_logging(&role);
     let kernel = match role {
-        Role::Hosted => return run_hosted(),
+        Role::Hosted => return actix_rt::System::new().block_on(run_hosted()),
         Role::Entry { settings } => read_settings(&settings, settings::EntrySettings::check)
             .map(|settings| azuregap_entry::daemon::kernel(&settings)),
         Role::Agent { settings } => read_settings(&settings, settings::AgentSettings::check)
@@ -86,7 +86,14 @@
 }
 
 /// Runs a gateway that the platform hosts.
-fn run_hosted() -> process::ExitCode {
+async fn run_hosted() -> process::ExitCode {
+    let signals = match azuregap_host::process::Signals::install() {
+        Ok(signals) => signals,
+        Err(error) => {
+            tracing::error!(reason = error.to_string(), "cannot listen for signals");
+            return process::ExitCode::FAILURE;
+        }
+    };
     let settings = match azuregap_host::process::read_settings() {
         Ok(settings) => settings,
         Err(error) => {
@@ -94,7 +101,7 @@
             return process::ExitCode::from(EXIT_INVALID_SETTINGS);
         }
     };
-    match actix_rt::System::new().block_on(azuregap_host::process::run(settings)) {
+    match azuregap_host::process::run(settings, signals).await {
         Ok(code) => code,
         Err(error) => {
             tracing::error!(reason = error.to_string(), "start failed");
--- /dev/null
+++ b/crates/daemon/tests/hosted_start.rs
@@ -0,0 +1,128 @@
+//! Signals that reach a hosted gateway while it starts.
+
+use std::fs;
+use std::io;
+use std::io::BufRead as _;
+use std::net;
+use std::path;
+use std::process;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use nix::sys::signal;
+use nix::sys::stat;
+use nix::unistd;
+
+/// Time in which a process that is not waiting for anything has started.
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A process that is killed at the end of the test.
+struct Child(process::Child);
+
+impl Drop for Child {
+    fn drop(&mut self) {
+        // Fails only if the process has ended already.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// A free port; another process could take it before it is used, which the test would report.
+fn free_port() -> u16 {
+    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap().port()
+}
+
+fn settings() -> String {
+    let [http, ready, metrics, gossip] = [(); 4].map(|()| free_port());
+    let (first, last) = (metrics.min(gossip), metrics.max(gossip));
+    format!(
+        "NodeName=g-1\nIp=127.0.0.1\nZone=a\nListen.Frontend=127.0.0.1:{http}\n\
+         Listen.Ready=127.0.0.1:{ready}\nInternalPorts={first},{last}\nBounds.RevokeMs=5000\n\
+         Bounds.RetryBudgetRatio=0.2\nBounds.BudgetSlack=52\nBounds.RetryWindowS=10\n\
+         Bounds.LeaseMs=3000\nBounds.ReportWindowS=2\nBounds.UsageLateS=10\nBounds.GraceS=4\n\
+         Platform.Address=127.0.0.1:9\nCloud.Address=127.0.0.1:9\n"
+    )
+}
+
+/// Starts a gateway whose settings file is a pipe: it waits until the test writes the settings.
+fn start_waiting(test: &str) -> (Child, path::PathBuf) {
+    let folder = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("hosted-start-{test}"));
+    // The folder of an earlier run may not exist.
+    let _ = fs::remove_dir_all(&folder);
+    fs::create_dir_all(&folder).unwrap();
+    let pipe = folder.join("settings");
+    unistd::mkfifo(&pipe, stat::Mode::S_IRWXU).unwrap();
+    let child = process::Command::new(env!("CARGO_BIN_EXE_azuregapd"))
+        .arg("hosted")
+        .env("AZUREGAP_BOOT", &pipe)
+        .stdout(process::Stdio::piped())
+        .spawn()
+        .unwrap();
+    (Child(child), pipe)
+}
+
+/// Whether a signal has a handler in the process, or is ignored.
+fn is_handled(pid: u32, signal: signal::Signal) -> bool {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let mask = |field: &str| {
+        let line = status.lines().find_map(|line| line.strip_prefix(field));
+        line.and_then(|bits| u64::from_str_radix(bits.trim(), 16).ok()).unwrap_or_default()
+    };
+    (mask("SigCgt:") | mask("SigIgn:")) >> (signal as i32 - 1) & 1 == 1
+}
+
+/// The first line of the log that contains `text`.
+fn find_line(child: &mut Child, text: &'static str) -> Option<String> {
+    let output = io::BufReader::new(child.0.stdout.take().unwrap());
+    let (sender, receiver) = mpsc::channel();
+    thread::spawn(move || {
+        let mut lines = output.lines().map_while(std::result::Result::ok);
+        // The receiver is gone if the test has given up.
+        let _ = sender.send(lines.find(|line| line.contains(text)));
+    });
+    receiver.recv_timeout(START_TIMEOUT).ok().flatten()
+}
+
+#[gtest]
+fn a_reload_signal_before_the_settings_were_read_does_not_end_the_process() {
+    let (mut child, pipe) = start_waiting("hangup");
+    let pid = child.0.id();
+    // The test may not find the handler, and then sees what the signal does without it.
+    for _ in 0..100 {
+        if is_handled(pid, signal::Signal::SIGHUP) {
+            break;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    let target = unistd::Pid::from_raw(pid.cast_signed());
+    signal::kill(target, signal::Signal::SIGHUP).unwrap();
+    thread::sleep(Duration::from_millis(200));
+    expect_that!(child.0.try_wait().unwrap(), none());
+    if child.0.try_wait().unwrap().is_none() {
+        fs::write(&pipe, settings()).unwrap();
+        expect_that!(find_line(&mut child, "\"message\":\"start\""), some(anything()));
+    }
+}
+
+#[gtest]
+fn a_stop_signal_before_the_settings_were_read_ends_the_process_gracefully() {
+    let (mut child, pipe) = start_waiting("terminate");
+    let pid = child.0.id();
+    for _ in 0..100 {
+        if is_handled(pid, signal::Signal::SIGTERM) {
+            break;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    let target = unistd::Pid::from_raw(pid.cast_signed());
+    signal::kill(target, signal::Signal::SIGTERM).unwrap();
+    thread::sleep(Duration::from_millis(200));
+    if child.0.try_wait().unwrap().is_none() {
+        fs::write(&pipe, settings()).unwrap();
+        expect_that!(find_line(&mut child, "\"message\":\"stopped\""), some(anything()));
+    }
+    expect_that!(child.0.wait().unwrap().code(), some(eq(0)));
+}
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -33,6 +33,30 @@
 /// Interval at which the shutdown checks for active requests.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Signals that a gateway handles.
+#[derive(Debug)]
+pub struct Signals {
+    terminate: unix::Signal,
+    hangup: unix::Signal,
+}
+
+impl Signals {
+    /// Installs the handlers; a signal that arrives from now on is handled once the gateway runs.
+    ///
+    /// Until then a signal ends the process, so this is done before anything that can take time,
+    /// such as reading the settings.
+    ///
+    /// # Errors
+    ///
+    /// If a handler can't be installed.
+    pub fn install() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: unix::signal(unix::SignalKind::terminate())?,
+            hangup: unix::signal(unix::SignalKind::hangup())?,
+        })
+    }
+}
+
 /// Everything a gateway is built from.
 #[derive(Debug)]
 pub struct Components {
@@ -46,15 +70,18 @@
     pub usage_reporter: service::UsageReporter,
     /// Rereads the settings; the error is a description of what is wrong with them.
     pub reload_settings: fn() -> Result<settings::Settings, String>,
+    /// Handlers of the signals.
+    pub signals: Signals,
 }
 
 /// Runs a gateway until it receives SIGTERM, then shuts it down gracefully.
 ///
 /// # Errors
 ///
-/// If an address can't be bound or a signal handler can't be installed.
+/// If an address can't be bound.
 pub async fn run(components: Components) -> std::io::Result<process::ExitCode> {
-    let Components { settings, codec, store, usage_reporter, reload_settings } = components;
+    let Components { settings, codec, store, usage_reporter, reload_settings, mut signals } =
+        components;
     let incarnation = rand::random();
     tracing::info!(node = settings.node, zone = settings.zone, incarnation, "start");
     let http = net::TcpListener::bind(settings.http_address).await?;
@@ -79,12 +106,10 @@
         incarnation,
     ));
     actix_rt::spawn(proxy::serve(state.clone(), http));
-    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
-    let mut hangup = unix::signal(unix::SignalKind::hangup())?;
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = hangup.recv() => apply_reload(&state, reload_settings(), true),
+            _ = signals.terminate.recv() => break,
+            _ = signals.hangup.recv() => apply_reload(&state, reload_settings(), true),
             () = time::sleep(RELOAD_INTERVAL) => apply_reload(&state, reload_settings(), false),
         }
     }
