--- a/crates/gateway/src/decision/report_readiness.rs
+++ b/crates/gateway/src/decision/report_readiness.rs
@@ -47,15 +47,25 @@
     pub missing: usize,
 }
 
+/// Whether the counts of a window that ended `ended` ago have had the time to arrive in a fleet of
+/// `gateways`; the report is due `due` after the end. They are not frozen before.
+#[must_use]
+pub fn is_settled(ended: Duration, gateways: usize, due: Duration) -> bool {
+    ended >= gossip_timing::settle_delay(gateways).min(latest(due))
+}
+
+/// Time after the end of a window up to which missing counts are waited for.
+fn latest(due: Duration) -> Duration {
+    due.mul_f64(WAIT_SHARE)
+}
+
 /// Whether the counts of a window may be frozen in a fleet of `gateways`; the report is due `due`
 /// after the end of the window.
 #[must_use]
 pub fn may_freeze(progress: Progress, gateways: usize, due: Duration) -> bool {
-    let settle_delay = gossip_timing::settle_delay(gateways);
-    let latest = due.mul_f64(WAIT_SHARE);
     if progress.missing == 0 {
-        return progress.ended >= settle_delay.min(latest);
+        return is_settled(progress.ended, gateways, due);
     }
     let has_asked = progress.collecting >= gossip_timing::collection_time(gateways);
-    progress.ended >= latest && (has_asked || progress.ended + SEND_TIME >= due)
+    progress.ended >= latest(due) && (has_asked || progress.ended + SEND_TIME >= due)
 }
--- a/crates/gateway/src/decision/usage_counts.rs
+++ b/crates/gateway/src/decision/usage_counts.rs
@@ -82,6 +82,12 @@
         }
     }
 
+    /// Sum of the counts of one window.
+    #[must_use]
+    pub fn sum(&self, window: u64) -> u64 {
+        self.counts.get(&window).into_iter().flat_map(|teams| teams.values()).sum()
+    }
+
     /// Counts of the newest windows, as (window, team, count).
     pub fn newest(&self, windows: usize) -> impl Iterator<Item = (u64, TeamHash, u64)> {
         self.counts
--- a/crates/gateway/src/peers/collected_counts.rs
+++ b/crates/gateway/src/peers/collected_counts.rs
@@ -28,9 +28,7 @@
     }
 
     fn sum(&self, window: u64) -> u64 {
-        let mut sum = collections::BTreeMap::new();
-        self.counts.add_to(window, &mut sum);
-        sum.values().sum()
+        self.counts.sum(window)
     }
 
     /// Whether all counts of a window are known as of `since` or later.
@@ -41,10 +39,13 @@
     }
 }
 
+/// Processes of one gateway; more than one if it was restarted.
+type Processes = collections::BTreeMap<ids::Incarnation, ProcessCounts>;
+
 /// Usage counts of the other gateways, by process.
 #[derive(Debug, Default)]
 pub struct CollectedCounts {
-    processes: collections::HashMap<(ids::NodeId, ids::Incarnation), ProcessCounts>,
+    gateways: collections::HashMap<ids::NodeId, Processes>,
 }
 
 impl CollectedCounts {
@@ -52,15 +53,13 @@
     pub fn merge(&mut self, message: &message::GossipMessage, now: time::Instant) {
         let notice = message.notice.as_ref();
         for relayed in notice.into_iter().flat_map(|notice| &notice.relayed) {
-            let key = (relayed.node.clone(), relayed.incarnation);
-            self.processes.entry(key).or_default().merge(&relayed.counts);
+            self.process(&relayed.node, relayed.incarnation).merge(&relayed.counts);
         }
         let totals = notice.and_then(|notice| notice.totals.as_ref());
         if message.counts.is_empty() && totals.is_none() {
             return;
         }
-        let key = (message.node.clone(), message.incarnation);
-        let process = self.processes.entry(key).or_default();
+        let process = self.process(&message.node, message.incarnation);
         process.merge(&message.counts);
         process.heard_at = Some(now);
         if let Some(totals) = totals {
@@ -69,12 +68,24 @@
         }
     }
 
+    fn process(&mut self, node: &str, incarnation: ids::Incarnation) -> &mut ProcessCounts {
+        if !self.gateways.contains_key(node) {
+            self.gateways.insert(node.to_owned(), Processes::new());
+        }
+        let processes = self.gateways.get_mut(node).expect("the gateway was added above");
+        processes.entry(incarnation).or_default()
+    }
+
+    fn processes(&self) -> impl Iterator<Item = &ProcessCounts> {
+        self.gateways.values().flat_map(collections::BTreeMap::values)
+    }
+
     /// Whether all counts of a gateway in a window are known as of `since`, a time of day at the
     /// gateway.
     #[must_use]
     pub fn is_complete(&self, node: &str, window: u64, since: Duration) -> bool {
-        let mut processes = self.processes.iter().filter(|((name, _), _)| name == node);
-        processes.any(|(_, process)| process.is_complete(window, since))
+        let processes = self.gateways.get(node).into_iter().flat_map(|all| all.values());
+        processes.into_iter().any(|process| process.is_complete(window, since))
     }
 
     /// Counts of the newest `windows` of the processes that have sent none for `silence`.
@@ -90,8 +101,11 @@
             let age = process.heard_at.map(|at| now.saturating_duration_since(at));
             age.is_none_or(|age| age >= silence)
         };
-        let silent = self.processes.iter().filter(move |(_, process)| is_silent(process));
-        silent.map(move |((node, incarnation), process)| {
+        let all = self.gateways.iter().flat_map(|(node, processes)| {
+            processes.iter().map(move |(incarnation, process)| (node, incarnation, process))
+        });
+        let silent = all.filter(move |(.., process)| is_silent(process));
+        silent.map(move |(node, incarnation, process)| {
             let count = |(window, team, requests)| message::UsageCount { window, team, requests };
             notice::RelayedCounts {
                 node: node.clone(),
@@ -107,27 +121,31 @@
         window: u64,
         sum: &mut collections::BTreeMap<usage_counts::TeamHash, u64>,
     ) {
-        for process in self.processes.values() {
+        for process in self.processes() {
             process.counts.add_to(window, sum);
         }
     }
 
-    /// Sum of the counts of each process in a window.
+    /// Sum of the counts of each gateway in a window.
     pub fn sums(&self, window: u64) -> impl Iterator<Item = (&str, u64)> {
-        self.processes.iter().map(move |((node, _), process)| (node.as_str(), process.sum(window)))
+        self.gateways.iter().map(move |(node, processes)| {
+            (node.as_str(), processes.values().map(|process| process.sum(window)).sum())
+        })
     }
 
     /// Removes windows that are no longer retained if `window` is the current one, and processes
     /// without any counts.
     pub fn prune(&mut self, window: u64, length: Duration) {
-        for process in self.processes.values_mut() {
+        let is_kept = |process: &mut ProcessCounts| {
             process.counts.prune(window);
-        }
-        self.processes.retain(|_, process| {
             let told_recently = process.totals_at.is_some_and(|at| {
                 usage_counts::window_at(at, length) + usage_counts::RETAINED_WINDOWS > window
             });
             !process.counts.is_empty() || told_recently
+        };
+        self.gateways.retain(|_, processes| {
+            processes.retain(|_, process| is_kept(process));
+            !processes.is_empty()
         });
     }
 }
--- a/crates/gateway/src/service/backends.rs
+++ b/crates/gateway/src/service/backends.rs
@@ -37,7 +37,12 @@
         shared.capacity_changed.notify_waiters();
     };
     let never_refreshed = sync::Notify::new();
-    watcher::watch(state, store, store::Table::Backends, &never_refreshed, handle_event).await;
+    let options = watcher::Options {
+        table: store::Table::Backends,
+        refresh: &never_refreshed,
+        is_follower: true,
+    };
+    watcher::watch(state, store, options, handle_event).await;
 }
 
 /// Removes, after the grace period, backend servers that did not register again.
--- a/crates/gateway/src/service/configuration.rs
+++ b/crates/gateway/src/service/configuration.rs
@@ -28,14 +28,12 @@
         shared.refresh_finished.notify_waiters();
     };
     let notifier = state.clone();
-    watcher::watch(
-        state,
-        store,
-        store::Table::Configuration,
-        &notifier.refresh_requested,
-        handle_event,
-    )
-    .await;
+    let options = watcher::Options {
+        table: store::Table::Configuration,
+        refresh: &notifier.refresh_requested,
+        is_follower: false,
+    };
+    watcher::watch(state, store, options, handle_event).await;
 }
 
 /// Applies a version of the configuration; returns false if it can't be decoded.
--- a/crates/gateway/src/service/usage.rs
+++ b/crates/gateway/src/service/usage.rs
@@ -244,9 +244,11 @@
         let newest = usage_counts::window_at(now, length);
         let oldest =
             usage_counts::window_at(now.saturating_sub(deadline), length).saturating_sub(1);
+        let gateways = self.state.gateway_count();
         for number in oldest..newest {
             let window = usage_counts::EndedWindow::new(number, length, now);
-            if self.reported.contains(&number) || window.ended > deadline {
+            let is_due = window.ended <= deadline && !self.reported.contains(&number);
+            if !is_due || !report_readiness::is_settled(window.ended, gateways, deadline) {
                 continue;
             }
             let progress = report_readiness::Progress {
@@ -254,7 +256,6 @@
                 collecting: self.collecting(monotonic),
                 missing: self.missing_counts(&window, monotonic).len(),
             };
-            let gateways = self.state.gateway_count();
             if !report_readiness::may_freeze(progress, gateways, deadline) {
                 continue;
             }
--- a/crates/gateway/src/service/watcher.rs
+++ b/crates/gateway/src/service/watcher.rs
@@ -31,6 +31,19 @@
 /// Longest delay after a failed call, before jitter.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
 
+/// Interval between two calls for a table while another watcher finds the store unavailable, in
+/// case only that other table is.
+const PROBE_INTERVAL: Duration = Duration::from_millis(2_000);
+
+/// What is watched, and together with what.
+pub(super) struct Options<'a> {
+    pub(super) table: store::Table,
+    /// A notification makes the next call return without waiting for a change.
+    pub(super) refresh: &'a sync::Notify,
+    /// Whether another watcher finds out when the store is available again.
+    pub(super) is_follower: bool,
+}
+
 /// Rows that the store returned.
 pub(super) struct Update {
     pub(super) rows: store::Rows,
@@ -51,15 +64,13 @@
 }
 
 /// Watches a table and passes each event to `handle_event`; never returns.
-///
-/// A notification on `refresh` makes the next call return without waiting for a change.
 pub(super) async fn watch(
     state: rc::Rc<state::State>,
     store: rc::Rc<store::Store>,
-    table: store::Table,
-    refresh: &sync::Notify,
+    options: Options<'_>,
     mut handle_event: impl FnMut(Event),
 ) {
+    let Options { table, refresh, is_follower } = options;
     let mut version: Option<ids::RowVersion> = None;
     let mut failures = 0_u32;
     let mut last_response = state.clock.now();
@@ -125,7 +136,26 @@
                 let delay = RETRY_DELAY * 2_u32.pow(failures.min(5));
                 let jitter = 0.5 + rand::random::<f64>();
                 time::sleep(delay.min(MAX_RETRY_DELAY).mul_f64(jitter)).await;
+                if is_follower {
+                    wait_for_store(&state).await;
+                }
             }
         }
     }
 }
+
+/// Waits until the configuration's watcher gets a response from the store, at most for
+/// [`PROBE_INTERVAL`].
+async fn wait_for_store(state: &state::State) {
+    let answering = async {
+        loop {
+            let finished = state.refresh_finished.notified();
+            if state.freshness.borrow().is_store_answering() {
+                return;
+            }
+            finished.await;
+        }
+    };
+    // After the interval the table is asked for anyway.
+    let _ = time::timeout(PROBE_INTERVAL, answering).await;
+}
--- a/crates/gateway/tests/backends.rs
+++ b/crates/gateway/tests/backends.rs
@@ -113,3 +113,42 @@
     })
     .await;
 }
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn during_an_outage_the_configuration_is_asked_for_and_the_backend_servers_wait() {
+    with_watched_backends(|state, fake| async move {
+        time::sleep(Duration::from_secs(5)).await;
+        state.freshness.borrow_mut().record_failure();
+        fake.tables.borrow_mut().down = true;
+        fake.tables.borrow_mut().calls = 0;
+        time::sleep(Duration::from_secs(10)).await;
+        // One call each two seconds, in case only the other table is unavailable, and two before
+        // the outage was noticed.
+        expect_that!(fake.tables.borrow().calls, le(7));
+        fake.put(Table::Backends, "b-3", Some("model,1003,ready"));
+        fake.tables.borrow_mut().down = false;
+        time::sleep(Duration::from_millis(2_700)).await;
+        expect_that!(backend_ids(&state).await, contains(eq("b-3")));
+    })
+    .await;
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn backend_servers_are_asked_for_as_soon_as_the_store_answers_again() {
+    with_watched_backends(|state, fake| async move {
+        time::sleep(Duration::from_secs(5)).await;
+        state.freshness.borrow_mut().record_failure();
+        fake.tables.borrow_mut().down = true;
+        time::sleep(Duration::from_millis(3_500)).await;
+        fake.put(Table::Backends, "b-3", Some("model,1003,ready"));
+        fake.tables.borrow_mut().down = false;
+        time::sleep(Duration::from_millis(100)).await;
+        state.freshness.borrow_mut().record_confirmation(time::Instant::now());
+        state.refresh_finished.notify_waiters();
+        time::sleep(Duration::from_millis(50)).await;
+        expect_that!(backend_ids(&state).await, contains(eq("b-3")));
+    })
+    .await;
+}
