fix(gateway): a new reporter asks for the counts of processes that have ended, in any fleet

Change: also in a small fleet the reporter asks during its first rounds, the others pass on what they know of silent processes, and it freezes no window before the answers had the time to come, unless the report is nearly due.

--- a/crates/gateway/src/decision/report_readiness.rs
+++ b/crates/gateway/src/decision/report_readiness.rs
@@ -61,11 +61,15 @@
 
 /// Whether the counts of a window may be frozen in a fleet of `gateways`; the report is due `due`
 /// after the end of the window.
+///
+/// A gateway that has just become the reporter waits for the answers to its requests: others may
+/// have counts of processes that have ended, of which no gateway is known to be missing.
 #[must_use]
 pub fn may_freeze(progress: Progress, gateways: usize, due: Duration) -> bool {
-    if progress.missing == 0 {
-        return is_settled(progress.ended, gateways, due);
-    }
     let has_asked = progress.collecting >= gossip_timing::collection_time(gateways);
-    progress.ended >= latest(due) && (has_asked || progress.ended + SEND_TIME >= due)
+    if !has_asked && progress.ended + SEND_TIME < due {
+        return false;
+    }
+    let waits = progress.missing > 0 && progress.ended < latest(due);
+    is_settled(progress.ended, gateways, due) && !waits
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -151,7 +151,7 @@
 
     /// Remembers the reporter if the message is from it; returns what the sender expects.
     ///
-    /// In a small fleet every message goes to all gateways, so nothing is expected.
+    /// In a small fleet every message goes to all gateways, so no acknowledgement is needed.
     fn handle_notice(
         &mut self,
         message: &GossipMessage,
@@ -163,7 +163,7 @@
             if self.reporter.as_ref().is_none_or(|reporter| reporter.fence <= fence) {
                 self.reporter = Some(Reporter { address: from, fence, heard_at: now });
             }
-            return if self.is_partial_mesh() { Reply::Counts } else { Reply::None };
+            return Reply::Counts;
         }
         let has_counts =
             !message.counts.is_empty() || notice.is_some_and(|notice| notice.totals.is_some());
@@ -299,6 +299,14 @@
         neighbours
     }
 
+    /// Whether the reporter, which has collected counts for `collecting`, asks the others for
+    /// them. In a small fleet they come by themselves; it asks only at first, for what the others
+    /// know of processes that have ended.
+    #[must_use]
+    pub fn requests_counts(&self, collecting: Duration) -> bool {
+        self.is_partial_mesh() || collecting < gossip_timing::discovery_time(self.peers.len() + 1)
+    }
+
     /// Addresses of all other gateways.
     pub fn addresses(&self) -> impl Iterator<Item = net::SocketAddr> {
         self.peers.values().map(|peer| peer.address)
--- a/crates/gateway/src/service/gossip.rs
+++ b/crates/gateway/src/service/gossip.rs
@@ -23,7 +23,7 @@
 /// that may still be unreported.
 const SENT_WINDOWS: usize = 4;
 
-/// Interval at which a gateway checks whether it has become the reporter of a large fleet.
+/// Interval at which a gateway checks whether it must ask for the counts.
 const REPORTING_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Share of the interval between two requests for the counts over which the datagrams are spread.
@@ -142,16 +142,22 @@
     }
 }
 
-/// While this gateway reports usage in a large fleet, asks all others for their counts: at once
-/// when it becomes the reporter, then at regular intervals.
+/// While this gateway reports usage, asks all others for their counts: at once when it becomes the
+/// reporter, then at regular intervals as long as they don't come by themselves.
 ///
-/// Any gateway may become the reporter, also one to which the others send no counts by themselves.
+/// Any gateway may become the reporter, also one to which the others send no counts.
 async fn request_counts(sender: rc::Rc<Sender>) {
     let state = &sender.state;
     let mut reporting = state.reporting.subscribe();
+    let (mut current, mut since) = (None, state.clock.now());
     loop {
         let fence = *reporting.borrow_and_update();
-        let Some(fence) = fence.filter(|_| state.peers.borrow().is_partial_mesh()) else {
+        if fence != current {
+            (current, since) = (fence, state.clock.now());
+        }
+        let collecting = state.clock.now().saturating_duration_since(since);
+        let requests = state.peers.borrow().requests_counts(collecting);
+        let Some(fence) = fence.filter(|_| requests) else {
             // The sender is part of the state, so the channel stays open.
             let _ = time::timeout(REPORTING_CHECK_INTERVAL, reporting.changed()).await;
             continue;
--- a/crates/gateway/tests/reporting.rs
+++ b/crates/gateway/tests/reporting.rs
@@ -138,6 +138,20 @@
     expect_that!(deficit_of(&fleet, START, alive.iter().copied()), eq((0, 0)));
 }
 
+#[gtest]
+fn a_restarted_reporter_gets_back_what_it_had_counted_before() {
+    for (size, offset) in [(3, 1), (4, 2), (12, 3), (41, 4), (42, 1), (68, 3)] {
+        let mut fleet = fleet::Fleet::new(size, 31 + offset, 0.01);
+        fleet.run_until(seconds(20 + offset));
+        let holder = fleet.holder().expect("a gateway holds the lease");
+        fleet.restart(holder);
+        fleet.run_until(seconds(60));
+        let (missing, unreported) = deficit(&fleet, START);
+        expect_that!(unreported, eq(0), "{size} gateways, offset {offset} s");
+        expect_that!(missing, le(fleet.lost), "{size} gateways, offset {offset} s");
+    }
+}
+
 #[gtest]
 fn each_report_that_can_be_right_is_right_under_random_faults() {
     for (size, seed) in [(3, 1), (3, 2), (9, 3), (30, 4), (42, 5), (68, 6), (68, 7), (68, 8)] {
@@ -196,6 +210,8 @@
     let table = [
         (1_000, minute, 0, 68, false),
         (2_600, minute, 0, 68, true),
+        // Counts of ended processes, which nobody misses, may be on their way to a new reporter.
+        (2_600, 100, 0, 68, false),
         (2_600, minute, 1, 68, false),
         (7_700, minute, 1, 68, false),
         (7_800, minute, 1, 68, true),
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -109,7 +109,7 @@
         }
         let timing = lease::Timing::new(Duration::from_secs(3));
         Self {
-            lease: lease::Lease::new(name.clone(), incarnation, timing),
+            lease: lease::Lease::new(name.clone(), incarnation, timing).succeeds_itself(),
             name,
             address: address(index),
             peers,
@@ -304,7 +304,7 @@
             sends.push((reporters, gateway.counts_message(now)));
         }
         if let Some(fence) = gateway.reporting
-            && is_partial
+            && gateway.peers.requests_counts(now - gateway.reporting_since)
             && now >= gateway.next_request
         {
             gateway.next_request = now + count_interval;
