--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,6 +4,9 @@
 mod collected_counts;
 mod message;
 mod notice;
+mod peer;
+mod reply;
+mod reporter;
 
 use std::collections;
 use std::net;
@@ -24,6 +27,7 @@
 pub use message::UsageCount;
 pub use notice::RelayedCounts;
 pub use notice::UsageNotice;
+pub use reply::Reply;
 
 /// A gateway that has been silent for this long is not counted as alive and has no share of the
 /// budgets.
@@ -50,46 +54,6 @@
     (directory::id_hash(node), node.to_owned())
 }
 
-/// Another gateway.
-#[derive(Debug)]
-struct Peer {
-    address: net::SocketAddr,
-    listed_at: time::Instant,
-    /// When its last message came; before the first message, when it was first listed.
-    heard_at: time::Instant,
-    loads: collections::HashMap<u32, directory::Load>,
-    wall_time: Option<(time::Instant, Duration)>,
-    /// Whether it may become the reporter, as far as is known.
-    can_report: bool,
-    /// Whether its version is too old to tell which of its counts are missing.
-    is_older: bool,
-}
-
-/// The gateway that reports usage, as it introduced itself.
-#[derive(Debug)]
-struct Reporter {
-    address: net::SocketAddr,
-    fence: ids::Fence,
-    heard_at: time::Instant,
-}
-
-/// What the sender of a message expects.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reply {
-    /// Nothing.
-    None,
-    /// A message that shows that its counts have arrived.
-    Acknowledgement,
-    /// The usage counts of this gateway.
-    Counts,
-}
-
-impl Peer {
-    fn was_heard(&self, within: Duration, now: time::Instant) -> bool {
-        now.saturating_duration_since(self.heard_at) < within
-    }
-}
-
 /// The other gateways, in a ring in which all gateways have the same order.
 ///
 /// Each gateway sends its load to its neighbours in the ring, so the cost doesn't grow with the
@@ -98,9 +62,9 @@
 /// gateway may become the reporter after failures.
 #[derive(Debug, Default)]
 pub struct Peers {
-    peers: collections::BTreeMap<Position, Peer>,
+    peers: collections::BTreeMap<Position, peer::Peer>,
     counts: collected_counts::CollectedCounts,
-    reporter: Option<Reporter>,
+    reporter: Option<reporter::Reporter>,
     /// Sum of the valid loads.
     total_loads: collections::HashMap<u32, directory::Load>,
     /// When the first of these loads expires.
@@ -110,7 +74,7 @@
 impl Peers {
     /// Adds a gateway that is listed in the store.
     pub fn add_listed(&mut self, node: ids::NodeId, address: net::SocketAddr, now: time::Instant) {
-        let peer = self.peers.entry(position(&node)).or_insert_with(|| Peer {
+        let peer = self.peers.entry(position(&node)).or_insert_with(|| peer::Peer {
             address,
             listed_at: now,
             heard_at: now,
@@ -161,7 +125,7 @@
         let notice = message.notice.as_ref();
         if let Some(fence) = notice.and_then(|notice| notice.counts_wanted) {
             if self.reporter.as_ref().is_none_or(|reporter| reporter.fence <= fence) {
-                self.reporter = Some(Reporter { address: from, fence, heard_at: now });
+                self.reporter = Some(reporter::Reporter { address: from, fence, heard_at: now });
             }
             return Reply::Counts;
         }
@@ -220,11 +184,11 @@
     #[must_use]
     pub fn live_count(&self, node: &str, now: time::Instant) -> usize {
         if !self.is_partial_mesh() {
-            let is_live = |peer: &&Peer| peer.was_heard(LIVENESS_TIMEOUT, now);
+            let is_live = |peer: &&peer::Peer| peer.was_heard(LIVENESS_TIMEOUT, now);
             return self.peers.values().filter(is_live).count();
         }
         let neighbours = self.ring_neighbours(node, now);
-        let is_live = |peer: &&&Peer| peer.was_heard(LIVENESS_TIMEOUT, now);
+        let is_live = |peer: &&&peer::Peer| peer.was_heard(LIVENESS_TIMEOUT, now);
         let live = neighbours.iter().filter(is_live).count();
         if live * 2 < neighbours.len() {
             return self.peers.len();
@@ -280,12 +244,13 @@
     }
 
     /// Neighbours on both sides of a gateway in the ring.
-    fn ring_neighbours(&self, node: &str, now: time::Instant) -> Vec<&Peer> {
+    fn ring_neighbours(&self, node: &str, now: time::Instant) -> Vec<&peer::Peer> {
         let own = position(node);
         let after = self.peers.range(&own..).chain(self.peers.range(..&own));
         let after = after.filter(|(position, _)| **position != own).map(|(_, peer)| peer);
         let mut neighbours = Vec::new();
-        let sides: [&mut dyn Iterator<Item = &Peer>; 2] = [&mut after.clone(), &mut after.rev()];
+        let sides: [&mut dyn Iterator<Item = &peer::Peer>; 2] =
+            [&mut after.clone(), &mut after.rev()];
         for side in sides {
             let mut live = 0;
             for peer in side.take(NEIGHBOURS_PER_SIDE * 2) {
@@ -320,8 +285,9 @@
     #[must_use]
     pub fn reporters(&self, interval: Duration, now: time::Instant) -> Vec<net::SocketAddr> {
         let timeout = LIVENESS_TIMEOUT.max(interval * 3);
-        let asks =
-            |reporter: &&Reporter| now.saturating_duration_since(reporter.heard_at) <= interval * 2;
+        let asks = |reporter: &&reporter::Reporter| {
+            now.saturating_duration_since(reporter.heard_at) <= interval * 2
+        };
         let asking = self.reporter.as_ref().filter(asks).map(|reporter| reporter.address);
         let mut live = 0;
         let mut addresses = Vec::new();
@@ -364,7 +330,7 @@
     /// Current time of day according to each gateway with a recent message.
     pub fn clock_estimates(&self, now: time::Instant) -> Vec<Duration> {
         let ttl = self.load_ttl();
-        let recent = |peer: &Peer| {
+        let recent = |peer: &peer::Peer| {
             let (at, time) = peer.wall_time?;
             let age = now.saturating_duration_since(at);
             (age < ttl).then_some(time + age)
@@ -394,7 +360,7 @@
         let silence = window.ended + window.length + self.load_ttl();
         let is_discovering = collecting < gossip_timing::discovery_time(self.peers.len() + 1);
         let may_count =
-            |peer: &Peer| !peer.is_older && (is_discovering || peer.was_heard(silence, now));
+            |peer: &peer::Peer| !peer.is_older && (is_discovering || peer.was_heard(silence, now));
         let peers = self.peers.iter().filter(|(_, peer)| may_count(peer));
         let names = peers.map(|((_, node), _)| node.as_str());
         names.filter(|node| !self.counts.is_complete(node, window.number, since)).collect()
@@ -403,7 +369,7 @@
     /// Time since the last message of each other gateway, in milliseconds.
     #[must_use]
     pub fn last_heard_ages(&self, now: time::Instant) -> Vec<(&str, u128)> {
-        let age = |peer: &Peer| now.saturating_duration_since(peer.heard_at).as_millis();
+        let age = |peer: &peer::Peer| now.saturating_duration_since(peer.heard_at).as_millis();
         self.peers.iter().map(|((_, node), peer)| (node.as_str(), age(peer))).collect()
     }
 
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -6,6 +6,7 @@
 mod gateway_list;
 mod gossip;
 mod usage;
+mod usage_reporter;
 mod watcher;
 
 pub use backends::watch as watch_backends;
@@ -13,6 +14,6 @@
 pub use endpoints::Endpoint;
 pub use endpoints::serve as serve_endpoint;
 pub use gossip::run as run_gossip;
-pub use usage::ReportError;
-pub use usage::UsageReporter;
 pub use usage::run as run_usage_reporting;
+pub use usage_reporter::ReportError;
+pub use usage_reporter::UsageReporter;
--- a/crates/gateway/src/service/usage.rs
+++ b/crates/gateway/src/service/usage.rs
@@ -6,7 +6,6 @@
 
 use std::cmp;
 use std::collections;
-use std::fmt;
 use std::rc;
 use std::time::Duration;
 
@@ -14,10 +13,9 @@
 use azuregap_coordination::lease;
 use azuregap_coordination::store as lease_store;
 use azuregap_core::ids;
-use futures::future;
-use quick_error::quick_error;
 use tokio::time;
 
+use super::usage_reporter;
 use crate::codec;
 use crate::decision::candidacy;
 use crate::decision::report_readiness;
@@ -43,41 +41,11 @@
 /// Number of windows after which stored reports are deleted.
 const RETAINED_REPORTS: u64 = 12;
 
-quick_error! {
-    /// Why a report was not accepted.
-    #[derive(Clone, Debug, PartialEq, Eq)]
-    pub enum ReportError {
-        /// The receiver has seen a higher fencing token: another gateway holds the lease.
-        Fenced {
-            display("6501: the receiver has seen a higher fencing token")
-        }
-        /// The report may or may not have arrived.
-        Unacknowledged(reason: String) {
-            display("6502: the report was not acknowledged: {}", reason)
-        }
-    }
-}
-
-type SendFn =
-    Box<dyn Fn(codec::UsageReport) -> future::LocalBoxFuture<'static, Result<(), ReportError>>>;
-
-/// Client of the service that receives usage reports.
-pub struct UsageReporter {
-    /// Sends one report and waits for its acknowledgement.
-    pub send: SendFn,
-}
-
-impl fmt::Debug for UsageReporter {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("UsageReporter").finish_non_exhaustive()
-    }
-}
-
 /// Competes for the lease and reports usage while holding it; never returns.
 pub async fn run(
     state: rc::Rc<state::State>,
     store: rc::Rc<store::Store>,
-    reporter: UsageReporter,
+    reporter: usage_reporter::UsageReporter,
     incarnation: ids::Incarnation,
 ) {
     let terms = lease::Timing::new(state.settings.lease_duration);
@@ -111,7 +79,7 @@
     reported: collections::BTreeSet<u64>,
     state: rc::Rc<state::State>,
     store: rc::Rc<store::Store>,
-    reporter: UsageReporter,
+    reporter: usage_reporter::UsageReporter,
 }
 
 impl ReportingTask {
@@ -285,8 +253,9 @@
     async fn send(&mut self, window: u64, body: Vec<u8>, fence: ids::Fence) {
         let report = codec::UsageReport { window, body, fence };
         let sent = time::timeout(CALL_TIMEOUT, (self.reporter.send)(report)).await;
-        let sent = sent
-            .unwrap_or_else(|_| Err(ReportError::Unacknowledged("no response in time".to_owned())));
+        let sent = sent.unwrap_or_else(|_| {
+            Err(usage_reporter::ReportError::Unacknowledged("no response in time".to_owned()))
+        });
         match sent {
             Ok(()) => {
                 tracing::info!(window, fence, "usage reported");
@@ -294,7 +263,7 @@
             }
             Err(error) => {
                 tracing::warn!(window, fence, reason = error.to_string(), "usage not reported");
-                if error == ReportError::Fenced {
+                if error == usage_reporter::ReportError::Fenced {
                     self.rejected_fence = Some(fence);
                 }
             }
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -39,8 +39,6 @@
 pub struct Report {
     /// Time from the end of the window to the report.
     pub ended: Duration,
-    /// Index of the gateway that stored it.
-    pub holder: usize,
     /// Requests by gateway, each of which has a team of its own.
     pub counts: collections::BTreeMap<usage_counts::TeamHash, u64>,
 }
@@ -382,7 +380,7 @@
                 let mut counts = collections::BTreeMap::new();
                 gateway.counts.add_to(number, &mut counts);
                 gateway.peers.counts().add_to(number, &mut counts);
-                let report = Report { ended: window.ended, holder: index, counts };
+                let report = Report { ended: window.ended, counts };
                 self.reports.insert(number, report);
             }
         }
