fix(gateway): counts of ended processes are passed on by the time at which they were stated

Cause: a reporter that was frozen reads the last messages of processes that ended meanwhile when it wakes up, took them for alive, and did not tell its successor of their counts; and the successor stopped waiting 1.9 s before the report was due. Change: silence is measured by the sender's time of day in its last statement. Missing counts are waited for until 1.2 s before a report is due, which leaves time to try a call again (was a fifth of the time, 1.9 s).

--- a/crates/gateway/src/decision/report_readiness.rs
+++ b/crates/gateway/src/decision/report_readiness.rs
@@ -18,7 +18,7 @@
 //! assert!(report_readiness::may_freeze(progress, 68, due));
 //! progress.missing = 1;
 //! assert!(!report_readiness::may_freeze(progress, 68, due));
-//! progress.ended = Duration::from_secs(8);
+//! progress.ended = Duration::from_secs(9);
 //! assert!(report_readiness::may_freeze(progress, 68, due));
 //! ```
 
@@ -26,8 +26,9 @@
 
 use crate::decision::gossip_timing;
 
-/// Share of the time until a report is due after which it doesn't wait for gateways any longer.
-const WAIT_SHARE: f64 = 0.8;
+/// Time before a report is due after which it doesn't wait for gateways any longer; it is enough to
+/// try again after a failed call.
+const RETRY_TIME: Duration = Duration::from_millis(1_200);
 
 /// Time before a report is due at which it must be stored: one call to store it and one to send it.
 const SEND_TIME: Duration = Duration::from_millis(900);
@@ -56,7 +57,7 @@
 
 /// Time after the end of a window up to which missing counts are waited for.
 fn latest(due: Duration) -> Duration {
-    due.mul_f64(WAIT_SHARE)
+    due.saturating_sub(RETRY_TIME)
 }
 
 /// Whether the counts of a window may be frozen in a fleet of `gateways`; the report is due `due`
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -94,7 +94,7 @@
         from: net::SocketAddr,
         now: time::Instant,
     ) -> Reply {
-        self.counts.merge(&message, now);
+        self.counts.merge(&message);
         self.add_listed(message.node.clone(), from, now);
         let reply = self.handle_notice(&message, from, now);
         let ttl = self.load_ttl();
--- a/crates/gateway/src/peers/collected_counts.rs
+++ b/crates/gateway/src/peers/collected_counts.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use azuregap_core::ids;
-use tokio::time;
 
 use super::message;
 use super::notice;
@@ -18,8 +17,6 @@
     totals: Vec<(u64, u64)>,
     /// Time of day at the sender when it stated the sums.
     totals_at: Option<Duration>,
-    /// When its last message with counts came; `None` if its counts were passed on by others only.
-    heard_at: Option<time::Instant>,
 }
 
 impl ProcessCounts {
@@ -50,7 +47,7 @@
 
 impl CollectedCounts {
     /// Merges the counts of a message, and those that it passes on.
-    pub fn merge(&mut self, message: &message::GossipMessage, now: time::Instant) {
+    pub fn merge(&mut self, message: &message::GossipMessage) {
         let notice = message.notice.as_ref();
         for relayed in notice.into_iter().flat_map(|notice| &notice.relayed) {
             self.process(&relayed.node, relayed.incarnation).merge(&relayed.counts);
@@ -61,7 +58,6 @@
         }
         let process = self.process(&message.node, message.incarnation);
         process.merge(&message.counts);
-        process.heard_at = Some(now);
         if let Some(totals) = totals {
             process.totals.clone_from(totals);
             process.totals_at = Some(message.wall_time);
@@ -88,18 +84,19 @@
         processes.into_iter().any(|process| process.is_complete(window, since))
     }
 
-    /// Counts of the newest `windows` of the processes that have sent none for `silence`.
+    /// Counts of the newest `windows` of the processes that have stated none for `silence`, as of
+    /// the time of day `now`.
     ///
-    /// These have ended, or can't be reached; another gateway may not know their counts.
+    /// These have ended, or can't be reached; another gateway may not know their counts. It is not
+    /// the arrival of a message that counts: a process that was frozen reads old ones.
     pub fn of_silent(
         &self,
         silence: Duration,
         windows: usize,
-        now: time::Instant,
+        now: Duration,
     ) -> impl Iterator<Item = notice::RelayedCounts> {
         let is_silent = move |process: &ProcessCounts| {
-            let age = process.heard_at.map(|at| now.saturating_duration_since(at));
-            age.is_none_or(|age| age >= silence)
+            process.totals_at.is_none_or(|at| now.saturating_sub(at) >= silence)
         };
         let all = self.gateways.iter().flat_map(|(node, processes)| {
             processes.iter().map(move |(incarnation, process)| (node, incarnation, process))
--- a/crates/gateway/src/service/gossip.rs
+++ b/crates/gateway/src/service/gossip.rs
@@ -74,7 +74,7 @@
     async fn answer_request(&self, address: net::SocketAddr) {
         self.send_counts(&[address]).await;
         let silence = gossip_timing::count_interval(self.state.gateway_count()) * 2;
-        let now = self.state.clock.now();
+        let now = self.state.median_clock.borrow().time_at(self.state.clock.now());
         let silent: Vec<_> =
             self.state.peers.borrow().counts().of_silent(silence, SENT_WINDOWS, now).collect();
         let mut message = load_message(&self.state, self.incarnation);
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, unreachable_pub)]
 
+pub mod addresses;
 pub mod fleet;
 pub mod loopback;
 
