fix(standins): a stream that is cut sends its head and what came before

If the connection's task runs late, all tokens and the cut are ready at once, and the server drops the connection before it has written the head. Change: the body is pending once before a cut, while which the server flushes. The test is unchanged.

--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -12,6 +12,7 @@
 use futures::StreamExt as _;
 use futures::stream;
 use tokio::sync::mpsc;
+use tokio::task;
 
 use super::driver;
 use super::faults;
@@ -121,7 +122,11 @@
             let part = match events.recv().await {
                 Some(request::Event::Token(i)) => Ok((answer.event(i), false)),
                 Some(request::Event::End) => Ok((answer.tail(), true)),
-                None => Err(io::Error::from(io::ErrorKind::ConnectionReset)),
+                None => {
+                    // The server flushes the head and the parts before while the body is pending.
+                    task::yield_now().await;
+                    Err(io::Error::from(io::ErrorKind::ConnectionReset))
+                }
             };
             let ended = !matches!(part, Ok((_, false)));
             Some((part.map(|(bytes, _)| bytes), (events, ended)))
