--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -81,6 +81,7 @@
             loads: collections::HashMap::new(),
             wall_time: None,
             can_report: true,
+            is_leaving: false,
             is_older: false,
         });
         peer.address = address;
@@ -102,6 +103,7 @@
         peer.heard_at = now;
         peer.wall_time = Some((now, message.wall_time));
         peer.can_report = message.notice.as_ref().is_none_or(|notice| notice.can_report);
+        peer.is_leaving = message.notice.as_ref().is_some_and(|notice| notice.is_leaving);
         peer.is_older = message.notice.is_none();
         let loads = message.loads.iter().map(|load| (load.backend_hash, load.load())).collect();
         let old = std::mem::replace(&mut peer.loads, loads);
@@ -347,8 +349,8 @@
     /// Gateways that may have counts of a window which are not known here; this gateway has asked
     /// for them for `collecting`.
     ///
-    /// A gateway that was silent all through the window and since then is not waited for, once it
-    /// has been asked several times. One of an earlier version can't tell what is missing.
+    /// A gateway that was silent all through the window and since then is not waited for, nor is
+    /// one that has stopped. One of an earlier version can't tell what is missing.
     #[must_use]
     pub fn missing_counts(
         &self,
@@ -359,8 +361,11 @@
         let since = window.end + report_readiness::RESPONSE_LAG;
         let silence = window.ended + window.length + self.load_ttl();
         let is_discovering = collecting < gossip_timing::discovery_time(self.peers.len() + 1);
-        let may_count =
-            |peer: &peer::Peer| !peer.is_older && (is_discovering || peer.was_heard(silence, now));
+        let has_left = |peer: &peer::Peer| peer.is_leaving && !peer.was_heard(self.load_ttl(), now);
+        let may_count = |peer: &peer::Peer| {
+            let is_relevant = is_discovering || peer.was_heard(silence, now);
+            is_relevant && !peer.is_older && !has_left(peer)
+        };
         let peers = self.peers.iter().filter(|(_, peer)| may_count(peer));
         let names = peers.map(|((_, node), _)| node.as_str());
         names.filter(|node| !self.counts.is_complete(node, window.number, since)).collect()
--- a/crates/gateway/src/peers/notice.rs
+++ b/crates/gateway/src/peers/notice.rs
@@ -24,6 +24,8 @@
 pub struct UsageNotice {
     /// Whether it may become the reporter: it can reach the store and isn't stopping.
     pub can_report: bool,
+    /// Whether it is stopping; once it is silent, it has no further counts.
+    pub is_leaving: bool,
     /// Its fencing token, if it reports usage and asks the recipient for its counts.
     pub counts_wanted: Option<ids::Fence>,
     /// Sum of its counts in each of the newest windows, by window; `None` if the message doesn't
--- a/crates/gateway/src/peers/peer.rs
+++ b/crates/gateway/src/peers/peer.rs
@@ -19,6 +19,8 @@
     pub(super) wall_time: Option<(time::Instant, Duration)>,
     /// Whether it may become the reporter, as far as is known.
     pub(super) can_report: bool,
+    /// Whether it was stopping when it sent its last message.
+    pub(super) is_leaving: bool,
     /// Whether its version is too old to tell which of its counts are missing.
     pub(super) is_older: bool,
 }
--- a/crates/gateway/src/service/gossip.rs
+++ b/crates/gateway/src/service/gossip.rs
@@ -195,6 +195,7 @@
         counts: Vec::new(),
         notice: Some(peers::UsageNotice {
             can_report: state.freshness.borrow().is_store_answering() && !state.is_stopping(),
+            is_leaving: state.is_stopping(),
             ..peers::UsageNotice::default()
         }),
     }
--- a/crates/gateway/tests/reporting.rs
+++ b/crates/gateway/tests/reporting.rs
@@ -172,6 +172,21 @@
     expect_that!(missing, le(fleet.lost));
 }
 
+#[gtest]
+fn reports_do_not_wait_for_gateways_that_have_stopped() {
+    for size in [4, 68] {
+        let mut fleet = fleet::Fleet::new(size, 51, 0.0);
+        fleet.run_until(seconds(20));
+        let last = fleet.order()[size - 1];
+        fleet.gateways[last].stopping_at = fleet.now;
+        fleet.run_until(seconds(60));
+        expect_that!(deficit(&fleet, START), eq((0, 0)), "{size} gateways");
+        for window in fleet.due_windows().filter(|window| is_after_start(*window)) {
+            expect_that!(fleet.reports[&window].ended, lt(seconds(5)), "{size} gateways");
+        }
+    }
+}
+
 #[gtest]
 fn each_report_that_can_be_right_is_right_under_random_faults() {
     for (size, seed) in [(3, 1), (3, 2), (9, 3), (30, 4), (42, 5), (68, 6), (68, 7), (68, 8)] {
@@ -269,6 +284,7 @@
     expect_that!(peers::GossipMessage::decode(&old), ok(eq(&message)));
     message.notice = Some(peers::UsageNotice {
         can_report: true,
+        is_leaving: false,
         counts_wanted: Some(7),
         totals: Some(vec![(1, 3)]),
         relayed: Vec::new(),
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -20,6 +20,7 @@
 use tokio::time;
 
 use super::addresses;
+use super::report;
 
 /// Resolution of the simulation, and the latency of a message.
 pub const STEP: Duration = Duration::from_millis(100);
@@ -33,21 +34,15 @@
 /// Time before a restart in which counts may have been lost with the messages that carried them.
 const UNSENT: Duration = Duration::from_secs(2);
 
+/// Time in which a gateway stops.
+const STOP_TIME: Duration = Duration::from_secs(2);
+
 /// Time from the end of a process until it runs again.
 const DOWN_TIME: Duration = Duration::from_millis(500);
 
 /// Time of day at the start of the simulation, a window's start.
 const EPOCH: Duration = Duration::from_secs(1_000_000);
 
-/// A report that was stored.
-#[derive(Debug)]
-pub struct Report {
-    /// Time from the end of the window to the report.
-    pub ended: Duration,
-    /// Requests by gateway, each of which has a team of its own.
-    pub counts: collections::BTreeMap<usage_counts::TeamHash, u64>,
-}
-
 /// One gateway.
 pub struct Gateway {
     name: String,
@@ -69,6 +64,8 @@
     pub frozen_until: Duration,
     /// Until when it reaches no other gateway.
     pub cut_until: Duration,
+    /// Since when it is stopping, if it is; it is gone two seconds later.
+    pub stopping_at: Duration,
     /// Until when the store turns it away.
     pub away_until: Duration,
 }
@@ -78,7 +75,7 @@
     pub gateways: Vec<Gateway>,
     /// Time since the start.
     pub now: Duration,
-    pub reports: collections::BTreeMap<u64, Report>,
+    pub reports: collections::BTreeMap<u64, report::Report>,
     /// Requests that were run, by window and gateway.
     pub truth: collections::BTreeMap<u64, collections::BTreeMap<usage_counts::TeamHash, u64>>,
     /// Requests whose counts were lost by a restart, at most.
@@ -116,6 +113,7 @@
             down_until: Duration::ZERO,
             frozen_until: Duration::ZERO,
             cut_until: Duration::ZERO,
+            stopping_at: Duration::MAX,
             away_until: Duration::ZERO,
         }
     }
@@ -129,6 +127,7 @@
             counts: Vec::new(),
             notice: Some(peers::UsageNotice {
                 can_report: self.reachable_since.is_some(),
+                is_leaving: now >= self.stopping_at,
                 ..peers::UsageNotice::default()
             }),
         }
@@ -237,7 +236,8 @@
         }
         for index in 0..self.gateways.len() {
             let gateway = &self.gateways[index];
-            if gateway.frozen_until.max(gateway.down_until) <= self.now {
+            let is_gone = self.now >= gateway.stopping_at.saturating_add(STOP_TIME);
+            if gateway.frozen_until.max(gateway.down_until) <= self.now && !is_gone {
                 self.run_gateway(index);
             }
         }
@@ -380,7 +380,7 @@
                 let mut counts = collections::BTreeMap::new();
                 gateway.counts.add_to(number, &mut counts);
                 gateway.peers.counts().add_to(number, &mut counts);
-                let report = Report { ended: window.ended, counts };
+                let report = report::Report { ended: window.ended, counts };
                 self.reports.insert(number, report);
             }
         }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod addresses;
 pub mod fleet;
 pub mod loopback;
+pub mod report;
 
 use std::cell::RefCell;
 use std::collections;
