test(gateway): the first half of the order is frozen for 6.5 s again

While the test was written, before its first commit, 6.5 s were shortened to 6 after a play missed one gateway's counts. The cause was found after that (gateways that a new reporter had never heard weren't waited for) and mended, the shorter time stayed.

--- a/crates/gateway/tests/reporting.rs
+++ b/crates/gateway/tests/reporting.rs
@@ -89,7 +89,7 @@
         fleet.run_until(seconds(20 + offset));
         let order = fleet.order();
         for index in &order[..size / 2] {
-            fleet.gateways[*index].frozen_until = fleet.now + seconds(6);
+            fleet.gateways[*index].frozen_until = fleet.now + Duration::from_millis(6_500);
         }
         fleet.run_until(seconds(50));
         expect_that!(deficit(&fleet, START), eq((0, 0)), "{size} gateways, offset {offset} s");
