feat(gateway): backend servers that are leaving or ask for quiet get no requests

Cause: a backend server that leaves says so in its responses before its entry in the store does, and one that rejects a request may say for how long it wants no others. The gateway knew neither.

Change: the codec decodes both. The directory keeps them by run of the server, apart from its entries, so that an entry that is older or read anew doesn't undo them and a restart under the same id does. After a quiet period one request is sent, and more once it was accepted. If all servers of a service ask for quiet, requests are refused at once with a delay not before the first end, spread out after it.

Ruled out: marking the address instead of the run (it is used again by other servers); waiting in the gateway for the end of a period (callers are told when to come back instead).

--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -87,6 +87,10 @@
     pub idle_timeout: Option<Duration>,
     /// Whether the backend server closes the connection after this response.
     pub closes_connection: bool,
+    /// Whether the backend server is leaving; it must get no new requests.
+    pub leaving: bool,
+    /// For how long the backend server wants no requests, if it rejected this one and says so.
+    pub quiet_for: Option<Duration>,
 }
 
 /// A team and the number of its requests in a usage window.
--- a/crates/gateway/src/decision/failure.rs
+++ b/crates/gateway/src/decision/failure.rs
@@ -8,6 +8,9 @@
 /// Maximum retry delay; callers wait at most a third of the time that they have left.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
 
+/// Width of the range of retry delays, as a share of the expected delay.
+const JITTER: f64 = 0.5;
+
 /// What is known about the execution of a request when the gateway gives up on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -37,5 +40,12 @@
 #[must_use]
 pub fn retry_after(capacity_in: Duration, left: Duration, draw: f64) -> Duration {
     let base = capacity_in.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-    base.mul_f64(0.75 + draw / 2.0).min(left / 3).max(MIN_RETRY_AFTER)
+    base.mul_f64(1.0 + JITTER * (draw - 0.5)).min(left / 3).max(MIN_RETRY_AFTER)
+}
+
+/// Expected delay for [`retry_after`] with which no caller returns before capacity is available
+/// after `capacity_in`; they return spread out after it.
+#[must_use]
+pub fn not_before(capacity_in: Duration) -> Duration {
+    capacity_in.div_f64(1.0 - JITTER / 2.0)
 }
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -3,6 +3,7 @@
 mod backend;
 mod backend_state;
 mod load;
+mod notice;
 
 use std::collections;
 use std::time::Duration;
@@ -37,6 +38,8 @@
     services:
         collections::HashMap<ids::PoolId, collections::BTreeMap<ids::BackendId, BackendState>>,
     service_of: collections::HashMap<ids::BackendId, ids::PoolId>,
+    /// What backend servers say about themselves, also of those that are not in the directory.
+    notices: notice::Notices,
     /// Backend servers whose entries went missing within the grace period.
     missing: Vec<ids::BackendId>,
     grace_until: Option<time::Instant>,
@@ -52,7 +55,7 @@
     /// Applies the current entry of a backend server.
     pub fn update(&mut self, backend: Backend) -> Change {
         self.missing.retain(|id| *id != backend.id);
-        if backend.draining {
+        if backend.draining || self.notices.is_leaving(&backend.id, backend.started_ms) {
             return self.remove(&backend.id);
         }
         if let Some(state) = self.get_mut(&backend.id) {
@@ -112,6 +115,47 @@
         Change::Removed
     }
 
+    /// Records that a run of a backend server says that it is leaving, and removes it. Its entry in
+    /// the store may say so later. Returns whether this is news.
+    pub fn record_leaving(&mut self, id: &str, started_ms: u64) -> bool {
+        let is_news = self.notices.record_leaving(id, started_ms);
+        if self.get(id).is_some_and(|state| state.backend.started_ms == started_ms) {
+            self.remove(id);
+        }
+        is_news
+    }
+
+    /// Records for how long a run of a backend server wants no requests.
+    pub fn record_quiet_period(
+        &mut self,
+        id: &str,
+        started_ms: u64,
+        length: Duration,
+        now: time::Instant,
+    ) {
+        self.notices.quiet_period_mut(id, started_ms).start(length, now);
+    }
+
+    /// Records that a request is sent to a run of a backend server.
+    pub fn record_send(&mut self, id: &str, started_ms: u64, now: time::Instant) {
+        if let Some(quiet) = self.notices.find_quiet_period(id, started_ms) {
+            quiet.record_send(now);
+        }
+    }
+
+    /// Records that a run of a backend server accepted a request.
+    pub fn record_acceptance(&mut self, id: &str, started_ms: u64) {
+        if let Some(quiet) = self.notices.find_quiet_period(id, started_ms) {
+            quiet.record_acceptance();
+        }
+    }
+
+    /// Time until a backend server wants requests again; zero if it has not asked for quiet.
+    #[must_use]
+    pub fn quiet_time_left(&self, backend: &Backend, now: time::Instant) -> Duration {
+        self.notices.quiet_time_left(&backend.id, backend.started_ms, now)
+    }
+
     /// Ids of all backend servers.
     #[must_use]
     pub fn ids(&self) -> Vec<ids::BackendId> {
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -115,7 +115,7 @@
                 }
             },
         };
-        return check_response(state, response, connection, id);
+        return check_response(state, target, response, connection, id);
     }
 }
 
@@ -142,6 +142,7 @@
 /// Checks that a response belongs to the request and whether the request was executed.
 fn check_response(
     state: &rc::Rc<state::State>,
+    target: &Target,
     response: http::Response<body::Incoming>,
     connection: pool::Connection,
     id: &str,
@@ -151,7 +152,12 @@
     if decoded.id.as_deref().is_some_and(|echoed| echoed != id) {
         return Outcome::Unknown("the response belongs to another request".to_owned());
     }
-    if decoded.not_executed || head.status == http::StatusCode::MISDIRECTED_REQUEST {
+    // A backend server that got the address of one that has ended responds with 421.
+    if head.status == http::StatusCode::MISDIRECTED_REQUEST {
+        return Outcome::NotExecuted;
+    }
+    record_notices(state, target, head.status, &decoded);
+    if decoded.not_executed {
         return Outcome::NotExecuted;
     }
     if decoded.id.is_none() {
@@ -162,3 +168,25 @@
     }
     Outcome::Response(Box::new(Response { head, decoded, body, connection }))
 }
+
+/// Records what the backend server says about itself in a response: that it is leaving, or that it
+/// wants no requests for a while.
+fn record_notices(
+    state: &state::State,
+    target: &Target,
+    status: http::StatusCode,
+    decoded: &codec::ResponseHeaders,
+) {
+    let mut directory = state.directory.borrow_mut();
+    if decoded.leaving && directory.record_leaving(&target.id, target.started_ms) {
+        tracing::info!(backend = target.id, "backend server says that it is leaving");
+    }
+    if status != http::StatusCode::SERVICE_UNAVAILABLE {
+        directory.record_acceptance(&target.id, target.started_ms);
+    } else if let Some(length) = decoded.quiet_for {
+        let now = time::Instant::now();
+        directory.record_quiet_period(&target.id, target.started_ms, length, now);
+        let quiet_ms = length.as_millis() as u64;
+        tracing::info!(backend = target.id, quiet_ms, "backend server asks for a quiet period");
+    }
+}
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -159,12 +159,20 @@
                 return Err(self.failure(retry_delay, "deadline exceeded".to_owned()));
             }
             let Some(target) = self.wait_for_backend().await else {
+                let quiet = selection::shortest_quiet_time(self);
+                if let Some(quiet) = quiet {
+                    reason = "all backend servers ask for a quiet period".to_owned();
+                    retry_delay = failure::not_before(quiet);
+                }
                 return Err(self.failure(retry_delay, reason));
             };
             if self.sends >= MAX_SENDS || !self.acquire_send() {
                 return Err(self.failure(retry_delay, reason));
             }
             let sent_at = time::Instant::now();
+            let mut directory = self.state.directory.borrow_mut();
+            directory.record_send(&target.id, target.started_ms, sent_at);
+            drop(directory);
             let load_guard = self.load_guard(&target);
             self.sends += 1;
             self.tried.push(target.id.clone());
@@ -270,7 +278,7 @@
             if let Some(target) = selection::select(self) {
                 return Some(target);
             }
-            if !self.tried.is_empty() {
+            if !self.tried.is_empty() || selection::shortest_quiet_time(self).is_some() {
                 return None;
             }
             let changed = self.state.capacity_changed.notified();
--- a/crates/gateway/src/proxy/selection.rs
+++ b/crates/gateway/src/proxy/selection.rs
@@ -1,5 +1,7 @@
 //! Collects the input for the placement decision and selects a backend server.
 
+use std::time::Duration;
+
 use smallvec::SmallVec;
 use tokio::time;
 
@@ -116,14 +118,27 @@
         let address = server.backend.address;
         state.pool.open_count(address) < limit || state.pool.idle_count(address) > 0
     };
-    let mut usable: PerBackend<_> =
-        directory.of_service(service).filter(is_untried).filter(has_connection).collect();
+    let is_wanted = |server: &&directory::BackendState| {
+        directory.quiet_time_left(&server.backend, now).is_zero()
+    };
+    let untried = directory.of_service(service).filter(is_untried);
+    let mut usable: PerBackend<_> = untried.filter(is_wanted).filter(has_connection).collect();
     if usable.iter().any(|server| server.health.is_available(now)) {
         usable.retain(|server| server.health.is_available(now));
     }
     usable
 }
 
+/// Time until the first backend server of the service wants requests again, if all of them have
+/// asked for a quiet period.
+pub(super) fn shortest_quiet_time(request: &dispatch::ProxyRequest) -> Option<Duration> {
+    let now = time::Instant::now();
+    let directory = request.state.directory.borrow();
+    let servers = directory.of_service(&request.admitted.service);
+    let times = servers.map(|server| directory.quiet_time_left(&server.backend, now));
+    times.min().filter(|time| !time.is_zero())
+}
+
 /// Load of all gateways at each backend server.
 ///
 /// Gateways without a recent report are assumed to load all backend servers equally.
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -244,6 +244,10 @@
         not_executed: headers.contains_key("x-not-run"),
         idle_timeout: None,
         closes_connection: header(headers, "connection") == Some("close"),
+        leaving: headers.contains_key("x-leaving"),
+        quiet_for: header(headers, "x-quiet-ms")
+            .and_then(|value| value.parse().ok())
+            .map(Duration::from_millis),
     }
 }
 
