feat(coordination): a lease survives a table service that comes back from a copy

Cause: the table service may come back from a copy some seconds old; row versions go back and are given out again. A holder went on acting on a lease that was lost, and a candidate took over from an older row with a fencing token that had been used.

Change: the lease learns the era of each response. In a newer era it gives up what it holds, reads the row anew and takes a row of an older era over only after the takeover delay, also a released one or its own. The fencing token in a stated era is at least era * 2^32 + row version.

Ruled out: a fixed distance added to the row's token. The model test found two holders with one token: a process that had paused over the change overwrote the new holder's row, whose version had been given out again, and the next candidate counted on from that older row. Versions only grow in an era, so the row version is now part of the token.

Measured: 1,200 schedules with copies hold; with candidates that are not told the era the same schedules fail (two candidates act at once).

--- a/crates/coordination/src/ids.rs
+++ b/crates/coordination/src/ids.rs
@@ -21,6 +21,10 @@
 /// Version of the configuration; never decreases.
 pub type Version = u64;
 
+/// Era of the table service: rises by one each time the service comes back from a copy and has lost
+/// what was written after it; 0 if the service doesn't state it.
+pub type Era = u64;
+
 /// Version of a row in the table service; 0 if the row is absent.
 pub type RowVersion = u64;
 
--- a/crates/coordination/src/lease/machine.rs
+++ b/crates/coordination/src/lease/machine.rs
@@ -11,6 +11,9 @@
 /// applied, the row is treated like that of another holder.
 const MAX_UNCONFIRMED: usize = 8;
 
+/// Distance between the lowest fencing tokens of two eras: more than the row versions of an era.
+const TOKENS_PER_ERA: ids::FencingToken = 1 << 32;
+
 /// A candidate for a lease; see the [module](crate::lease) for guarantees and limits.
 ///
 /// The caller runs one call at a time. After [`lease::Action::Read`] or [`lease::Action::Write`] it
@@ -22,6 +25,10 @@
     timing: lease::Timing,
     /// Whether an earlier process of this node has ended.
     succeeds_itself: bool,
+    /// Newest known era of the table service.
+    era: ids::Era,
+    /// Highest fencing token that this candidate has seen.
+    highest_fence: ids::FencingToken,
     call: Call,
     observed: Option<ObservedRow>,
     held: Option<HeldLease>,
@@ -80,6 +87,8 @@
             incarnation,
             timing,
             succeeds_itself: false,
+            era: 0,
+            highest_fence: 0,
             call: Call::None,
             observed: None,
             held: None,
@@ -100,6 +109,22 @@
         self
     }
 
+    /// Records the era in a response of the table service; call it before the response is handled.
+    ///
+    /// In a newer era, writes of the older ones may be lost and their row versions are given out
+    /// again. So this process gives up the lease and reads the row anew; a row of an older era is
+    /// taken over only after the takeover delay, as its last holder may be unknown.
+    pub fn observe_era(&mut self, era: ids::Era) {
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        self.held = None;
+        self.observed = None;
+        self.unconfirmed.clear();
+        self.next_call = None;
+    }
+
     /// The fencing token if this process may act now.
     ///
     /// Call it immediately before each send, and abort the send after
@@ -156,6 +181,8 @@
 
     fn on_read(&mut self, stored: store::VersionedRow<lease::LeaseRow>, now: time::Instant) {
         self.call = Call::None;
+        let fence = stored.value.as_ref().map_or(0, |row| row.fence);
+        self.highest_fence = self.highest_fence.max(fence);
         if self.adopt_lost_write(&stored) {
             return;
         }
@@ -189,6 +216,7 @@
     fn on_applied(&mut self, write: &UnconfirmedWrite, version: ids::RowVersion) {
         self.unconfirmed.clear();
         self.observed = None;
+        self.highest_fence = self.highest_fence.max(write.fence);
         self.next_call = Some(write.sent_at + self.timing.interval);
         self.held = (!write.is_release).then_some(HeldLease {
             version,
@@ -273,15 +301,22 @@
     /// belongs to an earlier process of this node.
     fn try_acquire(&mut self, now: time::Instant) -> Option<lease::Action> {
         let observed = self.observed.as_ref()?;
-        let released = observed.row.as_ref().is_some_and(lease::LeaseRow::is_released);
-        let is_own = self.succeeds_itself
+        let row_era = observed.row.as_ref().map_or(0, |row| row.era);
+        let is_latest = row_era >= self.era;
+        let released = is_latest && observed.row.as_ref().is_some_and(lease::LeaseRow::is_released);
+        let is_own = is_latest
+            && self.succeeds_itself
             && observed.row.as_ref().is_some_and(|row| row.holder == self.node);
         let takeover_at = if is_own { now } else { observed.since + self.timing.takeover_delay() };
         if !released && now < takeover_at {
             return None;
         }
         let valid_from = if released { now } else { takeover_at + self.timing.send_deadline };
-        let fence = observed.row.as_ref().map_or(0, |row| row.fence) + 1;
+        let known = observed.row.as_ref().map_or(0, |row| row.fence).max(self.highest_fence);
+        // The row may hide a higher token that was lost with the newest writes of an older era, or
+        // that a process unaware of the new era has overwritten. Versions only grow in an era.
+        let lowest = self.era * TOKENS_PER_ERA + observed.version;
+        let fence = if self.era == 0 { known + 1 } else { lowest.max(known + 1) };
         Some(self.write(observed.version, fence, now, valid_from, false))
     }
 
@@ -330,6 +365,7 @@
             incarnation: self.incarnation,
             fence: write.fence,
             renewals: write.renewals,
+            era: self.era,
         }
     }
 }
--- a/crates/coordination/src/lease/row.rs
+++ b/crates/coordination/src/lease/row.rs
@@ -13,11 +13,14 @@
     pub holder: ids::NodeId,
     /// Incarnation of the holder.
     pub incarnation: ids::Incarnation,
-    /// Fencing token; increases by one with every change of holder.
+    /// Fencing token; increases with every change of holder.
     pub fence: ids::FencingToken,
     /// Sequence number of the write among those of the holder. It is unique per attempt, so that
     /// reading the row shows whether a write whose response was lost was applied.
     pub renewals: u64,
+    /// Era of the table service that the holder knew when it wrote the row.
+    #[serde(default)]
+    pub era: ids::Era,
 }
 
 impl LeaseRow {
--- a/crates/coordination/tests/lease.rs
+++ b/crates/coordination/tests/lease.rs
@@ -117,7 +117,7 @@
     expect_that!(lease.fencing_token(resumed), none());
     write(&mut lease, lease::Event::Tick, resumed);
     lease.handle(lease::Event::WriteDone(store::WriteOutcome::Conflict), resumed);
-    let row = lease::LeaseRow { holder: "b".into(), incarnation: 9, fence: 2, renewals: 4 };
+    let row = lease::LeaseRow { holder: "b".into(), incarnation: 9, fence: 2, renewals: 4, era: 0 };
     lease.handle(lease::Event::ReadDone(store::VersionedRow::new(9, row)), resumed);
     expect_that!(lease.holder(), some(eq("b")));
     expect_that!(lease.fencing_token(resumed), none());
--- a/crates/coordination/tests/lease_model/main.rs
+++ b/crates/coordination/tests/lease_model/main.rs
@@ -7,20 +7,27 @@
 //!
 //! * No two candidates may act at the same time.
 //! * The receiver of orders never sees a lower fencing token after a higher one.
+//! * No two candidates use the same fencing token.
+//!
+//! In some schedules the table service comes back from a copy: what was written after it is lost,
+//! and its row versions are given out again.
 
 #[path = "../explore/mod.rs"]
 mod explore;
 mod schedule;
 
 use std::cell;
+use std::collections;
 use std::time::Duration;
 
 use azuregap_coordination::lease;
 use azuregap_coordination::store;
 use googletest::prelude::*;
+use proptest_state_machine::ReferenceStateMachine;
 use schedule::CURRENT_HOLDER;
 use schedule::CallFate;
 use schedule::NODES;
+use schedule::RewindingSchedule;
 use schedule::Schedule;
 use schedule::Step;
 use tokio::time;
@@ -41,6 +48,8 @@
 const NO_SECOND_CHECK: u8 = 2;
 /// The pause between the second check and the send is longer than the margin covers.
 const LONG_PAUSE: u8 = 3;
+/// Candidates do not learn that the table service came back from a copy.
+const NO_ERA: u8 = 4;
 
 /// Progress of an order of a holder.
 #[derive(Clone, Copy, Debug)]
@@ -59,8 +68,8 @@
     disconnected_until: Duration,
     wake_at: Option<time::Instant>,
     next_fate: CallFate,
-    /// A call in progress: its fate and, if it has taken effect, its result.
-    call: Option<(lease::Action, CallFate, Option<lease::Event>)>,
+    /// A call in progress: its fate and, if it has taken effect, its result and the era in it.
+    call: Option<(lease::Action, CallFate, Option<(lease::Event, u64)>)>,
     order: Order,
 }
 
@@ -68,6 +77,11 @@
     start: time::Instant,
     now: Duration,
     row: store::VersionedRow<lease::LeaseRow>,
+    /// Earlier rows, from which the table service may come back.
+    history: Vec<(Duration, store::VersionedRow<lease::LeaseRow>)>,
+    era: u64,
+    /// The node that first used each fencing token.
+    owners: collections::BTreeMap<u64, usize>,
     outage: bool,
     nodes: Vec<Node>,
     delayed_writes: Vec<(u64, lease::LeaseRow)>,
@@ -95,6 +109,9 @@
             start: time::Instant::now(),
             now: Duration::ZERO,
             row: store::VersionedRow::absent(),
+            history: Vec::new(),
+            era: 0,
+            owners: collections::BTreeMap::new(),
             outage: false,
             nodes: (0..NODES).map(node).collect(),
             delayed_writes: Vec::new(),
@@ -125,6 +142,15 @@
                 }
             }
             Step::Outage(outage) => self.outage = outage,
+            Step::Rewind { half_terms } => {
+                let copied_at = self.now.saturating_sub(TERM / 2 * half_terms);
+                let rows = self.history.iter().take_while(|(at, _)| *at <= copied_at);
+                let copy = rows.last().map(|(_, row)| row.clone());
+                self.row = copy.unwrap_or_else(store::VersionedRow::absent);
+                self.history.retain(|(at, _)| *at <= copied_at);
+                self.delayed_writes.clear();
+                self.era += 1;
+            }
             Step::Pause { node, half_terms } => {
                 let until = self.now + TERM / 2 * half_terms;
                 self.node(node).paused_until = until;
@@ -162,6 +188,13 @@
     /// Checks the invariants.
     fn check_invariants(&mut self) -> std::result::Result<(), String> {
         self.deliver()?;
+        for node in 0..NODES {
+            if let Some(fence) = self.nodes[node].lease.fencing_token(self.clock(node))
+                && *self.owners.entry(fence).or_insert(node) != node
+            {
+                return Err(format!("two holders with the fencing token {fence}"));
+            }
+        }
         let acting =
             (0..NODES).filter(|&i| self.nodes[i].lease.fencing_token(self.clock(i)).is_some());
         if acting.count() > 1 {
@@ -181,8 +214,9 @@
             return store::WriteOutcome::Conflict;
         }
         let held = self.row.value.as_ref().map_or(1, |row| row.fence);
-        self.takeovers += row.fence - held;
+        self.takeovers += u64::from(row.fence != held);
         self.row = store::VersionedRow::new(version + 1, row.clone());
+        self.history.push((self.now, self.row.clone()));
         store::WriteOutcome::Applied(version + 1)
     }
 
@@ -217,11 +251,18 @@
         if self.nodes[node].wake_at.is_some_and(|wake_at| now < wake_at) {
             return;
         }
-        let event = match self.nodes[node].call.take() {
+        let (event, era) = match self.nodes[node].call.take() {
             Some((_, _, Some(result))) => result,
-            Some((action, fate, None)) => self.execute(node, &action, fate),
-            None => lease::Event::Tick,
+            Some((action, fate, None)) => (self.execute(node, &action, fate), self.era),
+            None => (lease::Event::Tick, 0),
         };
+        let is_answered = !matches!(
+            event,
+            lease::Event::ReadFailed | lease::Event::WriteDone(store::WriteOutcome::Unknown)
+        );
+        if is_answered && BUG != NO_ERA {
+            self.nodes[node].lease.observe_era(era);
+        }
         let action = self.nodes[node].lease.handle(event, now);
         self.nodes[node].wake_at = match action {
             lease::Action::Wait(until) => Some(until),
@@ -231,7 +272,8 @@
             return;
         }
         let fate = std::mem::replace(&mut self.nodes[node].next_fate, CallFate::Immediate);
-        let result = (!matches!(fate, CallFate::Late)).then(|| self.execute(node, &action, fate));
+        let result = (!matches!(fate, CallFate::Late))
+            .then(|| (self.execute(node, &action, fate), self.era));
         self.nodes[node].call = Some((action, fate, result));
     }
 
@@ -278,12 +320,19 @@
 /// Runs `cases` schedules. Returns the number of holder changes and of delivered orders, or the
 /// first violated invariant with the shortest schedule that violates it.
 fn explore<const BUG: u8>(cases: u32) -> std::result::Result<(u64, u64), String> {
+    explore_schedules::<Schedule, BUG>(cases)
+}
+
+fn explore_schedules<S, const BUG: u8>(cases: u32) -> std::result::Result<(u64, u64), String>
+where
+    S: ReferenceStateMachine<State = (), Transition = Step>,
+{
     let (takeovers, orders) = (cell::Cell::new(0), cell::Cell::new(0));
     let end = |model: Model<BUG>| {
         takeovers.set(takeovers.get() + model.takeovers);
         orders.set(orders.get() + model.orders);
     };
-    explore::explore::<Schedule, _>(cases, 40..100, Model::<BUG>::new, Model::step, end)?;
+    explore::explore::<S, _>(cases, 40..100, Model::<BUG>::new, Model::step, end)?;
     Ok((takeovers.get(), orders.get()))
 }
 
@@ -311,3 +360,14 @@
 fn pause_longer_than_the_margin_is_not_covered() {
     expect_that!(explore::<LONG_PAUSE>(1200), err(contains_substring("fencing token")));
 }
+
+#[gtest]
+fn at_most_one_holder_acts_when_the_service_comes_back_from_a_copy() {
+    let outcome = explore_schedules::<RewindingSchedule, NONE>(1200);
+    expect_that!(outcome, ok((gt(&1000), gt(&1000))));
+}
+
+#[gtest]
+fn detects_candidates_that_do_not_learn_the_era() {
+    expect_that!(explore_schedules::<RewindingSchedule, NO_ERA>(1200), err(anything()));
+}
--- a/crates/coordination/tests/lease_model/schedule.rs
+++ b/crates/coordination/tests/lease_model/schedule.rs
@@ -50,6 +50,10 @@
         node: usize,
         half_terms: u32,
     },
+    /// The table service comes back from a copy that is this number of half terms old.
+    Rewind {
+        half_terms: u32,
+    },
     /// A delayed write takes effect.
     ApplyDelayedWrite,
     Outage(bool),
@@ -99,3 +103,26 @@
 
     fn apply((): (), _: &Step) {}
 }
+
+/// Schedules in which the table service also comes back from copies.
+pub(crate) struct RewindingSchedule;
+
+impl ReferenceStateMachine for RewindingSchedule {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        let half_terms = prop_oneof![Just(1u32), Just(4), Just(10)];
+        prop_oneof![
+            20 => Schedule::transitions(&()),
+            1 => half_terms.prop_map(|half_terms| Step::Rewind { half_terms }),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
