feat(gateway,host): state that depends on the store survives a copy that is some seconds old

Cause: when the store comes back from a copy, later writes are lost and versions go back and are given out again. Watches missed rows whose versions were given out again, an older entry brought a backend server back that had left, and a usage window could be counted and reported a second time.

Change: the store client decodes the era of each response. Watches compare versions within an era only and reread the table in a new one; a response of an older era is dropped. Runs of backend servers whose entries said draining stay removed, those whose entries were gone stay so until they write again, and those whose entries were lost are kept for the grace period. The configuration in force doesn't go back, as before. Gateways register again, spread over a second. The lease learns the era. A window that may have been reported in an older era is reported only with the bytes that the process still has; the first holder records when it noticed an era, so that a restarted holder doesn't give up newer windows.

Ruled out: giving up all windows that ended before a process started (a restarted holder takes its lease over at once, so each kill in a stated era would lose up to three windows).

Not covered: a gateway that starts right after the store came back may enforce the older configuration until the operator has written it again.

--- a/crates/gateway/src/decision/report_readiness.rs
+++ b/crates/gateway/src/decision/report_readiness.rs
@@ -74,3 +74,17 @@
     let waits = progress.missing > 0 && progress.ended < latest(due);
     is_settled(progress.ended, gateways, due) && !waits
 }
+
+/// Tolerance for the difference between the clocks of two gateways.
+const CLOCK_TOLERANCE: Duration = Duration::from_millis(500);
+
+/// Whether a report of a window that ended at `end` may have been stored and sent, and the stored
+/// copy lost, when the store came back from a copy. This was noticed at `noticed`, both as time of
+/// day; the report is due `due` after the end.
+///
+/// Such a window is not reported with new counts, since the report may have been received.
+#[must_use]
+pub fn may_be_lost(end: Duration, noticed: Duration, due: Duration) -> bool {
+    let earliest = end + gossip_timing::settle_delay(1).min(latest(due));
+    earliest < noticed + CLOCK_TOLERANCE
+}
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -55,9 +55,13 @@
     /// Applies the current entry of a backend server.
     pub fn update(&mut self, backend: Backend) -> Change {
         self.missing.retain(|id| *id != backend.id);
-        if backend.draining || self.notices.is_leaving(&backend.id, backend.started_ms) {
+        if backend.draining {
+            self.notices.record_leaving(&backend.id, backend.started_ms);
+        }
+        if self.notices.is_leaving(&backend.id, backend.started_ms) {
             return self.remove(&backend.id);
         }
+        self.notices.record_presence(&backend.id, backend.started_ms);
         if let Some(state) = self.get_mut(&backend.id) {
             let is_same_run = state.backend.started_ms == backend.started_ms
                 && state.backend.address == backend.address
@@ -74,6 +78,15 @@
         Change::Added
     }
 
+    /// Applies an entry from a copy of the store, which may be older than what is known: a run whose
+    /// entry was gone stays removed until it writes its entry again.
+    pub fn update_from_copy(&mut self, backend: Backend) -> Change {
+        if self.notices.is_gone(&backend.id, backend.started_ms) {
+            return Change::None;
+        }
+        self.update(backend)
+    }
+
     /// Handles a backend server whose entry is missing in the store.
     ///
     /// Right after an outage of the store the entry may have expired; the backend server is then
@@ -109,8 +122,9 @@
     /// Removes a backend server that no longer accepts new requests.
     pub fn remove(&mut self, id: &str) -> Change {
         let Some(service) = self.service_of.remove(id) else { return Change::None };
-        if let Some(backends) = self.services.get_mut(&service) {
-            backends.remove(id);
+        let backends = self.services.get_mut(&service);
+        if let Some(state) = backends.and_then(|backends| backends.remove(id)) {
+            self.notices.record_gone(id, state.backend.started_ms);
         }
         Change::Removed
     }
--- a/crates/gateway/src/directory/notice.rs
+++ b/crates/gateway/src/directory/notice.rs
@@ -1,4 +1,5 @@
-//! What backend servers say about themselves in their responses.
+//! What is known about runs of backend servers besides their current entries in the store: what they
+//! say about themselves in responses, and whether their entries were removed.
 
 use std::collections;
 use std::time::Duration;
@@ -11,12 +12,14 @@
 /// Maximum number of backend servers whose notices are kept.
 const MAX_NOTICES: usize = 4_096;
 
-/// What one run of a backend server says about itself.
+/// What is known about one run of a backend server.
 #[derive(Clone, Copy, Debug, Default)]
 struct Notice {
     /// Start of the run; a later run of the same server is not bound by it.
     started_ms: u64,
     leaving: bool,
+    /// Whether its entry in the store was removed.
+    gone: bool,
     quiet: quiet_period::QuietPeriod,
 }
 
@@ -39,6 +42,26 @@
         self.find(id, started_ms).is_some_and(|notice| notice.leaving)
     }
 
+    /// Records that the entry of a run was removed from the store.
+    pub(super) fn record_gone(&mut self, id: &str, started_ms: u64) {
+        let is_superseded = self.0.get(id).is_some_and(|notice| notice.started_ms > started_ms);
+        if !is_superseded {
+            self.of_run(id, started_ms).gone = true;
+        }
+    }
+
+    /// Records that a run has an entry in the store.
+    pub(super) fn record_presence(&mut self, id: &str, started_ms: u64) {
+        if let Some(notice) = self.0.get_mut(id).filter(|notice| notice.started_ms == started_ms) {
+            notice.gone = false;
+        }
+    }
+
+    /// Whether the entry of a run was removed and has not been written again.
+    pub(super) fn is_gone(&self, id: &str, started_ms: u64) -> bool {
+        self.find(id, started_ms).is_some_and(|notice| notice.gone)
+    }
+
     /// The quiet period of a run.
     pub(super) fn quiet_period_mut(
         &mut self,
--- a/crates/gateway/src/service/backends.rs
+++ b/crates/gateway/src/service/backends.rs
@@ -23,11 +23,12 @@
     let handle_event = move |event: watcher::Event| {
         let watcher::Event::Update(update) = event else { return };
         let now = shared.clock.now();
-        if update.outage > EXPIRY_OUTAGE {
+        if update.outage > EXPIRY_OUTAGE || update.is_from_copy {
             let outage_ms = update.outage.as_millis() as u64;
             tracing::info!(
                 outage_ms,
-                "long store outage; keeping backend servers with expired entries for a grace period"
+                is_from_copy = update.is_from_copy,
+                "entries may be lost; keeping backend servers without one for a grace period"
             );
             shared.directory.borrow_mut().start_grace_period(now);
             task::spawn_local(remove_expired(shared.clone()));
@@ -56,7 +57,7 @@
 fn apply_update(state: &state::State, update: &watcher::Update, now: time::Instant) {
     let mut seen = collections::HashSet::new();
     for row in &update.rows.rows {
-        let change = apply_row(state, row, now);
+        let change = apply_row(state, row, update.is_from_copy, now);
         seen.insert(row.key.as_str());
         if change != directory::Change::None {
             tracing::info!(backend = row.key, version = row.version, ?change, "backend server");
@@ -73,10 +74,16 @@
     }
 }
 
-fn apply_row(state: &state::State, row: &store::Row, now: time::Instant) -> directory::Change {
+fn apply_row(
+    state: &state::State,
+    row: &store::Row,
+    is_from_copy: bool,
+    now: time::Instant,
+) -> directory::Change {
     let mut directory = state.directory.borrow_mut();
     let Some(data) = &row.data else { return directory.mark_missing(&row.key, now) };
     match (state.codec.decode_backend)(&row.key, data) {
+        Ok(backend) if is_from_copy => directory.update_from_copy(backend),
         Ok(backend) => directory.update(backend),
         Err(error) => {
             tracing::warn!(backend = row.key, reason = error.to_string(), "invalid backend entry");
--- a/crates/gateway/src/service/gateway_list.rs
+++ b/crates/gateway/src/service/gateway_list.rs
@@ -22,6 +22,9 @@
 /// First interval between reads of the list of gateways; doubles with each successful read.
 const INITIAL_LIST_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time over which the gateways register again after the store came back from a copy.
+const REREGISTRATION_SPREAD: Duration = Duration::from_secs(1);
+
 /// Maximum entries of silent gateways that are removed after one read of the list.
 const MAX_REMOVALS: usize = 10;
 
@@ -39,6 +42,7 @@
 pub(super) async fn maintain(state: rc::Rc<state::State>, store: rc::Rc<store::Store>) {
     let mut interval = INITIAL_LIST_INTERVAL;
     let mut reporter_since = None;
+    let mut era = state.store_era.subscribe();
     loop {
         let result = register_and_list(&state, &store).await;
         match &result {
@@ -50,7 +54,13 @@
                 );
             }
         }
-        time::sleep(interval).await;
+        if time::timeout(interval, era.changed()).await.is_ok() {
+            // The entry may be lost; all gateways notice that at the same time.
+            time::sleep(REREGISTRATION_SPREAD.mul_f64(rand::random())).await;
+            state.registered.set(false);
+            interval = INITIAL_LIST_INTERVAL;
+            continue;
+        }
         if result.is_ok() {
             let gateways = u32::try_from(state.gateway_count()).unwrap_or(u32::MAX);
             interval =
@@ -71,11 +81,13 @@
         let write =
             store::Write { key: node.clone(), data: Some(data.clone()), expected_version: None };
         (store.commit)(store::Commit { table, writes: vec![write], preconditions: Vec::new() })
-            .await?;
+            .await
+            .map(|receipt| state.observe_era(receipt.era))?;
         state.registered.set(true);
         tracing::info!(address = %entry.address, "registered in the list of gateways");
     }
     let rows = (store.read)(table).await?;
+    state.observe_era(rows.era);
     let own = rows.rows.iter().find(|row| row.key == *node);
     state.registered.set(own.is_some_and(|row| row.data.as_ref() == Some(&data)));
     let now = state.clock.now();
--- a/crates/gateway/src/service/usage.rs
+++ b/crates/gateway/src/service/usage.rs
@@ -13,6 +13,8 @@
 use azuregap_coordination::lease;
 use azuregap_coordination::store as lease_store;
 use azuregap_core::ids;
+use serde::Deserialize;
+use serde::Serialize;
 use tokio::time;
 
 use super::usage_reporter;
@@ -29,6 +31,9 @@
 /// Prefix of the keys of stored reports.
 const REPORT_KEY_PREFIX: &str = "usage-report-";
 
+/// Key of the row with the time at which the current era of the store was noticed.
+const ERA_KEY: &str = "usage-era";
+
 /// Maximum gateways listed in a log line about counts, those silent for longest first.
 const MAX_LOGGED_GATEWAYS: usize = 40;
 
@@ -57,6 +62,8 @@
         lease_readable: true,
         held_since: None,
         reported: collections::BTreeSet::new(),
+        stored: collections::BTreeMap::new(),
+        era_notice: None,
         state,
         store,
         reporter,
@@ -66,6 +73,15 @@
     }
 }
 
+/// When the first lease holder noticed an era of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+struct EraNotice {
+    era: lease_ids::Era,
+    /// Time of day.
+    noticed: Duration,
+}
+
 struct ReportingTask {
     lease: lease::Lease,
     event: lease::Event,
@@ -77,6 +93,9 @@
     held_since: Option<time::Instant>,
     /// Windows whose report was acknowledged.
     reported: collections::BTreeSet<u64>,
+    /// Reports that this process stored or found stored, by window; the store may lose them.
+    stored: collections::BTreeMap<u64, Vec<u8>>,
+    era_notice: Option<EraNotice>,
     state: rc::Rc<state::State>,
     store: rc::Rc<store::Store>,
     reporter: usage_reporter::UsageReporter,
@@ -86,6 +105,7 @@
     /// Executes the next action of the lease state machine; sends due reports while it waits.
     async fn step(&mut self) {
         let now = self.state.clock.now();
+        self.lease.observe_era(*self.state.store_era.borrow());
         if !self.competes(now) && self.lease.row_version().is_none() {
             return time::sleep(TICK_INTERVAL).await;
         }
@@ -152,10 +172,14 @@
         self.lease_readable = reached;
     }
 
-    async fn read_lease(&self) -> lease::Event {
+    async fn read_lease(&mut self) -> lease::Event {
         let read = (self.store.read)(store::Table::Usage);
         match time::timeout(CALL_TIMEOUT, read).await {
-            Ok(Ok(rows)) => lease::Event::ReadDone(decode_lease_row(&rows)),
+            Ok(Ok(rows)) => {
+                self.observe_era(rows.era);
+                self.era_notice = find_era_notice(&rows).or(self.era_notice);
+                lease::Event::ReadDone(decode_lease_row(&rows))
+            }
             Ok(Err(error)) => {
                 tracing::debug!(reason = error.to_string(), "failed to read the lease row");
                 lease::Event::ReadFailed
@@ -165,7 +189,7 @@
     }
 
     async fn write_lease(
-        &self,
+        &mut self,
         version: lease_ids::RowVersion,
         row: lease::LeaseRow,
     ) -> lease::Event {
@@ -182,7 +206,10 @@
         };
         let result = time::timeout(CALL_TIMEOUT, (self.store.commit)(commit)).await;
         let outcome = match result {
-            Ok(Ok(version)) => lease_store::WriteOutcome::Applied(version),
+            Ok(Ok(receipt)) => {
+                self.observe_era(receipt.era);
+                lease_store::WriteOutcome::Applied(receipt.version)
+            }
             Ok(Err(store::StoreError::Conflict(_))) => lease_store::WriteOutcome::Conflict,
             Ok(Err(store::StoreError::Rejected(_))) => lease_store::WriteOutcome::Refused,
             Ok(Err(_)) | Err(_) => lease_store::WriteOutcome::Unknown,
@@ -193,6 +220,38 @@
         lease::Event::WriteDone(outcome)
     }
 
+    /// Records the era in a response of the store.
+    fn observe_era(&mut self, era: lease_ids::Era) {
+        self.state.observe_era(era);
+        self.lease.observe_era(*self.state.store_era.borrow());
+    }
+
+    /// When the current era was noticed, as recorded in the store; zero if the store states no era.
+    /// The holder that finds no record of it writes one.
+    async fn era_noticed_at(&mut self, now: Duration) -> Option<Duration> {
+        let era = *self.state.store_era.borrow();
+        if era == 0 {
+            return Some(Duration::ZERO);
+        }
+        if let Some(notice) = self.era_notice.filter(|notice| notice.era == era) {
+            return Some(notice.noticed);
+        }
+        let notice = EraNotice { era, noticed: now };
+        let data = serde_json::to_vec(&notice).expect("a notice can be encoded as JSON");
+        let write =
+            store::Write { key: ERA_KEY.to_owned(), data: Some(data), expected_version: None };
+        let commit = store::Commit {
+            table: store::Table::Usage,
+            writes: vec![write],
+            preconditions: vec![(LEASE_KEY.to_owned(), self.lease.row_version()?)],
+        };
+        let written = time::timeout(CALL_TIMEOUT, (self.store.commit)(commit)).await;
+        let receipt = written.ok()?.ok()?;
+        self.observe_era(receipt.era);
+        self.era_notice = Some(notice).filter(|_| receipt.era == era);
+        self.era_notice.map(|notice| notice.noticed)
+    }
+
     /// Returns the fencing token under which a report may be sent now.
     fn current_fence(&self) -> Option<ids::Fence> {
         let fence = self.lease.fencing_token(self.state.clock.now())?;
@@ -213,12 +272,17 @@
         let oldest =
             usage_counts::window_at(now.saturating_sub(deadline), length).saturating_sub(1);
         let gateways = self.state.gateway_count();
+        let Some(era_noticed) = self.era_noticed_at(now).await else { return };
         for number in oldest..newest {
             let window = usage_counts::EndedWindow::new(number, length, now);
             let is_due = window.ended <= deadline && !self.reported.contains(&number);
             if !is_due || !report_readiness::is_settled(window.ended, gateways, deadline) {
                 continue;
             }
+            let is_lost = report_readiness::may_be_lost(window.end, era_noticed, deadline);
+            if is_lost && !self.stored.contains_key(&number) {
+                continue;
+            }
             let progress = report_readiness::Progress {
                 ended: window.ended,
                 collecting: self.collecting(monotonic),
@@ -228,10 +292,12 @@
                 continue;
             }
             let Some(body) = self.store_report(&window).await else { return };
+            self.stored.insert(number, body.clone());
             let Some(fence) = self.current_fence() else { return };
             self.send(number, body, fence).await;
         }
         self.reported.retain(|window| window + RETAINED_REPORTS > newest);
+        self.stored.retain(|window, _| window + RETAINED_REPORTS > newest);
     }
 
     /// For how long this gateway has collected the counts as the reporter.
@@ -274,7 +340,9 @@
     async fn store_report(&self, ended: &usage_counts::EndedWindow) -> Option<Vec<u8>> {
         let window = ended.number;
         let version = self.lease.row_version()?;
-        let body = (self.state.codec.encode_usage)(window, &self.counts(window));
+        let body = self.stored.get(&window).cloned();
+        let body =
+            body.unwrap_or_else(|| (self.state.codec.encode_usage)(window, &self.counts(window)));
         let write = |window: u64, data, expected_version| store::Write {
             key: format!("{REPORT_KEY_PREFIX}{window}"),
             data,
@@ -373,3 +441,12 @@
     });
     lease_store::VersionedRow { version: row.version, value }
 }
+
+fn find_era_notice(rows: &store::Rows) -> Option<EraNotice> {
+    let row = rows.rows.iter().find(|row| row.key == ERA_KEY)?;
+    serde_json::from_slice(row.data.as_deref()?)
+        .inspect_err(|error| {
+            tracing::error!(reason = error.to_string(), "failed to decode the era row");
+        })
+        .ok()
+}
--- a/crates/gateway/src/service/watcher.rs
+++ b/crates/gateway/src/service/watcher.rs
@@ -53,6 +53,9 @@
     pub(super) requested_at: time::Instant,
     /// Time since the last response if calls failed before this one, otherwise zero.
     pub(super) outage: Duration,
+    /// Whether the rows are the first ones from a copy of the store: rows that were changed after
+    /// the copy was made may be older than known ones, or missing.
+    pub(super) is_from_copy: bool,
 }
 
 /// Result of a call to the store.
@@ -72,6 +75,7 @@
 ) {
     let Options { table, refresh, is_follower } = options;
     let mut version: Option<ids::RowVersion> = None;
+    let mut era: Option<ids::Era> = None;
     let mut failures = 0_u32;
     let mut last_response = state.clock.now();
     let mut refresh_pending = false;
@@ -103,6 +107,19 @@
         });
         refresh_pending = false;
         match result {
+            Ok(rows) if state.observe_era(rows.era) => {
+                tracing::info!(table = ?table, era = rows.era, "ignored a response of an older era");
+                version = None;
+                time::sleep(MAX_RETRY_DELAY).await;
+            }
+            Ok(rows) if version.is_some() && era != Some(rows.era) => {
+                tracing::info!(
+                    table = ?table,
+                    era = rows.era,
+                    "the store came back from a copy; rereading the table"
+                );
+                version = None;
+            }
             Ok(rows) => {
                 if failures > 0 {
                     tracing::info!(table = ?table, failures, "the store answers again");
@@ -116,8 +133,15 @@
                 (failures, last_response) = (0, now);
                 state.metrics.store_calls.with_label_values(&["answered"]).inc();
                 let is_snapshot = version.is_none();
-                version = Some(rows.version);
-                handle_event(Event::Update(Update { rows, is_snapshot, requested_at, outage }));
+                let is_from_copy = era.is_some_and(|era| era != rows.era);
+                (version, era) = (Some(rows.version), Some(rows.era));
+                handle_event(Event::Update(Update {
+                    rows,
+                    is_snapshot,
+                    requested_at,
+                    outage,
+                    is_from_copy,
+                }));
                 let elapsed = state.clock.now().saturating_duration_since(requested_at);
                 let delay = MIN_INTERVAL.saturating_sub(elapsed);
                 refresh_pending = time::timeout(delay, refresh.notified()).await.is_ok();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,6 +5,7 @@
 use std::rc;
 use std::time::Duration;
 
+use azuregap_coordination::ids as lease_ids;
 use azuregap_core::ids;
 use tokio::sync;
 use tokio::time;
@@ -106,6 +107,8 @@
     pub registered: cell::Cell<bool>,
     /// Fencing token while this gateway reports usage.
     pub reporting: sync::watch::Sender<Option<ids::Fence>>,
+    /// Newest known era of the store.
+    pub store_era: sync::watch::Sender<lease_ids::Era>,
     /// Which new requests are admitted.
     pub admission: cell::Cell<Admission>,
     /// Number of requests that are being served.
@@ -140,6 +143,7 @@
             stopping: sync::watch::Sender::new(false),
             registered: cell::Cell::new(false),
             reporting: sync::watch::Sender::new(None),
+            store_era: sync::watch::Sender::new(0),
             admission: cell::Cell::new(Admission::Open),
             active_requests: cell::Cell::new(0),
             settings,
@@ -161,6 +165,20 @@
         bound_changed || budget_changed
     }
 
+    /// Records the era in a response of the store; returns whether the response is of an older era
+    /// than another one, so that its content may be lost.
+    pub fn observe_era(&self, era: lease_ids::Era) -> bool {
+        let is_newer = self.store_era.send_if_modified(|known| {
+            let is_newer = era > *known;
+            *known = era.max(*known);
+            is_newer
+        });
+        if is_newer {
+            tracing::info!(era, "era of the store");
+        }
+        era < *self.store_era.borrow()
+    }
+
     /// Whether this process is shutting down.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -64,6 +64,17 @@
     pub rows: Vec<Row>,
     /// Newest version of the store when the rows were read.
     pub version: ids::RowVersion,
+    /// Era of the store; versions of different eras can't be compared.
+    pub era: ids::Era,
+}
+
+/// Confirmation of a transaction.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Receipt {
+    /// New version of the written rows.
+    pub version: ids::RowVersion,
+    /// Era of the store.
+    pub era: ids::Era,
 }
 
 /// A write to one row, with an optional precondition.
@@ -93,7 +104,7 @@
 
 type ReadFn = Box<dyn Fn(Table) -> StoreFuture<Rows>>;
 type WatchFn = Box<dyn Fn(Table, ids::RowVersion, Duration) -> StoreFuture<Rows>>;
-type CommitFn = Box<dyn Fn(Commit) -> StoreFuture<ids::RowVersion>>;
+type CommitFn = Box<dyn Fn(Commit) -> StoreFuture<Receipt>>;
 
 /// Client of the store.
 pub struct Store {
@@ -101,7 +112,7 @@
     pub read: ReadFn,
     /// Returns the rows changed since a version; waits up to the given time for the first change.
     pub watch: WatchFn,
-    /// Applies a transaction and returns the new version of the written rows.
+    /// Applies a transaction.
     pub commit: CommitFn,
 }
 
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -29,8 +29,10 @@
 /// Tables of the store, and how it behaves.
 #[derive(Debug, Default)]
 pub struct Tables {
-    rows: collections::HashMap<store::Table, collections::BTreeMap<String, store::Row>>,
+    rows: Rows,
     version: u64,
+    /// Rises each time the store comes back from a copy; see [`FakeStore::restore`].
+    pub era: u64,
     /// Whether every call is rejected.
     pub down: bool,
     /// Whether calls get no response.
@@ -45,6 +47,15 @@
     pub calls: u64,
 }
 
+type Rows = collections::HashMap<store::Table, collections::BTreeMap<String, store::Row>>;
+
+/// A copy of the store's rows.
+#[derive(Clone, Debug)]
+pub struct Copy {
+    rows: Rows,
+    version: u64,
+}
+
 /// An in-memory store.
 #[derive(Clone, Debug, Default)]
 pub struct FakeStore {
@@ -89,7 +100,7 @@
         let tables = self.tables.borrow();
         let rows = tables.rows.get(&table).into_iter().flat_map(|rows| rows.values());
         let rows = rows.filter(|row| row.data.is_some()).cloned().collect();
-        Ok(store::Rows { rows, version: tables.version })
+        Ok(store::Rows { rows, version: tables.version, era: tables.era })
     }
 
     async fn watch(
@@ -107,20 +118,20 @@
             self.check_available()?;
             {
                 let tables = self.tables.borrow();
-                if since < tables.compacted {
+                if since < tables.compacted || since > tables.version {
                     return Err(store::StoreError::Compacted);
                 }
                 let rows = tables.rows.get(&table).into_iter().flat_map(|rows| rows.values());
                 let rows: Vec<_> = rows.filter(|row| row.version > since).cloned().collect();
                 if !rows.is_empty() || time::Instant::now() >= until {
-                    return Ok(store::Rows { rows, version: tables.version });
+                    return Ok(store::Rows { rows, version: tables.version, era: tables.era });
                 }
             }
             time::sleep(Duration::from_millis(10)).await;
         }
     }
 
-    fn commit(&self, commit: store::Commit) -> Result<u64, store::StoreError> {
+    fn commit(&self, commit: store::Commit) -> Result<store::Receipt, store::StoreError> {
         self.check_available()?;
         let version_of = |key: &str| {
             let tables = self.tables.borrow();
@@ -152,7 +163,22 @@
         if tables.drops_responses {
             return Err(store::StoreError::OutcomeUnknown("lost".to_owned()));
         }
-        Ok(version)
+        Ok(store::Receipt { version, era: tables.era })
+    }
+
+    /// A copy of all rows, from which [`FakeStore::restore`] brings the store back.
+    pub fn copy(&self) -> Copy {
+        let tables = self.tables.borrow();
+        Copy { rows: tables.rows.clone(), version: tables.version }
+    }
+
+    /// Brings the store back from a copy: later writes are lost, their versions are given out
+    /// again, and a new era begins.
+    pub fn restore(&self, copy: &Copy) {
+        let mut tables = self.tables.borrow_mut();
+        tables.rows = copy.rows.clone();
+        tables.version = copy.version;
+        tables.era += 1;
     }
 
     pub fn store(&self) -> store::Store {
@@ -294,7 +320,11 @@
 
 /// State of a gateway whose clocks follow the runtime's clock.
 pub fn state(node: &str) -> rc::Rc<state::State> {
-    let start = time::Instant::now();
+    state_since(node, time::Instant::now())
+}
+
+/// State of a gateway whose clock showed [`START_TIME`] at `start`.
+pub fn state_since(node: &str, start: time::Instant) -> rc::Rc<state::State> {
     let clock = clock::Clock::new(time::Instant::now, move || START_TIME + start.elapsed());
     rc::Rc::new(state::State::new(settings(node), CODEC, clock))
 }
