feat(gateway,host): engines fetch shared prompt segments instead of reading them again

A request could only leave its busy engine at twelve times that cost.

Change: a gateway tells the others which segments of 500 tokens or more an engine has read, in its load message. A request whose engine lacks 500 tokens or more that another one has names that one as the source (cache_source), and placement counts a fetched token twice, not twelve times. A long prompt costs more on an engine with many streams. Short requests fill a fifth of an engine's slots instead of three eighths before they get another engine.

--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -72,6 +72,8 @@
     pub rank: priority::Rank,
     /// Id of the last event that was relayed, if a stream is resumed.
     pub last_event: Option<u64>,
+    /// Address of a backend server from which the KV cache of shared segments is fetched.
+    pub fetch_source: Option<net::SocketAddr>,
 }
 
 /// Decoded headers of a backend server's response.
--- a/crates/gateway/src/decision/engine_partition.rs
+++ b/crates/gateway/src/decision/engine_partition.rs
@@ -20,7 +20,7 @@
 const LONG_PER_ENGINE: f64 = 2.0;
 
 /// Share of an engine's slots that short requests fill before the gaps between their tokens grow.
-const SHORT_SLOT_SHARE: f64 = 0.375;
+const SHORT_SLOT_SHARE: f64 = 0.2;
 
 /// Maximum share of the engines for the kind with the higher tier, if there are too few engines.
 const MAX_SHARE: f64 = 0.35;
--- a/crates/gateway/src/decision/placement.rs
+++ b/crates/gateway/src/decision/placement.rs
@@ -2,7 +2,9 @@
 //!
 //! For model engines, the cost of a backend server is the work that precedes the request's first
 //! token there: prompt tokens of other requests that are not read yet, its own prompt tokens that
-//! are not cached, and the slowdown of each step by the requests that run. Less urgent requests
+//! are not cached, the slowdown of each step by the requests that run, and how long its prompt holds
+//! those up. Shared tokens that are cached elsewhere are fetched; see [`super::cache_source`]. Less
+//! urgent requests
 //! yield, so a request whose preferred engines are full goes to engines that run those. Each
 //! session has preferred backend servers by rendezvous hashing, so gateways agree on them without a
 //! message; one with too much work ahead is skipped. This handles bursts of long prompts, in which
@@ -24,6 +26,14 @@
 /// is lost for all requests there, and the token uses memory twice.
 const RECOMPUTE_FACTOR: f64 = 12.0;
 
+/// Additional cost of fetching a shared token from another backend server, in prompt tokens: it
+/// uses memory twice and takes bandwidth.
+const FETCH_FACTOR: f64 = 2.0;
+
+/// Share of a request's own prompt tokens that is added to the cost for each request in flight: its
+/// stream waits while they are read.
+const DISTURBANCE_FACTOR: f64 = 0.1;
+
 /// Cost of each request beyond the slots of the backend server, in prompt tokens.
 const OVERFLOW_TOKENS: f64 = 3_000.0;
 
@@ -60,6 +70,8 @@
     pub uncached: u64,
     /// Those of them that other requests share and that another backend server may have cached.
     pub recomputed: u64,
+    /// Prompt tokens of this request that it fetches from another backend server.
+    pub fetched: u64,
     /// Factor for its cost due to failures, at least 1.
     pub cost_factor: f64,
     /// Whether it serves the other kind of requests; see [`super::engine_partition`].
@@ -75,7 +87,9 @@
         let overflow = f64::from((self.competing + 1).saturating_sub(self.slots));
         let work = (self.pending_prefill + self.uncached) as f64
             + self.recomputed as f64 * RECOMPUTE_FACTOR
-            + f64::from(self.in_flight) * IN_FLIGHT_TOKENS
+            + self.fetched as f64 * FETCH_FACTOR
+            + f64::from(self.in_flight)
+                * (IN_FLIGHT_TOKENS + self.uncached as f64 * DISTURBANCE_FACTOR)
             + overflow * OVERFLOW_TOKENS;
         let zone = if self.same_zone { 0.0 } else { CROSS_ZONE_TOKENS };
         let partition = if self.other_partition { OTHER_PARTITION_TOKENS } else { 0.0 };
--- a/crates/gateway/src/decision/prefix_cache.rs
+++ b/crates/gateway/src/decision/prefix_cache.rs
@@ -29,7 +29,12 @@
 
     /// Records that a request with these segments was sent to the backend server.
     pub fn insert(&mut self, segments: &[codec::Segment], now: time::Instant) {
-        self.last_used.extend(segments.iter().map(|segment| (segment.id, now)));
+        segments.iter().for_each(|segment| self.insert_id(segment.id, now));
+    }
+
+    /// Records that the backend server has read a segment.
+    pub fn insert_id(&mut self, segment: codec::SegmentId, now: time::Instant) {
+        self.last_used.insert(segment, now);
         if self.last_used.len() > MAX_SEGMENTS {
             self.last_used.retain(|_, at| now.saturating_duration_since(*at) < ENTRY_TTL);
         }
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -11,6 +11,8 @@
 use azuregap_core::ids;
 use tokio::time;
 
+use crate::peers;
+
 pub use backend::Backend;
 pub use backend_state::BackendState;
 pub use backend_state::id_hash;
@@ -170,6 +172,24 @@
         self.notices.quiet_time_left(&backend.id, backend.started_ms, now)
     }
 
+    /// Records segments that backend servers have read for other gateways.
+    pub fn record_reads(&mut self, reads: &[peers::CachedSegment], now: time::Instant) {
+        if reads.is_empty() {
+            return;
+        }
+        let mut servers: collections::HashMap<_, _> = self
+            .services
+            .values_mut()
+            .flat_map(|backends| backends.values_mut())
+            .map(|state| (state.hash, &mut state.prefix_cache))
+            .collect();
+        for read in reads {
+            if let Some(cache) = servers.get_mut(&read.backend_hash) {
+                cache.insert_id(read.segment, now);
+            }
+        }
+    }
+
     /// Ids of all backend servers.
     #[must_use]
     pub fn ids(&self) -> Vec<ids::BackendId> {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -22,6 +22,7 @@
 use crate::directory;
 
 pub use message::BackendLoad;
+pub use message::CachedSegment;
 pub use message::GossipMessage;
 pub use message::RankEntry;
 pub use message::UsageCount;
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use super::notice;
+use crate::codec;
 use crate::decision::priority;
 use crate::decision::usage_counts;
 use crate::directory;
@@ -77,6 +78,16 @@
     pub requests: u64,
 }
 
+/// A prompt segment that a backend server has read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+pub struct CachedSegment {
+    /// Hash of the backend server's id.
+    pub backend_hash: u32,
+    /// The segment.
+    pub segment: codec::SegmentId,
+}
+
 /// State of a gateway that it sends to other gateways.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -94,13 +105,17 @@
     /// Its part in usage reporting; `None` from a gateway of an earlier version.
     #[serde(skip)]
     pub notice: Option<notice::UsageNotice>,
+    /// Prompt segments that backend servers have read since the last message; empty from a gateway
+    /// of an earlier version.
+    #[serde(skip)]
+    pub cached: Vec<CachedSegment>,
 }
 
 impl GossipMessage {
     /// Encodes the message as a datagram.
     ///
-    /// The notice follows the fields that every version knows; gateways of earlier versions ignore
-    /// bytes after these.
+    /// The notice and the cached segments follow the fields that every version knows; gateways of
+    /// earlier versions ignore bytes after these.
     ///
     /// # Panics
     ///
@@ -110,6 +125,7 @@
         let mut bytes = postcard::to_allocvec(self).expect("a message can be encoded");
         if let Some(notice) = &self.notice {
             bytes = postcard::to_extend(notice, bytes).expect("a notice can be encoded");
+            bytes = postcard::to_extend(&self.cached, bytes).expect("segments can be encoded");
         }
         bytes
     }
@@ -132,7 +148,11 @@
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
         let (mut message, rest) = postcard::take_from_bytes::<Self>(bytes)?;
         if !rest.is_empty() {
-            message.notice = Some(postcard::from_bytes(rest)?);
+            let (notice, rest) = postcard::take_from_bytes(rest)?;
+            message.notice = Some(notice);
+            if !rest.is_empty() {
+                message.cached = postcard::from_bytes(rest)?;
+            }
         }
         Ok(message)
     }
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -36,6 +36,8 @@
     /// Position among the preferred backend servers of the session, starting at 1; 0 if it is none
     /// of them.
     pub(super) preference: u8,
+    /// Address of another backend server that has cached more of the prompt.
+    pub(super) fetch_source: Option<net::SocketAddr>,
 }
 
 /// The head of a response and the connection on which its body arrives.
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -256,6 +256,7 @@
             team: self.admitted.team.clone(),
             rank: self.rank(target),
             last_event: self.last_event,
+            fetch_source: target.fetch_source,
         };
         let id = &self.admitted.headers.id;
         let service = &self.admitted.service;
--- a/crates/gateway/src/proxy/handler.rs
+++ b/crates/gateway/src/proxy/handler.rs
@@ -23,6 +23,7 @@
 use crate::configuration;
 use crate::decision::failure;
 use crate::decision::health;
+use crate::peers;
 use crate::state;
 
 /// Maximum size of a response body that is not streamed, in bytes.
@@ -38,6 +39,9 @@
 /// `Retry-After` base if the configuration is not known well enough.
 const STALE_CONFIGURATION_RETRY: Duration = Duration::from_millis(700);
 
+/// Length of a shared segment, in tokens, from which on other gateways are told who has cached it.
+const MIN_TOLD_TOKENS: u32 = 500;
+
 /// Headers that concern a single connection and are not forwarded.
 const HOP_BY_HOP: [header::HeaderName; 7] = [
     header::CONNECTION,
@@ -350,9 +354,14 @@
     sent_at: time::Instant,
 ) {
     let mut directory = request.state.directory.borrow_mut();
-    if let Some(server) = directory.get_mut(&target.id) {
-        server.prefix_cache.insert(&request.admitted.headers.segments, sent_at);
-    }
+    let Some(server) = directory.get_mut(&target.id) else { return };
+    let segments = &request.admitted.headers.segments;
+    server.prefix_cache.insert(segments, sent_at);
+    let shared = segments.iter().rev().skip(1).filter(|segment| segment.tokens >= MIN_TOLD_TOKENS);
+    request.state.read_segments.borrow_mut().extend(
+        shared
+            .map(|segment| peers::CachedSegment { backend_hash: server.hash, segment: segment.id }),
+    );
 }
 
 /// Builds the response to the client from the head of the backend server's response.
--- a/crates/gateway/src/proxy/selection.rs
+++ b/crates/gateway/src/proxy/selection.rs
@@ -7,6 +7,7 @@
 
 use super::attempt;
 use super::dispatch;
+use crate::decision::cache_source;
 use crate::decision::engine_partition;
 use crate::decision::gossip_timing;
 use crate::decision::placement;
@@ -47,12 +48,26 @@
     let shared_tokens: u64 =
         segments.iter().rev().skip(1).map(|segment| u64::from(segment.tokens)).sum();
     let rank = request.admitted.ranks.on_time;
+    let shared_segments = &segments[..segments.len().saturating_sub(1)];
+    let cached_prefix = |server: &&directory::BackendState| cache_source::CachedPrefix {
+        tokens: server.prefix_cache.cached_tokens(shared_segments, now),
+        same_zone: server.backend.zone == state.settings.zone,
+    };
+    let prefixes: PerBackend<_> = usable.iter().map(cached_prefix).collect();
+    let source = cache_source::find(&prefixes);
+    let source_tokens = source.map_or(0, |at| prefixes[at].tokens);
     let preference_of = |hash: u32| preferred.iter().position(|preferred| *preferred == hash);
     let candidate = |(server, load): (&&directory::BackendState, &directory::Load)| {
         let expected_tokens = preference_of(server.hash)
             .map_or(0.0, |at| shared_tokens as f64 * (1.0 - placement::EXPECTED_MISS_SHARE[at]));
         let cached_tokens =
             server.prefix_cache.cached_tokens(segments, now).max(expected_tokens as u64);
+        let fetched = if cache_source::pays(source_tokens, cached_tokens) {
+            source_tokens - cached_tokens
+        } else {
+            0
+        };
+        let available_tokens = cached_tokens + fetched;
         let competing = load.up_to_rank(rank);
         placement::Candidate {
             hash: server.hash,
@@ -60,8 +75,9 @@
             competing: competing.in_flight,
             slots: server.backend.slots,
             pending_prefill: competing.pending_prefill,
-            uncached: prompt_tokens.saturating_sub(cached_tokens),
-            recomputed: shared_tokens.saturating_sub(cached_tokens),
+            uncached: prompt_tokens.saturating_sub(available_tokens),
+            recomputed: shared_tokens.saturating_sub(available_tokens),
+            fetched,
             cost_factor: server.health.cost_factor(now),
             other_partition: !in_partition(server),
             same_zone: server.backend.zone == state.settings.zone,
@@ -77,12 +93,18 @@
         placement::choose_weighted(&candidates, expected_arrivals(request, now), rand::random())?
     };
     let server = usable[selected];
+    // Unlike the cost, this counts only what is known to be cached: a fetch that brings nothing is
+    // cheap, a part that was only expected there is not.
+    let fetch_source = source
+        .filter(|_| cache_source::pays(source_tokens, prefixes[selected].tokens))
+        .map(|at| usable[at].backend.address);
     Some(attempt::Target {
         id: server.backend.id.clone(),
         started_ms: server.backend.started_ms,
         address: server.backend.address,
         uncached_tokens: candidates[selected].uncached,
         queued_tokens: candidates[selected].pending_prefill,
+        fetch_source,
         preference: preference_of(server.hash).map_or(0, |at| at as u8 + 1),
     })
 }
--- a/crates/gateway/src/service/gossip.rs
+++ b/crates/gateway/src/service/gossip.rs
@@ -35,6 +35,10 @@
 /// Maximum size of a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
+/// Maximum cached segments per datagram, of at most 15 bytes each. Others are read again before they
+/// matter: a segment is told each time that a request with it has started.
+const MAX_SEGMENTS: usize = 100;
+
 /// Maximum counts per datagram, of at most 12 bytes each; further counts go into more datagrams.
 const MAX_COUNTS: usize = 800;
 
@@ -123,6 +127,7 @@
         } else {
             sender.send_counts(&addresses).await;
         }
+        state.read_segments.borrow_mut().clear();
         adjust_clock(state);
         state.pool.prune();
         time::sleep(gossip_timing::load_interval(addresses.len())).await;
@@ -193,6 +198,7 @@
         wall_time: state.median_clock.borrow().time_at(state.clock.now()),
         loads: state.directory.borrow().all().filter(busy).map(backend_load).collect(),
         counts: Vec::new(),
+        cached: state.read_segments.borrow().iter().copied().take(MAX_SEGMENTS).collect(),
         notice: Some(peers::UsageNotice {
             can_report: state.freshness.borrow().is_store_answering() && !state.is_stopping(),
             is_leaving: state.is_stopping(),
@@ -233,6 +239,7 @@
                 message.discard_relayed(&state.settings.node, sender.incarnation);
                 // The requests for the counts show a gateway that its counts arrive.
                 let is_requested = message.notice.is_some() && state.reporting.borrow().is_some();
+                state.directory.borrow_mut().record_reads(&message.cached, time::Instant::now());
                 let reply = state.peers.borrow_mut().handle_message(message, from, now);
                 match reply {
                     peers::Reply::Counts => sender.answer_request(from).await,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -81,6 +81,9 @@
     /// Prefill speed of the model engines of each service.
     pub prefill_speeds:
         cell::RefCell<collections::HashMap<ids::PoolId, prefill_speed::PrefillSpeed>>,
+    /// Shared prompt segments that backend servers have read for this gateway since it last told
+    /// the others.
+    pub read_segments: cell::RefCell<collections::BTreeSet<peers::CachedSegment>>,
     /// Limit on the idle time of reused connections, by service.
     pub idle_limits: cell::RefCell<collections::HashMap<ids::PoolId, idle_limit::IdleLimit>>,
     /// Budget for retries, shared with the other gateways.
@@ -130,6 +133,7 @@
             engine_partitions: cell::RefCell::default(),
             arrival_rates: cell::RefCell::default(),
             prefill_speeds: cell::RefCell::default(),
+            read_segments: cell::RefCell::default(),
             idle_limits: cell::RefCell::default(),
             retry_budget: cell::RefCell::new(retry_budget::RetryBudget::new(settings.retry_budget)),
             usage_counts: cell::RefCell::default(),
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -38,6 +38,7 @@
         node: node.to_owned(),
         incarnation: 1,
         wall_time: support::START_TIME,
+        cached: Vec::new(),
         loads: vec![load],
         counts: Vec::new(),
         notice: None,
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -125,6 +125,7 @@
             wall_time: EPOCH + now,
             loads: Vec::new(),
             counts: Vec::new(),
+            cached: Vec::new(),
             notice: Some(peers::UsageNotice {
                 can_report: self.reachable_since.is_some(),
                 is_leaving: now >= self.stopping_at,
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -244,7 +244,13 @@
     let timeout = millis.map(Duration::from_millis);
     let tokens = header(headers, "x-tokens").and_then(|value| value.parse().ok());
     let prompt_tokens = tokens.unwrap_or_default();
+    let segment = |text: &str| {
+        let (id, tokens) = text.split_once(':')?;
+        Some(codec::Segment { id: id.parse().ok()?, tokens: tokens.parse().ok()? })
+    };
+    let segments = header(headers, "x-segments").unwrap_or_default();
     Ok(codec::RequestHeaders {
+        segments: segments.split(',').filter_map(segment).collect(),
         id,
         timeout,
         api_key,
@@ -258,6 +264,9 @@
     headers.remove("x-key");
     headers.insert("x-rank", u16::from(upstream.rank).into());
     headers.insert("x-backend", upstream.backend.parse().expect("a valid header value"));
+    if let Some(source) = upstream.fetch_source {
+        headers.insert("x-fetch", source.to_string().parse().expect("a valid header value"));
+    }
     if let Some(last) = upstream.last_event {
         headers.insert("x-last-event", last.into());
     }
