fix(gateway): messages between gateways that state impossible figures are rejected

Cause: a malformed datagram that still decodes could state a load, a window or a count near the largest number. Sums of loads and window numbers then overflowed: a panic ends the gossip task in a build with checks, and in a release build a wrapped sum made a busy backend server look idle and a count of one team huge. Found by looking for "one malformed message takes a process down".

Change: a message whose figures are impossible is rejected with the other malformed ones, and sums of loads saturate.

--- a/crates/gateway/src/directory/load.rs
+++ b/crates/gateway/src/directory/load.rs
@@ -53,9 +53,10 @@
 }
 
 impl ops::AddAssign for RankLoad {
+    /// Saturates at the largest number.
     fn add_assign(&mut self, other: Self) {
-        self.in_flight += other.in_flight;
-        self.pending_prefill += other.pending_prefill;
+        self.in_flight = self.in_flight.saturating_add(other.in_flight);
+        self.pending_prefill = self.pending_prefill.saturating_add(other.pending_prefill);
     }
 }
 
@@ -78,7 +79,7 @@
 
 impl ops::AddAssign for Load {
     fn add_assign(&mut self, other: Self) {
-        self.long_prompts += other.long_prompts;
+        self.long_prompts = self.long_prompts.saturating_add(other.long_prompts);
         self.ranks.iter_mut().zip(other.ranks).for_each(|(load, other)| *load += other);
     }
 }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -12,6 +12,15 @@
 use crate::decision::usage_counts;
 use crate::directory;
 
+/// Latest time of day in a message, in seconds since 1970: the year 2242.
+const MAX_WALL_TIME: Duration = Duration::from_secs(1 << 33);
+
+/// Largest window number, count of requests and number of prompt tokens in a message.
+const MAX_NUMBER: u64 = 1 << 40;
+
+/// Most requests of one gateway at one backend server.
+const MAX_IN_FLIGHT: u32 = 1 << 20;
+
 /// Load of a gateway's requests at one backend server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -140,11 +149,32 @@
         }
     }
 
+    /// Whether all figures are possible, so that sums of them don't overflow.
+    fn is_plausible(&self) -> bool {
+        let is_count = |count: &UsageCount| count.window.max(count.requests) <= MAX_NUMBER;
+        let is_load = |load: &BackendLoad| {
+            load.long_prompts <= MAX_IN_FLIGHT
+                && load.ranks.len() <= priority::RANK_COUNT
+                && load.ranks.iter().all(|entry| {
+                    entry.in_flight <= MAX_IN_FLIGHT && entry.pending_prefill <= MAX_NUMBER
+                })
+        };
+        let is_notice = |notice: &notice::UsageNotice| {
+            let mut totals = notice.totals.iter().flatten();
+            let mut relayed = notice.relayed.iter().flat_map(|relayed| &relayed.counts);
+            totals.all(|(window, total)| *window.max(total) <= MAX_NUMBER) && relayed.all(is_count)
+        };
+        self.wall_time <= MAX_WALL_TIME
+            && self.loads.iter().all(is_load)
+            && self.counts.iter().all(is_count)
+            && self.notice.as_ref().is_none_or(is_notice)
+    }
+
     /// Decodes a datagram.
     ///
     /// # Errors
     ///
-    /// If the bytes are no message, or the notice that follows it is malformed.
+    /// If the bytes are no message, what follows it is malformed, or it states impossible figures.
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
         let (mut message, rest) = postcard::take_from_bytes::<Self>(bytes)?;
         if !rest.is_empty() {
@@ -154,6 +184,10 @@
                 message.cached = postcard::from_bytes(rest)?;
             }
         }
-        Ok(message)
+        if message.is_plausible() {
+            Ok(message)
+        } else {
+            Err(postcard::Error::DeserializeBadEncoding)
+        }
     }
 }
