test(gateway): what went wrong for operators of similar systems is played against the proxy

A late second copy of a response that arrives after the next request was sent on the connection; a stalled stream that sends a byte now and then; a slow but sound stream, whose pauses are six times the route's; a stream whose backend server loses its entry.

--- a/crates/gateway/tests/proxy.rs
+++ b/crates/gateway/tests/proxy.rs
@@ -249,3 +249,57 @@
         expect_that!(ranks, elements_are![eq(&0), eq(&1), eq(&2), eq(&3)]);
     });
 }
+
+/// A backend server that sends its previous response a second time when the next request arrives on
+/// the same connection, and then the response to that request.
+async fn repeating_backend() -> Backend {
+    let listener = tokio_net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let requests = rc::Rc::new(cell::RefCell::new(Vec::new()));
+    let received = requests.clone();
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let received = received.clone();
+            actix_rt::spawn(async move {
+                let mut previous = String::new();
+                while let Some(head) = read_head(&mut stream).await {
+                    let id = head.lines().find_map(|line| line.strip_prefix("x-id: "));
+                    let id = id.unwrap_or_default().to_owned();
+                    let response = format!(
+                        "HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-length: {}\r\n\r\nfor {id}",
+                        id.len() + 4
+                    );
+                    received.borrow_mut().push(head);
+                    let bytes = previous + &response;
+                    if stream.write_all(bytes.as_bytes()).await.is_err() {
+                        return;
+                    }
+                    previous = response;
+                }
+            });
+        }
+    });
+    Backend { address, requests, disconnects: rc::Rc::default() }
+}
+
+#[gtest]
+fn late_second_copy_of_a_response_does_not_reach_the_next_caller() {
+    run(async {
+        let backend = repeating_backend().await;
+        let (_, address) = gateway(&[&backend]).await;
+        for (path, request) in ["/once/a", "/again/a"].iter().cycle().take(8).zip(10..) {
+            let mut stream = tokio_net::TcpStream::connect(address).await.expect("a connection");
+            let head = format!("GET {path} HTTP/1.1\r\nhost: h\r\nx-id: {request}\r\n\r\n");
+            stream.write_all(head.as_bytes()).await.expect("a request");
+            let mut bytes = [0; 4096];
+            let reading = time::timeout(Duration::from_millis(900), stream.read(&mut bytes));
+            let count = reading.await.expect("a response in time").expect("a response");
+            let response = String::from_utf8_lossy(&bytes[..count]).into_owned();
+            if status(&response) == "200" {
+                expect_that!(response, ends_with(format!("for {request}")));
+            } else {
+                expect_that!(status(&response), eq("502"));
+            }
+        }
+    });
+}
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -4,11 +4,15 @@
 
 use std::cell;
 use std::rc;
+use std::time::Duration;
 
 use azuregap_gateway::directory;
 use azuregap_gateway::state;
 use googletest::prelude::*;
 use support::loopback::*;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net as tokio_net;
+use tokio::time;
 
 #[gtest]
 fn truncated_response_is_not_forwarded() {
@@ -106,3 +110,75 @@
         expect_that!(backend.requests.borrow().len(), eq(2));
     });
 }
+
+/// A backend server that starts a stream with one event and then writes `text` at intervals.
+async fn slow_backend(text: &'static str, interval: Duration, times: usize) -> Backend {
+    let listener = tokio_net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let requests = rc::Rc::new(cell::RefCell::new(Vec::new()));
+    let received = requests.clone();
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let received = received.clone();
+            actix_rt::spawn(async move {
+                let Some(head) = read_head(&mut stream).await else { return };
+                received.borrow_mut().push(head);
+                let mut part = format!("{STREAM_HEAD}{}", chunk("id: 1\ndata: a\n\n"));
+                for _ in 0..times {
+                    if stream.write_all(part.as_bytes()).await.is_err() {
+                        return;
+                    }
+                    time::sleep(interval).await;
+                    part = chunk(text);
+                }
+                // The gateway may have closed the connection.
+                let _ = stream.write_all(b"0\r\n\r\n").await;
+            });
+        }
+    });
+    Backend { address, requests, disconnects: rc::Rc::default() }
+}
+
+#[gtest]
+fn stalled_stream_with_a_byte_now_and_then_ends_at_the_deadline() {
+    run(async {
+        let backend = slow_backend("x", Duration::from_millis(50), 200).await;
+        let (state, address) = gateway(&[&backend]).await;
+        let started = time::Instant::now();
+        let response = call(address, "/stream/a", "x-patience-ms: 600\r\n").await;
+        expect_that!(response, ends_with("<closed>"));
+        expect_that!(response, not(contains_substring("0\r\n\r\n")));
+        expect_that!(started.elapsed(), lt(Duration::from_millis(900)));
+        expect_that!(state.active_requests.get(), eq(0));
+    });
+}
+
+#[gtest]
+fn slow_but_sound_stream_is_not_cut() {
+    run(async {
+        // The pauses are six times the longest one for which the route counts it as on time.
+        let event = "id: 2\ndata: b\n\n";
+        let backend = slow_backend(event, Duration::from_millis(600), 2).await;
+        let (_, address) = gateway(&[&backend]).await;
+        let response = call(address, "/stream/a", "").await;
+        expect_that!(response, contains_substring("data: b"));
+        expect_that!(response, ends_with("0\r\n\r\n"));
+    });
+}
+
+#[gtest]
+fn stream_goes_on_when_the_entry_of_its_backend_server_is_missing() {
+    run(async {
+        let event = "id: 2\ndata: b\n\n";
+        let backend = slow_backend(event, Duration::from_millis(200), 4).await;
+        let (state, address) = gateway(&[&backend]).await;
+        let removing = state.clone();
+        actix_rt::spawn(async move {
+            time::sleep(Duration::from_millis(300)).await;
+            removing.directory.borrow_mut().remove("b-0");
+        });
+        let response = call(address, "/resume/a", "").await;
+        expect_that!(response, ends_with("0\r\n\r\n"));
+        expect_that!(backend.requests.borrow().len(), eq(1));
+    });
+}
