refactor(gateway): the source of cached segments knows what is fetched from it

Cause: selection passed the length that the source has cached beside its index and asked twice whether a fetch pays; a borrow of the directory spanned an await in the linter's eyes.

Change: cache_source::Source has both and the one question; selection collects the cached prefixes in a function of their own, and a send is recorded in one. No decision changes.

--- a/crates/coordination/tests/lease_model/main.rs
+++ b/crates/coordination/tests/lease_model/main.rs
@@ -59,6 +59,9 @@
     Written(u64),
 }
 
+/// The result of a call and the era of the table service in it.
+type Answer = (lease::Event, u64);
+
 #[derive(Debug)]
 struct Node {
     lease: lease::Lease,
@@ -68,8 +71,8 @@
     disconnected_until: Duration,
     wake_at: Option<time::Instant>,
     next_fate: CallFate,
-    /// A call in progress: its fate and, if it has taken effect, its result and the era in it.
-    call: Option<(lease::Action, CallFate, Option<(lease::Event, u64)>)>,
+    /// A call in progress: its fate and, if it has taken effect, its result.
+    call: Option<(lease::Action, CallFate, Option<Answer>)>,
     order: Order,
 }
 
--- a/crates/gateway/src/decision/cache_source.rs
+++ b/crates/gateway/src/decision/cache_source.rs
@@ -11,9 +11,10 @@
 //!
 //! let cached = |tokens, same_zone| cache_source::CachedPrefix { tokens, same_zone };
 //! let prefixes = [cached(0, true), cached(9_000, false), cached(9_000, true)];
-//! assert_eq!(cache_source::find(&prefixes), Some(2));
-//! assert!(cache_source::pays(9_000, 0));
-//! assert!(!cache_source::pays(9_000, 8_900));
+//! let source = cache_source::find(&prefixes).expect("two have cached something");
+//! assert_eq!(source.index, 2);
+//! assert_eq!(source.fetched_tokens(3_000), 6_000);
+//! assert_eq!(source.fetched_tokens(8_900), 0);
 //! ```
 
 /// Shortest part of a prompt that is fetched, in tokens: reading fewer takes about as long as
@@ -29,16 +30,29 @@
     pub same_zone: bool,
 }
 
-/// Index of the backend server that has cached most of a prompt, if any has cached some of it.
+/// The backend server that has cached most of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Source {
+    /// Its index among the candidates.
+    pub index: usize,
+    /// Length of what it has cached, in tokens.
+    pub tokens: u64,
+}
+
+impl Source {
+    /// Tokens that a backend server with `own` cached tokens fetches; 0 if it doesn't pay.
+    #[must_use]
+    pub const fn fetched_tokens(&self, own: u64) -> u64 {
+        let missing = self.tokens.saturating_sub(own);
+        if missing >= MIN_FETCH_TOKENS { missing } else { 0 }
+    }
+}
+
+/// The backend server that has cached most of a prompt, if any has cached some of it.
 #[must_use]
-pub fn find(prefixes: &[CachedPrefix]) -> Option<usize> {
+pub fn find(prefixes: &[CachedPrefix]) -> Option<Source> {
     (0..prefixes.len())
         .filter(|at| prefixes[*at].tokens > 0)
         .max_by_key(|at| (prefixes[*at].tokens, prefixes[*at].same_zone))
-}
-
-/// Whether a backend server with `own` cached tokens should fetch from one with `source`.
-#[must_use]
-pub const fn pays(source: u64, own: u64) -> bool {
-    source >= own + MIN_FETCH_TOKENS
+        .map(|index| Source { index, tokens: prefixes[index].tokens })
 }
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -145,6 +145,11 @@
         }
     }
 
+    /// Records that the request is sent; it may be the first one after a quiet period.
+    fn record_send(&self, target: &attempt::Target, now: time::Instant) {
+        self.state.directory.borrow_mut().record_send(&target.id, target.started_ms, now);
+    }
+
     /// Sends the request until a backend server responds.
     ///
     /// # Errors
@@ -170,9 +175,7 @@
                 return Err(self.failure(retry_delay, reason));
             }
             let sent_at = time::Instant::now();
-            let mut directory = self.state.directory.borrow_mut();
-            directory.record_send(&target.id, target.started_ms, sent_at);
-            drop(directory);
+            self.record_send(&target, sent_at);
             let load_guard = self.load_guard(&target);
             self.sends += 1;
             self.tried.push(target.id.clone());
--- a/crates/gateway/src/proxy/selection.rs
+++ b/crates/gateway/src/proxy/selection.rs
@@ -7,6 +7,7 @@
 
 use super::attempt;
 use super::dispatch;
+use crate::codec;
 use crate::decision::cache_source;
 use crate::decision::engine_partition;
 use crate::decision::gossip_timing;
@@ -39,34 +40,25 @@
     let in_partition = |server: &directory::BackendState| {
         boundary.is_none_or(|boundary| (server.hash >= boundary) == request.is_long())
     };
-    let session = segments.len().checked_sub(2).map(|at| segments[at].id);
-    let preferred = session.map(|segment| {
+    // The last segment is the request's own.
+    let shared_segments = &segments[..segments.len().saturating_sub(1)];
+    let preferred = shared_segments.last().map(|segment| {
         let partition = usable.iter().filter(|server| in_partition(server));
-        placement::preferred_backends(segment, partition.map(|server| server.hash))
+        placement::preferred_backends(segment.id, partition.map(|server| server.hash))
     });
     let preferred = preferred.unwrap_or_default();
-    let shared_tokens: u64 =
-        segments.iter().rev().skip(1).map(|segment| u64::from(segment.tokens)).sum();
+    let shared_tokens: u64 = shared_segments.iter().map(|segment| u64::from(segment.tokens)).sum();
     let rank = request.admitted.ranks.on_time;
-    let shared_segments = &segments[..segments.len().saturating_sub(1)];
-    let cached_prefix = |server: &&directory::BackendState| cache_source::CachedPrefix {
-        tokens: server.prefix_cache.cached_tokens(shared_segments, now),
-        same_zone: server.backend.zone == state.settings.zone,
-    };
-    let prefixes: PerBackend<_> = usable.iter().map(cached_prefix).collect();
+    let prefixes = cached_prefixes(&usable, shared_segments, &state.settings.zone, now);
     let source = cache_source::find(&prefixes);
-    let source_tokens = source.map_or(0, |at| prefixes[at].tokens);
+    let fetched_tokens = |own| source.map_or(0, |source| source.fetched_tokens(own));
     let preference_of = |hash: u32| preferred.iter().position(|preferred| *preferred == hash);
     let candidate = |(server, load): (&&directory::BackendState, &directory::Load)| {
         let expected_tokens = preference_of(server.hash)
             .map_or(0.0, |at| shared_tokens as f64 * (1.0 - placement::EXPECTED_MISS_SHARE[at]));
         let cached_tokens =
             server.prefix_cache.cached_tokens(segments, now).max(expected_tokens as u64);
-        let fetched = if cache_source::pays(source_tokens, cached_tokens) {
-            source_tokens - cached_tokens
-        } else {
-            0
-        };
+        let fetched = fetched_tokens(cached_tokens);
         let available_tokens = cached_tokens + fetched;
         let competing = load.up_to_rank(rank);
         placement::Candidate {
@@ -96,8 +88,8 @@
     // Unlike the cost, this counts only what is known to be cached: a fetch that brings nothing is
     // cheap, a part that was only expected there is not.
     let fetch_source = source
-        .filter(|_| cache_source::pays(source_tokens, prefixes[selected].tokens))
-        .map(|at| usable[at].backend.address);
+        .filter(|source| source.fetched_tokens(prefixes[selected].tokens) > 0)
+        .map(|source| usable[source.index].backend.address);
     Some(attempt::Target {
         id: server.backend.id.clone(),
         started_ms: server.backend.started_ms,
@@ -109,6 +101,20 @@
     })
 }
 
+/// What each backend server is known to have cached of the shared segments of a prompt.
+fn cached_prefixes(
+    usable: &[&directory::BackendState],
+    shared_segments: &[codec::Segment],
+    zone: &str,
+    now: time::Instant,
+) -> PerBackend<cache_source::CachedPrefix> {
+    let cached_prefix = |server: &&directory::BackendState| cache_source::CachedPrefix {
+        tokens: server.prefix_cache.cached_tokens(shared_segments, now),
+        same_zone: server.backend.zone == zone,
+    };
+    usable.iter().map(cached_prefix).collect()
+}
+
 /// Expected number of similar requests that all gateways place before they learn of each other's.
 fn expected_arrivals(request: &dispatch::ProxyRequest, now: time::Instant) -> f64 {
     let state = &request.state;
--- a/crates/gateway/tests/cache_fetch.rs
+++ b/crates/gateway/tests/cache_fetch.rs
@@ -26,16 +26,18 @@
         (vec![cached(900, true), cached(7_000, false)], Some(1)),
         (vec![cached(7_000, true), cached(7_000, false)], Some(0)),
     ] {
-        expect_that!(cache_source::find(&prefixes), eq(source), "{prefixes:?}");
+        let found = cache_source::find(&prefixes).map(|source| source.index);
+        expect_that!(found, eq(source), "{prefixes:?}");
     }
 }
 
 #[gtest]
 fn few_tokens_are_read_again_rather_than_fetched() {
-    for (source, own, pays) in
-        [(0, 0, false), (400, 0, false), (500, 0, true), (9_000, 8_900, false), (9_000, 0, true)]
+    for (tokens, own, fetched) in
+        [(400, 0, 0), (500, 0, 500), (9_000, 8_900, 0), (9_000, 2_000, 7_000), (700, 9_000, 0)]
     {
-        expect_that!(cache_source::pays(source, own), eq(pays), "{source} {own}");
+        let source = cache_source::Source { index: 0, tokens };
+        expect_that!(source.fetched_tokens(own), eq(fetched), "{tokens} {own}");
     }
 }
 
@@ -141,12 +143,11 @@
             .map(|engine| cache_source::CachedPrefix { tokens: tokens(engine), same_zone: true })
             .collect();
         let source = cache_source::find(&prefixes).filter(|_| fetches);
-        let source_tokens = source.map_or(0, |at| prefixes[at].tokens);
+        let fetched_tokens = |own| source.map_or(0, |source| source.fetched_tokens(own));
         let preferred = placement::preferred_backends(session, 0..ENGINES as u32);
         let candidate = |(at, engine): (usize, &Engine)| {
             let own = tokens(engine);
-            let fetched =
-                if cache_source::pays(source_tokens, own) { source_tokens - own } else { 0 };
+            let fetched = fetched_tokens(own);
             let expected = if preferred[0] as usize == at { SHARED_TOKENS } else { 0 };
             let missing = SHARED_TOKENS.saturating_sub(own.max(expected) + fetched);
             let waiting = engine.busy_until.saturating_sub(now).as_secs_f64() * 1_000.0;
@@ -167,7 +168,7 @@
         let candidates: Vec<_> = engines.iter().enumerate().map(candidate).collect();
         let chosen = placement::choose_cheapest(&candidates, 1).expect("there are engines");
         let own = tokens(&engines[chosen]);
-        let is_fetched = cache_source::pays(source_tokens, own);
+        let is_fetched = fetched_tokens(own) > 0;
         let read = OWN_TOKENS + if is_fetched { 0 } else { SHARED_TOKENS - own };
         let engine = &mut engines[chosen];
         let fetch_time = if is_fetched { FETCH_TIME } else { Duration::ZERO };
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -256,7 +256,6 @@
         api_key,
         last_event,
         prompt_tokens,
-        ..codec::RequestHeaders::default()
     })
 }
 
