fix(gateway): late answers of an older era and entries of earlier runs are dropped

A late read or write of the lease that was answered in an older era was still handled as if it were current, and the entry of an earlier run of a backend server, back from a copy, replaced the later run that the gateway knew.

Change: such a read counts as failed, such a write as of unknown outcome; an earlier run in a copy is ignored.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -81,9 +81,11 @@
     }
 
     /// Applies an entry from a copy of the store, which may be older than what is known: a run whose
-    /// entry was gone stays removed until it writes its entry again.
+    /// entry was gone stays removed until it writes its entry again, and a later run stays.
     pub fn update_from_copy(&mut self, backend: Backend) -> Change {
-        if self.notices.is_gone(&backend.id, backend.started_ms) {
+        let known = self.get(&backend.id).map(|state| state.backend.started_ms);
+        let is_older = known.is_some_and(|started_ms| started_ms > backend.started_ms);
+        if is_older || self.notices.is_gone(&backend.id, backend.started_ms) {
             return Change::None;
         }
         self.update(backend)
--- a/crates/gateway/src/service/usage.rs
+++ b/crates/gateway/src/service/usage.rs
@@ -175,8 +175,8 @@
     async fn read_lease(&mut self) -> lease::Event {
         let read = (self.store.read)(store::Table::Usage);
         match time::timeout(CALL_TIMEOUT, read).await {
+            Ok(Ok(rows)) if self.observe_era(rows.era) => lease::Event::ReadFailed,
             Ok(Ok(rows)) => {
-                self.observe_era(rows.era);
                 self.era_notice = find_era_notice(&rows).or(self.era_notice);
                 lease::Event::ReadDone(decode_lease_row(&rows))
             }
@@ -206,10 +206,8 @@
         };
         let result = time::timeout(CALL_TIMEOUT, (self.store.commit)(commit)).await;
         let outcome = match result {
-            Ok(Ok(receipt)) => {
-                self.observe_era(receipt.era);
-                lease_store::WriteOutcome::Applied(receipt.version)
-            }
+            Ok(Ok(receipt)) if self.observe_era(receipt.era) => lease_store::WriteOutcome::Unknown,
+            Ok(Ok(receipt)) => lease_store::WriteOutcome::Applied(receipt.version),
             Ok(Err(store::StoreError::Conflict(_))) => lease_store::WriteOutcome::Conflict,
             Ok(Err(store::StoreError::Rejected(_))) => lease_store::WriteOutcome::Refused,
             Ok(Err(_)) | Err(_) => lease_store::WriteOutcome::Unknown,
@@ -220,10 +218,12 @@
         lease::Event::WriteDone(outcome)
     }
 
-    /// Records the era in a response of the store.
-    fn observe_era(&mut self, era: lease_ids::Era) {
-        self.state.observe_era(era);
+    /// Records the era in a response of the store; returns whether it is older than the known one,
+    /// so that what the response says may be lost.
+    fn observe_era(&mut self, era: lease_ids::Era) -> bool {
+        let is_older = self.state.observe_era(era);
         self.lease.observe_era(*self.state.store_era.borrow());
+        is_older
     }
 
     /// When the current era was noticed, as recorded in the store; zero if the store states no era.
@@ -247,8 +247,8 @@
         };
         let written = time::timeout(CALL_TIMEOUT, (self.store.commit)(commit)).await;
         let receipt = written.ok()?.ok()?;
-        self.observe_era(receipt.era);
-        self.era_notice = Some(notice).filter(|_| receipt.era == era);
+        let is_older = self.observe_era(receipt.era);
+        self.era_notice = Some(notice).filter(|_| !is_older && receipt.era == era);
         self.era_notice.map(|notice| notice.noticed)
     }
 
--- a/crates/gateway/tests/eras.rs
+++ b/crates/gateway/tests/eras.rs
@@ -5,11 +5,13 @@
 
 use std::cell;
 use std::collections;
+use std::net;
 use std::rc;
 use std::time::Duration;
 
 use azuregap_gateway::codec;
 use azuregap_gateway::decision::report_readiness;
+use azuregap_gateway::directory;
 use azuregap_gateway::service;
 use azuregap_gateway::state;
 use azuregap_gateway::store::Table;
@@ -17,7 +19,7 @@
 use googletest::prelude::*;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
-use tokio::net;
+use tokio::net as tokio_net;
 use tokio::task;
 use tokio::time;
 
@@ -97,6 +99,24 @@
     .await;
 }
 
+#[gtest]
+fn earlier_run_of_a_backend_server_does_not_replace_the_later_one() {
+    let run = |started_ms| directory::Backend {
+        id: "b-1".to_owned(),
+        started_ms,
+        service: "model".to_owned(),
+        address: net::SocketAddr::from(([127, 0, 0, 1], 1_001)),
+        zone: "a".to_owned(),
+        slots: 4,
+        draining: false,
+    };
+    let mut directory = directory::Directory::new();
+    directory.update(run(2));
+    expect_that!(directory.update_from_copy(run(1)), eq(directory::Change::None));
+    expect_that!(directory.get("b-1").map(|state| state.backend.started_ms), some(eq(2)));
+    expect_that!(directory.update_from_copy(run(3)), eq(directory::Change::Added));
+}
+
 #[gtest]
 #[tokio::test(start_paused = true)]
 async fn configuration_in_force_does_not_go_back() {
@@ -128,7 +148,7 @@
 async fn gateways_register_again_within_two_seconds() {
     let fake = support::FakeStore::default();
     let state = support::state("g-1");
-    let socket = net::UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+    let socket = tokio_net::UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
     let gossip = service::run_gossip(state.clone(), rc::Rc::new(fake.store()), socket, 1);
     support::run_with_service(gossip, async move {
         let copy = support::FakeStore::default().copy();
