refactor(gateway): the rows of the usage table have a file of their own

Change: usage_rows has the keys, writes and decoders; the task names what it writes. No behaviour changes.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -58,9 +58,8 @@
 /// The other gateways, in a ring in which all gateways have the same order.
 ///
 /// Each gateway sends its load to its neighbours in the ring, so the cost doesn't grow with the
-/// fleet; in a small fleet all gateways are neighbours. Usage counts go to the first gateways in
-/// the order and to the one that reports them, which asks every gateway for its counts: any
-/// gateway may become the reporter after failures.
+/// fleet; in a small fleet all gateways are neighbours. Usage counts go to the first gateways in the
+/// order and to the reporter, which any gateway may become and which asks all of them for theirs.
 #[derive(Debug, Default)]
 pub struct Peers {
     peers: collections::BTreeMap<Position, peer::Peer>,
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -7,6 +7,7 @@
 mod gossip;
 mod usage;
 mod usage_reporter;
+mod usage_rows;
 mod watcher;
 
 pub use backends::watch as watch_backends;
--- a/crates/gateway/src/service/usage.rs
+++ b/crates/gateway/src/service/usage.rs
@@ -13,11 +13,10 @@
 use azuregap_coordination::lease;
 use azuregap_coordination::store as lease_store;
 use azuregap_core::ids;
-use serde::Deserialize;
-use serde::Serialize;
 use tokio::time;
 
 use super::usage_reporter;
+use super::usage_rows;
 use crate::codec;
 use crate::decision::candidacy;
 use crate::decision::report_readiness;
@@ -25,15 +24,6 @@
 use crate::state;
 use crate::store;
 
-/// Key of the lease row.
-const LEASE_KEY: &str = "usage-lease";
-
-/// Prefix of the keys of stored reports.
-const REPORT_KEY_PREFIX: &str = "usage-report-";
-
-/// Key of the row with the time at which the current era of the store was noticed.
-const ERA_KEY: &str = "usage-era";
-
 /// Maximum gateways listed in a log line about counts, those silent for longest first.
 const MAX_LOGGED_GATEWAYS: usize = 40;
 
@@ -73,15 +63,6 @@
     }
 }
 
-/// When the first lease holder noticed an era of the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-struct EraNotice {
-    era: lease_ids::Era,
-    /// Time of day.
-    noticed: Duration,
-}
-
 struct ReportingTask {
     lease: lease::Lease,
     event: lease::Event,
@@ -95,7 +76,7 @@
     reported: collections::BTreeSet<u64>,
     /// Reports that this process stored or found stored, by window; the store may lose them.
     stored: collections::BTreeMap<u64, Vec<u8>>,
-    era_notice: Option<EraNotice>,
+    era_notice: Option<usage_rows::EraNotice>,
     state: rc::Rc<state::State>,
     store: rc::Rc<store::Store>,
     reporter: usage_reporter::UsageReporter,
@@ -177,8 +158,8 @@
         match time::timeout(CALL_TIMEOUT, read).await {
             Ok(Ok(rows)) if self.observe_era(rows.era) => lease::Event::ReadFailed,
             Ok(Ok(rows)) => {
-                self.era_notice = find_era_notice(&rows).or(self.era_notice);
-                lease::Event::ReadDone(decode_lease_row(&rows))
+                self.era_notice = usage_rows::find_era_notice(&rows).or(self.era_notice);
+                lease::Event::ReadDone(usage_rows::decode_lease(&rows))
             }
             Ok(Err(error)) => {
                 tracing::debug!(reason = error.to_string(), "failed to read the lease row");
@@ -193,15 +174,9 @@
         version: lease_ids::RowVersion,
         row: lease::LeaseRow,
     ) -> lease::Event {
-        let data = serde_json::to_vec(&row).expect("a lease row can be encoded as JSON");
-        let write = store::Write {
-            key: LEASE_KEY.to_owned(),
-            data: Some(data),
-            expected_version: Some(version),
-        };
         let commit = store::Commit {
             table: store::Table::Usage,
-            writes: vec![write],
+            writes: vec![usage_rows::lease_write(version, &row)],
             preconditions: Vec::new(),
         };
         let result = time::timeout(CALL_TIMEOUT, (self.store.commit)(commit)).await;
@@ -236,14 +211,11 @@
         if let Some(notice) = self.era_notice.filter(|notice| notice.era == era) {
             return Some(notice.noticed);
         }
-        let notice = EraNotice { era, noticed: now };
-        let data = serde_json::to_vec(&notice).expect("a notice can be encoded as JSON");
-        let write =
-            store::Write { key: ERA_KEY.to_owned(), data: Some(data), expected_version: None };
+        let notice = usage_rows::EraNotice { era, noticed: now };
         let commit = store::Commit {
             table: store::Table::Usage,
-            writes: vec![write],
-            preconditions: vec![(LEASE_KEY.to_owned(), self.lease.row_version()?)],
+            writes: vec![usage_rows::era_write(&notice)],
+            preconditions: vec![(usage_rows::LEASE_KEY.to_owned(), self.lease.row_version()?)],
         };
         let written = time::timeout(CALL_TIMEOUT, (self.store.commit)(commit)).await;
         let receipt = written.ok()?.ok()?;
@@ -343,18 +315,13 @@
         let body = self.stored.get(&window).cloned();
         let body =
             body.unwrap_or_else(|| (self.state.codec.encode_usage)(window, &self.counts(window)));
-        let write = |window: u64, data, expected_version| store::Write {
-            key: format!("{REPORT_KEY_PREFIX}{window}"),
-            data,
-            expected_version,
-        };
         let commit = store::Commit {
             table: store::Table::Usage,
             writes: vec![
-                write(window, Some(body.clone()), Some(0)),
-                write(window.saturating_sub(RETAINED_REPORTS), None, None),
+                usage_rows::report_write(window, body.clone()),
+                usage_rows::report_removal(window.saturating_sub(RETAINED_REPORTS)),
             ],
-            preconditions: vec![(LEASE_KEY.to_owned(), version)],
+            preconditions: vec![(usage_rows::LEASE_KEY.to_owned(), version)],
         };
         match time::timeout(CALL_TIMEOUT, (self.store.commit)(commit)).await {
             Ok(Ok(_)) => {
@@ -362,7 +329,7 @@
                 Some(body)
             }
             Ok(Err(store::StoreError::Conflict(rows))) => {
-                let key = format!("{REPORT_KEY_PREFIX}{window}");
+                let key = usage_rows::report_key(window);
                 rows.into_iter().find(|row| row.key == key).and_then(|row| row.data)
             }
             Ok(Err(error)) => {
@@ -427,26 +394,3 @@
         sum.into_iter().filter_map(named).collect()
     }
 }
-
-fn decode_lease_row(rows: &store::Rows) -> lease_store::VersionedRow<lease::LeaseRow> {
-    let Some(row) = rows.rows.iter().find(|row| row.key == LEASE_KEY) else {
-        return lease_store::VersionedRow::absent();
-    };
-    let value = row.data.as_deref().and_then(|data| {
-        serde_json::from_slice(data)
-            .inspect_err(|error| {
-                tracing::error!(reason = error.to_string(), "failed to decode the lease row");
-            })
-            .ok()
-    });
-    lease_store::VersionedRow { version: row.version, value }
-}
-
-fn find_era_notice(rows: &store::Rows) -> Option<EraNotice> {
-    let row = rows.rows.iter().find(|row| row.key == ERA_KEY)?;
-    serde_json::from_slice(row.data.as_deref()?)
-        .inspect_err(|error| {
-            tracing::error!(reason = error.to_string(), "failed to decode the era row");
-        })
-        .ok()
-}
