feat(gateway): log lines of attempts name the shared segments of the prompt

Cause: which segment the failures at different engines have in common could not be read from the logs, so the hypotheses of the incident looked the same. Change: 'an attempt failed' is written for each attempt that didn't lead to a complete answer, with segments, fetch source and time of the first event; 'request ended' has the segments.

--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -42,6 +42,12 @@
 /// Segments of a prompt, in order.
 pub type Segments = SmallVec<[Segment; 4]>;
 
+/// The segments that other requests may share: all but the last one, which is the request's own.
+#[must_use]
+pub fn shared_segments(segments: &[Segment]) -> &[Segment] {
+    &segments[..segments.len().saturating_sub(1)]
+}
+
 /// Decoded headers of a client's request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RequestHeaders {
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -207,6 +207,7 @@
                     self.observe(&target, health::Outcome::Unreachable);
                     reason = cause;
                     if !self.may_retry() {
+                        self.log_failed_attempt(&target, &reason);
                         return Err(self.failure(retry_delay, reason));
                     }
                 }
@@ -292,19 +293,31 @@
         }
     }
 
-    fn log_failed_attempt(&self, target: &attempt::Target, reason: &str) {
+    /// Logs an attempt that didn't lead to a complete response, with the shared segments of the
+    /// prompt: failures at different backend servers may have one in common.
+    pub(super) fn log_failed_attempt(&self, target: &attempt::Target, reason: &str) {
         if self.state.log_limiter.allow_failure(time::Instant::now()) {
             tracing::info!(
                 request = self.admitted.headers.id,
                 backend = target.id,
                 sends = self.sends,
                 runs = self.executions,
+                segments = self.segments_text(),
+                fetch_source = target.fetch_source.map(|address| address.to_string()),
+                first_ms = self.first_byte.map(|first| first.as_millis() as u64),
                 reason,
                 "an attempt failed"
             );
         }
     }
 
+    /// Ids of the shared segments of the prompt, for logs.
+    fn segments_text(&self) -> String {
+        let segments = codec::shared_segments(&self.admitted.headers.segments);
+        let ids: SmallVec<[_; 4]> = segments.iter().map(|s| format!("{:x}", s.id)).collect();
+        ids.join(",")
+    }
+
     /// Records that the first byte or event has arrived.
     pub(super) fn record_first_byte(&mut self) {
         let elapsed = self.started.elapsed();
@@ -341,6 +354,7 @@
             home = self.preference,
             uncached = self.uncached_tokens,
             prompt = self.admitted.headers.prompt_tokens,
+            segments = self.segments_text(),
             sends = self.sends,
             runs = self.executions,
             status,
--- a/crates/gateway/src/proxy/handler.rs
+++ b/crates/gateway/src/proxy/handler.rs
@@ -20,6 +20,7 @@
 use super::guards;
 use super::relay;
 use super::sse;
+use crate::codec;
 use crate::configuration;
 use crate::decision::failure;
 use crate::decision::health;
@@ -272,8 +273,10 @@
     let body = match time::timeout_at(request.deadline, body).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) => {
+            let reason = format!("the response ended early: {error}");
             request.observe(&target, health::Outcome::Failure);
-            return Err(format!("the response ended early: {error}"));
+            request.log_failed_attempt(&target, &reason);
+            return Err(reason);
         }
         Err(_) => return Err("the response did not end in time".to_owned()),
     };
@@ -309,8 +312,10 @@
             Err(_) => return Err("no event in time".to_owned()),
             Ok(None) => break None,
             Ok(Some(Err(error))) => {
+                let reason = format!("the stream ended early: {error}");
                 request.observe(&target, health::Outcome::Failure);
-                return Err(format!("the stream ended early: {error}"));
+                request.log_failed_attempt(&target, &reason);
+                return Err(reason);
             }
             Ok(Some(Ok(frame))) => frame,
         };
@@ -357,7 +362,8 @@
     let Some(server) = directory.get_mut(&target.id) else { return };
     let segments = &request.admitted.headers.segments;
     server.prefix_cache.insert(segments, sent_at);
-    let shared = segments.iter().rev().skip(1).filter(|segment| segment.tokens >= MIN_TOLD_TOKENS);
+    let shared = codec::shared_segments(segments).iter();
+    let shared = shared.filter(|segment| segment.tokens >= MIN_TOLD_TOKENS);
     request.state.read_segments.borrow_mut().extend(
         shared
             .map(|segment| peers::CachedSegment { backend_hash: server.hash, segment: segment.id }),
--- a/crates/gateway/src/proxy/relay.rs
+++ b/crates/gateway/src/proxy/relay.rs
@@ -82,6 +82,7 @@
             StreamEnd::Failed(reason) => reason,
         };
         request.observe(&stream.target, health::Outcome::Failure);
+        request.log_failed_attempt(&stream.target, &reason);
         splitter.discard_partial();
         request.last_event = splitter.last_id();
         drop(stream);
--- a/crates/gateway/src/proxy/selection.rs
+++ b/crates/gateway/src/proxy/selection.rs
@@ -40,8 +40,7 @@
     let in_partition = |server: &directory::BackendState| {
         boundary.is_none_or(|boundary| (server.hash >= boundary) == request.is_long())
     };
-    // The last segment is the request's own.
-    let shared_segments = &segments[..segments.len().saturating_sub(1)];
+    let shared_segments = codec::shared_segments(segments);
     let preferred = shared_segments.last().map(|segment| {
         let partition = usable.iter().filter(|server| in_partition(server));
         placement::preferred_backends(segment.id, partition.map(|server| server.hash))
