--- /dev/null
+++ b/crates/gateway/tests/crashing_prompts.rs
@@ -0,0 +1,68 @@
+//! Prompts with a segment that crashes each backend server that begins to answer them.
+
+mod support;
+
+use std::cell;
+use std::rc;
+
+use googletest::prelude::*;
+use support::loopback::*;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net as tokio_net;
+
+/// The segment that crashes backend servers, as it stands in a request.
+const DEADLY: &str = "66:500";
+
+/// Crashes in which a cause may be recognised, and requests with it that may follow.
+const MAX_DELIVERIES: usize = 5 + 3;
+
+/// A backend server that drops each request whose prompt has the deadly segment, and answers all
+/// others with a stream of one event; counts the dropped ones.
+async fn fragile_backend(dropped: &rc::Rc<cell::Cell<usize>>) -> Backend {
+    let listener = tokio_net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let backend = Backend {
+        address: listener.local_addr().expect("an address"),
+        requests: rc::Rc::default(),
+        disconnects: rc::Rc::default(),
+    };
+    let dropped = dropped.clone();
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let dropped = dropped.clone();
+            actix_rt::spawn(async move {
+                while let Some(head) = read_head(&mut stream).await {
+                    if head.contains(DEADLY) {
+                        return dropped.set(dropped.get() + 1);
+                    }
+                    let events = chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n";
+                    let text = format!("{STREAM_HEAD}{events}");
+                    if stream.write_all(text.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    backend
+}
+
+#[gtest]
+fn requests_whose_prompt_crashes_backend_servers_do_not_reach_all_of_them() {
+    run(async {
+        let dropped = rc::Rc::default();
+        let mut backends = Vec::new();
+        for _ in 0..10 {
+            backends.push(fragile_backend(&dropped).await);
+        }
+        let (_, address) = gateway(&backends.iter().collect::<Vec<_>>()).await;
+        for own in 100..130 {
+            let headers =
+                format!("x-tokens: 8000\r\nx-segments: 1:6000,5:1000,{DEADLY},{own}:9\r\n");
+            call(address, "/resume/a", &headers).await;
+        }
+        expect_that!(dropped.get(), le(MAX_DELIVERIES));
+        let sound =
+            "connection: close\r\nx-tokens: 8000\r\nx-segments: 1:6000,5:1000,77:500,200:9\r\n";
+        expect_that!(status(&call(address, "/resume/a", sound).await), eq("200"));
+    });
+}
