fix(gateway): prompts with a segment that crashes backend servers are kept from them

Cause: no gateway remembered which prompts were in progress when a backend server ended. Such a request was repeated at the next server, and each new one was placed like any other. Class: the effect of a request on a server outlives the request, but what was learned from it was kept with the server (health, backoff) alone. Change: decision::quarantine. Gateways remember the segments of requests that lost their server before the first event, clear those that are answered since, and tell each other at once and with each message. After three crashes that no other segment explains, prompts with the segment are rejected as not run (6411); after two, a lost one isn't repeated. After ten minutes single requests are sent again. Why it works: the guilty segment is the only one that is never answered; one that always comes with it is excused as long as the guilty one was lost as often.

--- a/crates/gateway/src/decision.rs
+++ b/crates/gateway/src/decision.rs
@@ -14,6 +14,7 @@
 pub mod prefill_speed;
 pub mod prefix_cache;
 pub mod priority;
+pub mod quarantine;
 pub mod quiet_period;
 pub mod report_readiness;
 pub mod retry_budget;
--- a/crates/gateway/src/decision/failure.rs
+++ b/crates/gateway/src/decision/failure.rs
@@ -16,6 +16,8 @@
 pub enum Failure {
     /// No backend server executed the request, and none will.
     NotExecuted,
+    /// No backend server executed the request, and none will: its prompt crashes them.
+    Quarantined,
     /// A backend server may have executed the request.
     OutcomeUnknown,
     /// The deadline has passed, and a backend server may have executed the request.
@@ -27,7 +29,7 @@
     #[must_use]
     pub const fn status(self) -> u16 {
         match self {
-            Self::NotExecuted => 503,
+            Self::NotExecuted | Self::Quarantined => 503,
             Self::OutcomeUnknown => 502,
             Self::TimedOut => 504,
         }
--- /dev/null
+++ b/crates/gateway/src/decision/quarantine.rs
@@ -0,0 +1,380 @@
+//! Keeps prompt segments away from backend servers that crash on them.
+//!
+//! A prompt may hold a segment on which a model engine crashes, together with all other requests that
+//! run there. A retry of such a request, and each new one with that segment, takes the next engine
+//! down. So gateways remember the segments of requests that lost their backend server before the
+//! first event, tell each other, and reject requests with a segment that was lost too often and
+//! answered never since.
+//!
+//! Most segments of lost requests are innocent. Three facts tell them apart:
+//!
+//! - An answer that began after a crash and was completed clears all segments of its prompt.
+//! - A crash that another segment was part of, which was lost as often, doesn't count against a
+//!   segment. So a segment that always came with the guilty one is still answered without it.
+//! - Crashes at about the same moment count once; they may have a common cause, such as a power loss.
+//!
+//! This handles requests of one kind that crash engines one after the other, at any rate and at any
+//! gateway, while requests that share all but one segment with them go on.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use azuregap_gateway::codec;
+//! use azuregap_gateway::decision::quarantine;
+//!
+//! let mut quarantine = quarantine::Quarantine::new(0.0);
+//! let prompt = [1, 66].map(|id| codec::Segment { id, tokens: 500 });
+//! for second in 1..=3 {
+//!     let at = Duration::from_secs(second);
+//!     assert!(quarantine.admit(&prompt, at).is_ok());
+//!     quarantine.record_crash(&prompt, second as u32, at);
+//!     let began_at = at + Duration::from_millis(1);
+//!     quarantine.record_answer(&prompt[..1], began_at, began_at);
+//! }
+//! let rejection = quarantine.admit(&prompt, Duration::from_secs(4)).expect_err("rejected");
+//! assert_eq!(rejection.segment, 66);
+//! assert!(quarantine.admit(&prompt[..1], Duration::from_secs(4)).is_ok());
+//! ```
+
+use std::cmp;
+use std::collections;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use smallvec::SmallVec;
+
+use crate::codec;
+
+/// Crashes without an answer since after which requests with a segment are rejected.
+const REJECT_CRASHES: usize = 3;
+
+/// Crashes without an answer since after which a request that lost its backend server is not
+/// retried.
+const RETRY_CRASHES: usize = 2;
+
+/// Crashes closer together than this count once.
+const COMMON_CAUSE: Duration = Duration::from_millis(250);
+
+/// Losses of one backend server within this time are one crash: gateways notice it at different
+/// times, and their clocks differ. It is shorter than the restart of an engine.
+const SAME_CRASH: Duration = Duration::from_millis(1_500);
+
+/// Time after the last crash for which requests with a segment are rejected; then single ones are
+/// sent again, since the engines may have been mended.
+const HOLD: Duration = Duration::from_secs(600);
+
+/// Interval between two single requests after [`HOLD`].
+const TRIAL_INTERVAL: Duration = Duration::from_secs(60);
+
+/// Time after the last crash after which a segment is forgotten.
+const FORGET: Duration = Duration::from_secs(3_600);
+
+/// Time for which other gateways are told that a segment was cleared.
+const TELL_CLEARED: Duration = Duration::from_secs(10);
+
+/// Maximum number of crashes that are remembered for each segment; the newest ones are kept.
+pub const MAX_CRASHES: usize = 16;
+
+/// Maximum number of segments that are remembered.
+const MAX_SUSPECTS: usize = 256;
+
+/// Maximum number of segments that are told in one message.
+pub const MAX_TOLD: usize = 32;
+
+/// Maximum number of segments whose last answer is remembered.
+const MAX_ANSWERS: usize = 4_096;
+
+/// Time of day, since 1970; the same at all gateways but for the error of their clocks.
+type TimeOfDay = Duration;
+
+/// The end of a run of a backend server before the first event of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Crash {
+    /// Hash of the backend server's id.
+    pub backend_hash: u32,
+    /// When it was noticed.
+    pub at: TimeOfDay,
+}
+
+impl Crash {
+    fn is_same(&self, other: &Self) -> bool {
+        self.backend_hash == other.backend_hash && self.at.abs_diff(other.at) < SAME_CRASH
+    }
+}
+
+/// What gateways tell each other about a segment.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Suspect {
+    /// The segment.
+    pub segment: codec::SegmentId,
+    /// Crashes since its last answer.
+    pub crashes: SmallVec<[Crash; 4]>,
+    /// Beginning of its last answer, if one is known; zero if none is.
+    pub answered_at: TimeOfDay,
+}
+
+/// Why a request is rejected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rejection {
+    /// The segment that crashed backend servers.
+    pub segment: codec::SegmentId,
+    /// Number of crashes that count against it.
+    pub crashes: usize,
+    /// Time until a request with it may be sent again.
+    pub time_left: Duration,
+    /// Whether this is the first request that is rejected for the segment here.
+    pub is_first: bool,
+}
+
+/// What is known about a segment that was part of a crash.
+#[derive(Clone, Debug, Default)]
+struct Record {
+    /// Crashes since the last answer.
+    crashes: SmallVec<[Crash; 4]>,
+    answered_at: TimeOfDay,
+    changed_at: TimeOfDay,
+    /// When the last single request after the hold was sent.
+    trial_at: TimeOfDay,
+    has_rejected: bool,
+}
+
+impl Record {
+    /// Adds a crash; returns whether it is news.
+    fn add(&mut self, crash: Crash) -> bool {
+        let is_known = self.crashes.iter().any(|known| known.is_same(&crash));
+        if is_known || crash.at <= self.answered_at {
+            return false;
+        }
+        self.crashes.push(crash);
+        if self.crashes.len() > MAX_CRASHES {
+            self.crashes.sort_unstable_by_key(|crash| crash.at);
+            self.crashes.remove(0);
+        }
+        true
+    }
+
+    /// Drops the crashes before an answer; returns whether this is news.
+    fn clear(&mut self, answered_at: TimeOfDay) -> bool {
+        if answered_at <= self.answered_at {
+            return false;
+        }
+        self.answered_at = answered_at;
+        let count = self.crashes.len();
+        self.crashes.retain(|crash| crash.at > answered_at);
+        count != self.crashes.len()
+    }
+
+    fn last_crash(&self) -> TimeOfDay {
+        self.crashes.iter().map(|crash| crash.at).max().unwrap_or_default()
+    }
+
+    fn last_change(&self) -> TimeOfDay {
+        self.last_crash().max(self.changed_at)
+    }
+}
+
+/// Segments that were part of crashes, and which of them are kept from backend servers.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    records: collections::HashMap<codec::SegmentId, Record>,
+    /// Beginning of the last answer of segments that were answered here.
+    answers: collections::HashMap<codec::SegmentId, TimeOfDay>,
+    hold: Duration,
+}
+
+impl Quarantine {
+    /// Creates an empty quarantine. `spread` is from 0 to 1 and differs between gateways, so that
+    /// they don't all send a segment again at the same time.
+    #[must_use]
+    pub fn new(spread: f64) -> Self {
+        Self { hold: HOLD.mul_f64(1.0 + spread), ..Self::default() }
+    }
+
+    /// Records that a request with these shared segments lost its backend server before the first
+    /// event; returns whether this is news for the other gateways.
+    pub fn record_crash(
+        &mut self,
+        segments: &[codec::Segment],
+        backend_hash: u32,
+        now: TimeOfDay,
+    ) -> bool {
+        let crash = Crash { backend_hash, at: now };
+        let mut is_news = false;
+        for segment in segments {
+            is_news |= self.record_mut(segment.id, now).is_some_and(|record| record.add(crash));
+        }
+        is_news
+    }
+
+    /// Records that an answer to a prompt with these shared segments, which began at `began_at`, was
+    /// completed; returns whether this is news for the other gateways.
+    pub fn record_answer(
+        &mut self,
+        segments: &[codec::Segment],
+        began_at: TimeOfDay,
+        now: TimeOfDay,
+    ) -> bool {
+        if self.answers.len() + segments.len() > MAX_ANSWERS {
+            self.answers.clear();
+        }
+        let mut is_news = false;
+        for segment in segments {
+            let answered_at = self.answers.entry(segment.id).or_default();
+            *answered_at = began_at.max(*answered_at);
+            let record = self.records.get_mut(&segment.id);
+            if let Some(record) = record.filter(|record| !record.crashes.is_empty())
+                && record.clear(began_at)
+            {
+                record.changed_at = now;
+                is_news = true;
+            }
+        }
+        is_news
+    }
+
+    /// Adds what another gateway tells; returns whether it is news.
+    pub fn merge(&mut self, told: &[Suspect], now: TimeOfDay) -> bool {
+        let mut is_news = false;
+        for suspect in told {
+            let Some(record) = self.record_mut(suspect.segment, now) else { continue };
+            let mut is_changed = record.clear(suspect.answered_at.min(now));
+            let mut is_outdated = false;
+            for crash in &suspect.crashes {
+                // A crash in the future could not be cleared by an answer.
+                let crash = Crash { at: crash.at.min(now), ..*crash };
+                is_changed |= record.add(crash);
+                is_outdated |= crash.at <= record.answered_at;
+            }
+            if is_changed || is_outdated {
+                record.changed_at = now;
+            }
+            is_news |= is_changed;
+        }
+        is_news
+    }
+
+    /// What the other gateways are told: the segments with most crashes first.
+    #[must_use]
+    pub fn told(&self, now: TimeOfDay) -> Vec<Suspect> {
+        let is_told = |record: &Record| {
+            !record.crashes.is_empty() || now.saturating_sub(record.changed_at) < TELL_CLEARED
+        };
+        let records = self.records.iter().filter(|(_, record)| is_told(record));
+        let mut told: Vec<_> = records
+            .map(|(segment, record)| Suspect {
+                segment: *segment,
+                crashes: record.crashes.clone(),
+                answered_at: record.answered_at,
+            })
+            .collect();
+        told.sort_unstable_by_key(|suspect| (cmp::Reverse(suspect.crashes.len()), suspect.segment));
+        told.truncate(MAX_TOLD);
+        told
+    }
+
+    /// Whether a request that lost its backend server may be retried: not if one of its segments is
+    /// already suspected.
+    #[must_use]
+    pub fn may_retry(&self, segments: &[codec::Segment]) -> bool {
+        self.guilty_segment(segments, RETRY_CRASHES).is_none()
+    }
+
+    /// Decides whether a request with these shared segments may be sent.
+    ///
+    /// # Errors
+    ///
+    /// If one of the segments is quarantined.
+    pub fn admit(&mut self, segments: &[codec::Segment], now: TimeOfDay) -> Result<(), Rejection> {
+        let Some((segment, crashes)) = self.guilty_segment(segments, REJECT_CRASHES) else {
+            return Ok(());
+        };
+        let Some(record) = self.records.get_mut(&segment) else { return Ok(()) };
+        let until = (record.last_crash() + self.hold).max(record.trial_at + TRIAL_INTERVAL);
+        if now >= until {
+            record.trial_at = now;
+            return Ok(());
+        }
+        let is_first = !std::mem::replace(&mut record.has_rejected, true);
+        Err(Rejection { segment, crashes, time_left: until - now, is_first })
+    }
+
+    /// The segment against which at least `min` crashes count, and their number.
+    fn guilty_segment(
+        &self,
+        segments: &[codec::Segment],
+        min: usize,
+    ) -> Option<(codec::SegmentId, usize)> {
+        let is_suspect = |id: &codec::SegmentId| {
+            self.records.get(id).is_some_and(|record| record.crashes.len() >= min)
+        };
+        let suspects = segments.iter().map(|segment| segment.id).filter(is_suspect);
+        let counted = suspects.map(|id| (id, self.unexplained_crashes(id, segments)));
+        counted.filter(|(_, count)| *count >= min).max_by_key(|(_, count)| *count)
+    }
+
+    /// Number of crashes of a segment that no segment outside the prompt explains which was lost as
+    /// often; those at about the same moment count once.
+    fn unexplained_crashes(&self, id: codec::SegmentId, prompt: &[codec::Segment]) -> usize {
+        let Some(record) = self.records.get(&id) else { return 0 };
+        let is_outside = |other: &codec::SegmentId| prompt.iter().all(|own| own.id != *other);
+        let others: SmallVec<[&Record; 8]> = self
+            .records
+            .iter()
+            .filter(|(other, rival)| {
+                rival.crashes.len() >= record.crashes.len() && is_outside(other)
+            })
+            .map(|(_, rival)| rival)
+            .collect();
+        let is_explained = |crash: &Crash| {
+            others.iter().any(|rival| rival.crashes.iter().any(|other| other.is_same(crash)))
+        };
+        let unexplained = record.crashes.iter().filter(|crash| !is_explained(crash));
+        let mut times: SmallVec<[TimeOfDay; 8]> = unexplained.map(|crash| crash.at).collect();
+        times.sort_unstable();
+        let mut counted: Option<TimeOfDay> = None;
+        let mut count = 0;
+        for at in times {
+            if counted.is_none_or(|counted| at - counted >= COMMON_CAUSE) {
+                counted = Some(at);
+                count += 1;
+            }
+        }
+        count
+    }
+
+    /// The record of a segment, a new one if there is none; `None` if there is no room for it.
+    fn record_mut(&mut self, segment: codec::SegmentId, now: TimeOfDay) -> Option<&mut Record> {
+        if !self.records.contains_key(&segment) {
+            if self.records.len() >= MAX_SUSPECTS {
+                self.make_room(now);
+            }
+            if self.records.len() >= MAX_SUSPECTS {
+                return None;
+            }
+            let answered_at = self.answers.get(&segment).copied().unwrap_or_default();
+            let record = Record { answered_at, changed_at: now, ..Record::default() };
+            self.records.insert(segment, record);
+        }
+        self.records.get_mut(&segment)
+    }
+
+    /// Removes segments whose last crash is long ago or that were cleared, and the least suspect one
+    /// if all others are still needed.
+    fn make_room(&mut self, now: TimeOfDay) {
+        self.records.retain(|_, record| {
+            let age = now.saturating_sub(record.last_change());
+            age < if record.crashes.is_empty() { TELL_CLEARED } else { FORGET }
+        });
+        if self.records.len() < MAX_SUSPECTS {
+            return;
+        }
+        let suspicion = |record: &Record| (record.crashes.len(), record.last_change());
+        let least = self.records.iter().min_by_key(|(_, record)| suspicion(record));
+        if let Some(id) = least.map(|(id, _)| *id) {
+            self.records.remove(&id);
+        }
+    }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,6 +22,10 @@
     pub store_calls: Counters,
     /// Connections opened to backend servers.
     pub connections: core::GenericCounter<core::AtomicU64>,
+    /// Requests that lost their backend server before the first event.
+    pub lost_prompts: core::GenericCounter<core::AtomicU64>,
+    /// Requests that were rejected since their prompt crashes backend servers.
+    pub quarantine_rejections: core::GenericCounter<core::AtomicU64>,
     first_byte: prometheus::Histogram,
     response_time: prometheus::Histogram,
 }
@@ -44,6 +48,9 @@
             Counters::new(prometheus::Opts::new(name, help), &[label])
                 .expect("the metric name is valid")
         };
+        let plain_counter = |name: &str, help: &str| {
+            core::GenericCounter::new(name, help).expect("the metric name is valid")
+        };
         let histogram = |name: &str, help: &str| {
             let opts = prometheus::HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
             prometheus::Histogram::with_opts(opts).expect("the metric name is valid")
@@ -57,11 +64,18 @@
                 "Calls to the platform by outcome",
                 "outcome",
             ),
-            connections: core::GenericCounter::new(
+            connections: plain_counter(
                 "azuregap_connections_total",
                 "Connections opened to backend servers",
-            )
-            .expect("the metric name is valid"),
+            ),
+            lost_prompts: plain_counter(
+                "azuregap_lost_prompts_total",
+                "Requests that lost their backend server before the first event",
+            ),
+            quarantine_rejections: plain_counter(
+                "azuregap_quarantine_rejections_total",
+                "Requests rejected since their prompt crashes backend servers",
+            ),
             first_byte: histogram("azuregap_first_byte_seconds", "Time to the first byte or event"),
             response_time: histogram("azuregap_answer_seconds", "Time to the end of the answer"),
         };
@@ -70,11 +84,13 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn core::Collector>; 6] = [
+        let collectors: [Box<dyn core::Collector>; 8] = [
             Box::new(self.requests.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.store_calls.clone()),
             Box::new(self.connections.clone()),
+            Box::new(self.lost_prompts.clone()),
+            Box::new(self.quarantine_rejections.clone()),
             Box::new(self.first_byte.clone()),
             Box::new(self.response_time.clone()),
         ];
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -14,6 +14,7 @@
 
 use azuregap_core::ids;
 use tokio::time;
+use xxhash_rust::xxh3;
 
 use crate::decision::candidacy;
 use crate::decision::gossip_timing;
@@ -48,6 +49,10 @@
 /// Maximum number of gateways that receive the usage counts, including silent ones.
 const MAX_COUNT_RECIPIENTS: usize = 12;
 
+/// Gateways that each gateway tells news at once. In a fleet of thousands nearly all hear of it after
+/// a few messages, the rest from their neighbours.
+const NEWS_RECIPIENTS: usize = 6;
+
 /// Position in the ring; the same at every gateway.
 type Position = (u32, ids::NodeId);
 
@@ -304,6 +309,23 @@
         addresses
     }
 
+    /// Addresses of the gateways that are told news at once: one in each of some equal parts of the
+    /// ring, selected by the random number `draw`.
+    #[must_use]
+    pub fn news_recipients(&self, draw: u32) -> Vec<net::SocketAddr> {
+        let count = self.peers.len();
+        let step = count.div_ceil(NEWS_RECIPIENTS).max(1);
+        let addresses: Vec<_> = self.addresses().collect();
+        let parts = addresses.chunks(step).zip(0_u32..);
+        let select = |(part, number): (&[net::SocketAddr], u32)| {
+            let mut key = [0; 8];
+            key[..4].copy_from_slice(&draw.to_le_bytes());
+            key[4..].copy_from_slice(&number.to_le_bytes());
+            part[(xxh3::xxh3_64(&key) % part.len() as u64) as usize]
+        };
+        parts.map(select).collect()
+    }
+
     /// Removes gateways that have neither been listed nor sent a message for [`PEER_EXPIRY`].
     pub fn remove_expired(&mut self, now: time::Instant) {
         let is_old = |at: time::Instant| now.saturating_duration_since(at) >= PEER_EXPIRY;
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -9,6 +9,7 @@
 use super::notice;
 use crate::codec;
 use crate::decision::priority;
+use crate::decision::quarantine;
 use crate::decision::usage_counts;
 use crate::directory;
 
@@ -118,13 +119,17 @@
     /// of an earlier version.
     #[serde(skip)]
     pub cached: Vec<CachedSegment>,
+    /// Prompt segments that were part of crashes of backend servers; empty from a gateway of an
+    /// earlier version.
+    #[serde(skip)]
+    pub suspects: Vec<quarantine::Suspect>,
 }
 
 impl GossipMessage {
     /// Encodes the message as a datagram.
     ///
-    /// The notice and the cached segments follow the fields that every version knows; gateways of
-    /// earlier versions ignore bytes after these.
+    /// The notice, the cached segments and the suspects follow the fields that every version knows;
+    /// gateways of earlier versions ignore bytes after those that they know.
     ///
     /// # Panics
     ///
@@ -135,6 +140,10 @@
         if let Some(notice) = &self.notice {
             bytes = postcard::to_extend(notice, bytes).expect("a notice can be encoded");
             bytes = postcard::to_extend(&self.cached, bytes).expect("segments can be encoded");
+            if !self.suspects.is_empty() {
+                bytes =
+                    postcard::to_extend(&self.suspects, bytes).expect("suspects can be encoded");
+            }
         }
         bytes
     }
@@ -164,7 +173,14 @@
             let mut relayed = notice.relayed.iter().flat_map(|relayed| &relayed.counts);
             totals.all(|(window, total)| *window.max(total) <= MAX_NUMBER) && relayed.all(is_count)
         };
+        let is_suspect = |suspect: &quarantine::Suspect| {
+            suspect.crashes.len() <= quarantine::MAX_CRASHES
+                && suspect.answered_at <= MAX_WALL_TIME
+                && suspect.crashes.iter().all(|crash| crash.at <= MAX_WALL_TIME)
+        };
         self.wall_time <= MAX_WALL_TIME
+            && self.suspects.len() <= quarantine::MAX_TOLD
+            && self.suspects.iter().all(is_suspect)
             && self.loads.iter().all(is_load)
             && self.counts.iter().all(is_count)
             && self.notice.as_ref().is_none_or(is_notice)
@@ -181,7 +197,11 @@
             let (notice, rest) = postcard::take_from_bytes(rest)?;
             message.notice = Some(notice);
             if !rest.is_empty() {
-                message.cached = postcard::from_bytes(rest)?;
+                let (cached, rest) = postcard::take_from_bytes(rest)?;
+                message.cached = cached;
+                if !rest.is_empty() {
+                    message.suspects = postcard::from_bytes(rest)?;
+                }
             }
         }
         if message.is_plausible() {
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -1,5 +1,6 @@
 //! A single attempt to send a request to one backend server.
 
+use std::error::Error as _;
 use std::net;
 use std::rc;
 use std::time::Duration;
@@ -59,7 +60,17 @@
     /// The backend server couldn't be reached; nothing was sent.
     NotSent(String),
     /// The request may have been executed.
-    Unknown(String),
+    Unknown {
+        cause: String,
+        /// Whether the connection ended before the response, as it does if the server crashes.
+        is_disconnect: bool,
+    },
+}
+
+impl Outcome {
+    fn unknown(cause: impl Into<String>) -> Self {
+        Self::Unknown { cause: cause.into(), is_disconnect: false }
+    }
 }
 
 /// Sends a request and waits for the head of the response.
@@ -101,7 +112,7 @@
         let start = time::Instant::now();
         let sent = time::timeout_at(deadline, connection.sender.try_send_request(request)).await;
         let response = match sent {
-            Err(_) => return Outcome::Unknown("no response in time".to_owned()),
+            Err(_) => return Outcome::unknown("no response in time"),
             Ok(Ok(response)) => response,
             Ok(Err(mut error)) => match error.take_message() {
                 Some(unsent) if !is_new => {
@@ -113,7 +124,10 @@
                     if start.elapsed() < IMMEDIATE_FAILURE {
                         record_idle_loss(state, service, connection.idle_time);
                     }
-                    return Outcome::Unknown(error.error().to_string());
+                    return Outcome::Unknown {
+                        cause: error.error().to_string(),
+                        is_disconnect: is_disconnect(error.error()),
+                    };
                 }
             },
         };
@@ -121,6 +135,14 @@
     }
 }
 
+/// Whether an error means that the backend server has ended or closed the connection, rather than
+/// that it is silent or sends bytes that are no response.
+pub(super) fn is_disconnect(error: &hyper::Error) -> bool {
+    let io_error = error.source().and_then(|source| source.downcast_ref::<std::io::Error>());
+    let is_silent = io_error.is_some_and(|error| error.kind() == std::io::ErrorKind::TimedOut);
+    !is_silent && !error.is_parse()
+}
+
 /// How long a pooled connection to a service may have been idle to be used again.
 fn max_idle(state: &state::State, service: &str) -> Duration {
     let now = time::Instant::now();
@@ -152,7 +174,7 @@
     let (head, body) = response.into_parts();
     let decoded = (state.codec.decode_response)(&head.headers);
     if decoded.id.as_deref().is_some_and(|echoed| echoed != id) {
-        return Outcome::Unknown("the response belongs to another request".to_owned());
+        return Outcome::unknown("the response belongs to another request");
     }
     // A backend server that got the address of one that has ended responds with 421.
     if head.status == http::StatusCode::MISDIRECTED_REQUEST {
@@ -163,10 +185,10 @@
         return Outcome::NotExecuted;
     }
     if decoded.id.is_none() {
-        return Outcome::Unknown("the response has no request id".to_owned());
+        return Outcome::unknown("the response has no request id");
     }
     if head.status.is_success() && !decoded.signed {
-        return Outcome::Unknown("the response is not signed".to_owned());
+        return Outcome::unknown("the response is not signed");
     }
     Outcome::Response(Box::new(Response { head, decoded, body, connection }))
 }
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -19,6 +19,8 @@
 use crate::decision::failure;
 use crate::decision::health;
 use crate::decision::priority;
+use crate::decision::quarantine;
+use crate::directory;
 use crate::state;
 
 /// Maximum sends of one request, including those that reached no backend server.
@@ -53,6 +55,8 @@
     pub(super) executions: u32,
     /// Id of the last event that was relayed.
     pub(super) last_event: Option<u64>,
+    /// Time of day at which the answer began.
+    pub(super) began_at: Duration,
     /// Time to the first byte or event.
     pub(super) first_byte: Option<Duration>,
     /// Longest time between two events.
@@ -105,6 +109,7 @@
             body,
             started,
             executions: 0,
+            began_at: Duration::ZERO,
             first_byte: None,
             longest_gap: Duration::ZERO,
             sends: 0,
@@ -126,6 +131,58 @@
         self.admitted.route.kind.may_retry()
             && self.executions < self.admitted.route.max_attempts
             && self.time_left() > MIN_TIME_LEFT
+            && self.state.quarantine.borrow().may_retry(self.shared_segments())
+    }
+
+    /// Segments of the prompt that other requests may share.
+    fn shared_segments(&self) -> &[codec::Segment] {
+        codec::shared_segments(&self.admitted.headers.segments)
+    }
+
+    /// Records that the request lost its backend server before the first event.
+    pub(super) fn record_crash(&self, target: &attempt::Target) {
+        let (state, segments) = (&self.state, self.shared_segments());
+        if segments.is_empty() {
+            return;
+        }
+        state.metrics.lost_prompts.inc();
+        let (hash, now) = (directory::id_hash(&target.id), state.time_of_day());
+        if state.quarantine.borrow_mut().record_crash(segments, hash, now) {
+            state.quarantine_changed.notify_one();
+        }
+    }
+
+    /// Records that the answer is complete.
+    pub(super) fn record_answer(&self) {
+        let (state, segments) = (&self.state, self.shared_segments());
+        let now = state.time_of_day();
+        if state.quarantine.borrow_mut().record_answer(segments, self.began_at, now) {
+            state.quarantine_changed.notify_one();
+        }
+    }
+
+    /// Whether the request may be sent although its prompt may crash backend servers.
+    fn check_quarantine(&self) -> Result<(), quarantine::Rejection> {
+        let now = self.state.time_of_day();
+        self.state.quarantine.borrow_mut().admit(self.shared_segments(), now)
+    }
+
+    fn rejected(&self, rejection: &quarantine::Rejection) -> RequestFailure {
+        let segment = format!("{:x}", rejection.segment);
+        if rejection.is_first {
+            let hold_ms = rejection.time_left.as_millis() as u64;
+            let crashes = rejection.crashes;
+            tracing::warn!(segment, crashes, hold_ms, "prompt segment quarantined");
+        }
+        self.state.metrics.quarantine_rejections.inc();
+        let reason = format!("segment {segment} crashed {} backend servers", rejection.crashes);
+        let failure = self.failure(rejection.time_left, reason);
+        match failure.kind {
+            failure::Failure::NotExecuted => {
+                RequestFailure { kind: failure::Failure::Quarantined, ..failure }
+            }
+            _ => failure,
+        }
     }
 
     /// Records the outcome of the request at a backend server.
@@ -171,6 +228,9 @@
                 }
                 return Err(self.failure(retry_delay, reason));
             };
+            if let Err(rejection) = self.check_quarantine() {
+                return Err(self.rejected(&rejection));
+            }
             if self.sends >= MAX_SENDS || !self.acquire_send() {
                 return Err(self.failure(retry_delay, reason));
             }
@@ -201,10 +261,13 @@
                     self.observe(&target, health::Outcome::Unreachable);
                     reason = cause;
                 }
-                attempt::Outcome::Unknown(cause) => {
+                attempt::Outcome::Unknown { cause, is_disconnect } => {
                     self.deliveries += 1;
                     self.executions += 1;
                     self.observe(&target, health::Outcome::Unreachable);
+                    if is_disconnect {
+                        self.record_crash(&target);
+                    }
                     reason = cause;
                     if !self.may_retry() {
                         self.log_failed_attempt(&target, &reason);
@@ -313,8 +376,8 @@
 
     /// Ids of the shared segments of the prompt, for logs.
     fn segments_text(&self) -> String {
-        let segments = codec::shared_segments(&self.admitted.headers.segments);
-        let ids: SmallVec<[_; 4]> = segments.iter().map(|s| format!("{:x}", s.id)).collect();
+        let ids = self.shared_segments().iter().map(|segment| format!("{:x}", segment.id));
+        let ids: SmallVec<[_; 4]> = ids.collect();
         ids.join(",")
     }
 
@@ -322,6 +385,7 @@
     pub(super) fn record_first_byte(&mut self) {
         let elapsed = self.started.elapsed();
         self.first_byte = Some(elapsed);
+        self.began_at = self.state.time_of_day();
         self.state.metrics.observe_first_byte(elapsed);
     }
 
--- a/crates/gateway/src/proxy/handler.rs
+++ b/crates/gateway/src/proxy/handler.rs
@@ -175,11 +175,19 @@
 ) -> Response {
     let status = failure.kind.status();
     request.record_end(status, "", "given up", &failure.reason);
-    let retry_after = (failure.kind == failure::Failure::NotExecuted)
-        .then(|| failure::retry_after(failure.retry_delay, request.time_left(), rand::random()));
+    let retry_after = match failure.kind {
+        failure::Failure::NotExecuted => {
+            Some(failure::retry_after(failure.retry_delay, request.time_left(), rand::random()))
+        }
+        failure::Failure::Quarantined => Some(failure.retry_delay),
+        failure::Failure::OutcomeUnknown | failure::Failure::TimedOut => None,
+    };
     let status = http::StatusCode::from_u16(status).unwrap_or(http::StatusCode::BAD_GATEWAY);
     let text = match failure.kind {
         failure::Failure::NotExecuted => "6407: the request was not run; come back later",
+        failure::Failure::Quarantined => {
+            "6411: the request was not run; part of its prompt crashes backend servers"
+        }
         failure::Failure::OutcomeUnknown => "6408: the request may have run; its answer is lost",
         failure::Failure::TimedOut => "6409: the request was not answered in time",
     };
@@ -290,6 +298,9 @@
     let outcome = if is_error { health::Outcome::Failure } else { health::Outcome::Success };
     request.observe(&target, outcome);
     request.record_first_byte();
+    if status.is_success() {
+        request.record_answer();
+    }
     let is_final = !(is_error && request.may_retry());
     if is_final {
         request.record_end(status.as_u16(), &target.id, "complete", "");
@@ -314,6 +325,9 @@
             Ok(Some(Err(error))) => {
                 let reason = format!("the stream ended early: {error}");
                 request.observe(&target, health::Outcome::Failure);
+                if attempt::is_disconnect(&error) {
+                    request.record_crash(&target);
+                }
                 request.log_failed_attempt(&target, &reason);
                 return Err(reason);
             }
--- a/crates/gateway/src/proxy/relay.rs
+++ b/crates/gateway/src/proxy/relay.rs
@@ -65,6 +65,7 @@
         let reason = match end {
             StreamEnd::Complete => {
                 request.observe(&stream.target, health::Outcome::Success);
+                request.record_answer();
                 if !stream.decoded.closes_connection {
                     let address = stream.target.address;
                     let idle_timeout = stream.decoded.idle_timeout;
--- a/crates/gateway/src/service/gossip.rs
+++ b/crates/gateway/src/service/gossip.rs
@@ -32,6 +32,9 @@
 /// Requests that are sent without a pause.
 const REQUEST_BATCH: usize = 16;
 
+/// Minimum interval between two messages with news.
+const NEWS_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Maximum size of a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
@@ -54,7 +57,8 @@
     let sender = rc::Rc::new(Sender { state, socket, incarnation });
     let receive = receive(sender.clone());
     let counts = futures::future::join(send_counts(sender.clone()), request_counts(sender.clone()));
-    futures::future::join4(list, send_loads(sender), counts, receive).await;
+    let loads = futures::future::join(send_loads(sender.clone()), send_news(sender));
+    futures::future::join4(list, loads, counts, receive).await;
 }
 
 /// Sends messages to other gateways.
@@ -134,6 +138,21 @@
     }
 }
 
+/// Sends news about prompt segments that crash backend servers to some gateways at once; each of
+/// them passes on what is news to it, so that it is known everywhere after a few messages.
+async fn send_news(sender: rc::Rc<Sender>) {
+    let state = &sender.state;
+    loop {
+        state.quarantine_changed.notified().await;
+        let draw = rand::random();
+        let addresses = state.peers.borrow().news_recipients(draw);
+        let mut message = load_message(state, sender.incarnation);
+        message.cached.clear();
+        sender.send(&message, &addresses).await;
+        time::sleep(NEWS_INTERVAL).await;
+    }
+}
+
 /// In a large fleet, sends the counts to the gateways that may report usage at regular intervals.
 async fn send_counts(sender: rc::Rc<Sender>) {
     let state = &sender.state;
@@ -195,10 +214,11 @@
     peers::GossipMessage {
         node: state.settings.node.clone(),
         incarnation,
-        wall_time: state.median_clock.borrow().time_at(state.clock.now()),
+        wall_time: state.time_of_day(),
         loads: state.directory.borrow().all().filter(busy).map(backend_load).collect(),
         counts: Vec::new(),
         cached: state.read_segments.borrow().iter().copied().take(MAX_SEGMENTS).collect(),
+        suspects: state.quarantine.borrow().told(state.time_of_day()),
         notice: Some(peers::UsageNotice {
             can_report: state.freshness.borrow().is_store_answering() && !state.is_stopping(),
             is_leaving: state.is_stopping(),
@@ -240,6 +260,11 @@
                 // The requests for the counts show a gateway that its counts arrive.
                 let is_requested = message.notice.is_some() && state.reporting.borrow().is_some();
                 state.directory.borrow_mut().record_reads(&message.cached, time::Instant::now());
+                let is_news =
+                    state.quarantine.borrow_mut().merge(&message.suspects, state.time_of_day());
+                if is_news {
+                    state.quarantine_changed.notify_one();
+                }
                 let reply = state.peers.borrow_mut().handle_message(message, from, now);
                 match reply {
                     peers::Reply::Counts => sender.answer_request(from).await,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,6 +19,7 @@
 use crate::decision::idle_limit;
 use crate::decision::median_clock;
 use crate::decision::prefill_speed;
+use crate::decision::quarantine;
 use crate::decision::retry_budget;
 use crate::decision::usage_counts;
 use crate::directory;
@@ -84,6 +85,10 @@
     /// Shared prompt segments that backend servers have read for this gateway since it last told
     /// the others.
     pub read_segments: cell::RefCell<collections::BTreeSet<peers::CachedSegment>>,
+    /// Prompt segments that crash backend servers.
+    pub quarantine: cell::RefCell<quarantine::Quarantine>,
+    /// Notified when the quarantine has news for the other gateways.
+    pub quarantine_changed: sync::Notify,
     /// Limit on the idle time of reused connections, by service.
     pub idle_limits: cell::RefCell<collections::HashMap<ids::PoolId, idle_limit::IdleLimit>>,
     /// Budget for retries, shared with the other gateways.
@@ -123,7 +128,10 @@
     #[must_use]
     pub fn new(settings: settings::Settings, codec: codec::Codec, clock: clock::Clock) -> Self {
         let now = clock.now();
+        let spread = f64::from(directory::id_hash(&settings.node)) / f64::from(u32::MAX);
         Self {
+            quarantine: cell::RefCell::new(quarantine::Quarantine::new(spread)),
+            quarantine_changed: sync::Notify::new(),
             configuration: cell::RefCell::new(None),
             freshness: cell::RefCell::new(freshness::Freshness::new(settings.revocation_bound)),
             refresh_requested: sync::Notify::new(),
@@ -210,11 +218,17 @@
         if !self.team_names.borrow().contains_key(&hash) {
             self.team_names.borrow_mut().insert(hash, team.to_owned());
         }
-        let started = self.median_clock.borrow().time_at(self.clock.now()).saturating_sub(elapsed);
+        let started = self.time_of_day().saturating_sub(elapsed);
         let window = usage_counts::window_at(started, self.settings.usage_window);
         self.usage_counts.borrow_mut().increment(window, hash);
     }
 
+    /// Estimate of the time of day, since 1970.
+    #[must_use]
+    pub fn time_of_day(&self) -> Duration {
+        self.median_clock.borrow().time_at(self.clock.now())
+    }
+
     /// Current time of the runtime's clock, which stands still while the VM is suspended.
     #[must_use]
     pub fn now(&self) -> time::Instant {
--- a/crates/gateway/tests/cache_fetch.rs
+++ b/crates/gateway/tests/cache_fetch.rs
@@ -52,6 +52,7 @@
         counts: Vec::new(),
         notice: Some(peers::UsageNotice::default()),
         cached: vec![peers::CachedSegment { backend_hash: 7, segment: 9 }],
+        suspects: Vec::new(),
     };
     let bytes = message.encode();
     expect_that!(peers::GossipMessage::decode(&bytes), ok(eq(&message)));
--- a/crates/gateway/tests/crashing_prompts.rs
+++ b/crates/gateway/tests/crashing_prompts.rs
@@ -54,13 +54,14 @@
         for _ in 0..10 {
             backends.push(fragile_backend(&dropped).await);
         }
-        let (_, address) = gateway(&backends.iter().collect::<Vec<_>>()).await;
+        let (state, address) = gateway(&backends.iter().collect::<Vec<_>>()).await;
         for own in 100..130 {
             let headers =
                 format!("x-tokens: 8000\r\nx-segments: 1:6000,5:1000,{DEADLY},{own}:9\r\n");
             call(address, "/resume/a", &headers).await;
         }
         expect_that!(dropped.get(), le(MAX_DELIVERIES));
+        expect_that!(state.metrics.quarantine_rejections.get(), ge(30 - MAX_DELIVERIES as u64));
         let sound =
             "connection: close\r\nx-tokens: 8000\r\nx-segments: 1:6000,5:1000,77:500,200:9\r\n";
         expect_that!(status(&call(address, "/resume/a", sound).await), eq("200"));
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -39,6 +39,7 @@
         incarnation: 1,
         wall_time: support::START_TIME,
         cached: Vec::new(),
+        suspects: Vec::new(),
         loads: vec![load],
         counts: Vec::new(),
         notice: None,
--- a/crates/gateway/tests/malformed_messages.rs
+++ b/crates/gateway/tests/malformed_messages.rs
@@ -6,7 +6,9 @@
 use std::panic;
 use std::time::Duration;
 
+use azuregap_gateway::codec;
 use azuregap_gateway::decision::median_clock;
+use azuregap_gateway::decision::quarantine;
 use azuregap_gateway::decision::usage_counts;
 use azuregap_gateway::peers;
 use googletest::prelude::*;
@@ -20,6 +22,13 @@
     usage_counts::window_at(support::START_TIME, WINDOW)
 }
 
+const START: Duration = support::START_TIME;
+
+fn suspect(second: u64) -> quarantine::Suspect {
+    let crash = quarantine::Crash { backend_hash: 7, at: Duration::from_secs(second) };
+    quarantine::Suspect { segment: 9, crashes: [crash].into_iter().collect(), answered_at: START }
+}
+
 fn message() -> peers::GossipMessage {
     let entry = peers::RankEntry { rank: 2, in_flight: 3, pending_prefill: 900 };
     let load = peers::BackendLoad { backend_hash: 7, long_prompts: 1, ranks: vec![entry] };
@@ -42,6 +51,7 @@
             ..peers::UsageNotice::default()
         }),
         cached: vec![peers::CachedSegment { backend_hash: 7, segment: 9 }],
+        suspects: vec![suspect(START.as_secs())],
     }
 }
 
@@ -50,6 +60,9 @@
     let now = time::Instant::now();
     let from = net::SocketAddr::from(([127, 0, 0, 1], 9));
     let Ok(message) = peers::GossipMessage::decode(bytes) else { return };
+    let mut quarantine = quarantine::Quarantine::new(0.0);
+    quarantine.merge(&message.suspects, START);
+    let _ = quarantine.admit(&[codec::Segment { id: 9, tokens: 1 }], START);
     peers.handle_message(message, from, now);
     let _ = peers.load(7, now);
     clock.adjust(now, support::START_TIME, peers.clock_estimates(now));
@@ -86,6 +99,14 @@
             "totals",
             peers::GossipMessage { notice: notice(Some(vec![(u64::MAX, 1)])), ..base.clone() },
         ),
+        (
+            "crash",
+            peers::GossipMessage {
+                suspects: vec![suspect(u64::MAX)],
+                loads: entry(1, 1),
+                ..base.clone()
+            },
+        ),
     ];
     for (name, message) in table {
         let played = panic::catch_unwind(|| {
--- a/crates/gateway/tests/reporting.rs
+++ b/crates/gateway/tests/reporting.rs
@@ -277,6 +277,7 @@
         incarnation: 4,
         wall_time: seconds(9),
         cached: Vec::new(),
+        suspects: Vec::new(),
         loads: Vec::new(),
         counts: vec![peers::UsageCount { window: 1, team: 2, requests: 3 }],
         notice: None,
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -126,6 +126,7 @@
             loads: Vec::new(),
             counts: Vec::new(),
             cached: Vec::new(),
+            suspects: Vec::new(),
             notice: Some(peers::UsageNotice {
                 can_report: self.reachable_since.is_some(),
                 is_leaving: now >= self.stopping_at,
