fix(gateway): a stream that ends inside an event does not look complete

What callers saw: a stream without length or chunks whose backend server ended in the middle of an event was passed on as a whole one, with its cut event; one that ended before its first event became an empty answer with status 200. Cause: the end of a body was taken for the end of the stream, whatever marks it; with such a body the end of the server's connection is all there is. Change: bytes after the last complete event fail the attempt, which is resumed where the route allows it and cut visibly otherwise. A body that ends with its connection before any event fails too, and its connection is not kept. Why it works: only a body whose bytes end with an event, or one that isn't a stream of events at all, is passed on as complete.

--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -7,6 +7,7 @@
 
 use azuregap_core::ids;
 use bytes::Bytes;
+use http::header;
 use http::request;
 use http::response;
 use http_body_util::Full;
@@ -48,6 +49,24 @@
     pub(super) decoded: codec::ResponseHeaders,
     pub(super) body: body::Incoming,
     pub(super) connection: pool::Connection,
+    pub(super) framing: Framing,
+}
+
+/// How the end of a body is recognised.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Framing {
+    /// By its length or its last chunk.
+    Delimited,
+    /// By the end of the connection.
+    UntilClose,
+}
+
+impl Framing {
+    fn of(head: &response::Parts) -> Self {
+        let is_delimited = head.headers.contains_key(header::CONTENT_LENGTH)
+            || head.headers.contains_key(header::TRANSFER_ENCODING);
+        if is_delimited { Self::Delimited } else { Self::UntilClose }
+    }
 }
 
 /// Outcome of an attempt.
@@ -190,7 +209,8 @@
     if head.status.is_success() && !decoded.signed {
         return Outcome::unknown("the response is not signed");
     }
-    Outcome::Response(Box::new(Response { head, decoded, body, connection }))
+    let framing = Framing::of(&head);
+    Outcome::Response(Box::new(Response { head, decoded, body, connection, framing }))
 }
 
 /// Records what the backend server says about itself in a response: that it is leaving, or that it
--- a/crates/gateway/src/proxy/handler.rs
+++ b/crates/gateway/src/proxy/handler.rs
@@ -265,6 +265,17 @@
     Ok(response)
 }
 
+/// Records that a backend server began to respond and failed; returns the reason.
+fn fail_attempt(
+    request: &dispatch::ProxyRequest,
+    target: &attempt::Target,
+    reason: String,
+) -> String {
+    request.observe(target, health::Outcome::Failure);
+    request.log_failed_attempt(target, &reason);
+    reason
+}
+
 /// Reads a response to its end. The flag is false if it is an error and the request may be retried
 /// at another backend server.
 async fn read_response(
@@ -282,14 +293,13 @@
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) => {
             let reason = format!("the response ended early: {error}");
-            request.observe(&target, health::Outcome::Failure);
-            request.log_failed_attempt(&target, &reason);
-            return Err(reason);
+            return Err(fail_attempt(request, &target, reason));
         }
         Err(_) => return Err("the response did not end in time".to_owned()),
     };
     drop(load_guard);
-    if !response.decoded.closes_connection {
+    let is_reusable = response.framing == attempt::Framing::Delimited;
+    if is_reusable && !response.decoded.closes_connection {
         let idle_timeout = response.decoded.idle_timeout;
         request.state.pool.put(target.address, response.connection, idle_timeout);
     }
@@ -321,15 +331,18 @@
     let first = loop {
         let frame = match time::timeout_at(request.deadline, response.body.frame()).await {
             Err(_) => return Err("no event in time".to_owned()),
+            Ok(None) if response.framing == attempt::Framing::UntilClose => {
+                request.record_crash(&target);
+                let reason = "the stream ended before its first event".to_owned();
+                return Err(fail_attempt(request, &target, reason));
+            }
             Ok(None) => break None,
             Ok(Some(Err(error))) => {
-                let reason = format!("the stream ended early: {error}");
-                request.observe(&target, health::Outcome::Failure);
                 if attempt::is_disconnect(&error) {
                     request.record_crash(&target);
                 }
-                request.log_failed_attempt(&target, &reason);
-                return Err(reason);
+                let reason = format!("the stream ended early: {error}");
+                return Err(fail_attempt(request, &target, reason));
             }
             Ok(Some(Ok(frame))) => frame,
         };
@@ -361,6 +374,7 @@
         decoded: response.decoded,
         body: response.body,
         connection: response.connection,
+        framing: response.framing,
     };
     actix_rt::spawn(relay::run(request.clone(), stream, splitter, first, sender));
     Ok(client_response)
--- a/crates/gateway/src/proxy/relay.rs
+++ b/crates/gateway/src/proxy/relay.rs
@@ -31,6 +31,7 @@
     pub(super) decoded: codec::ResponseHeaders,
     pub(super) body: body::Incoming,
     pub(super) connection: pool::Connection,
+    pub(super) framing: attempt::Framing,
 }
 
 type EventSender = mpsc::Sender<Result<Bytes, response_body::BodyError>>;
@@ -66,7 +67,8 @@
             StreamEnd::Complete => {
                 request.observe(&stream.target, health::Outcome::Success);
                 request.record_answer();
-                if !stream.decoded.closes_connection {
+                let is_reusable = stream.framing == attempt::Framing::Delimited;
+                if is_reusable && !stream.decoded.closes_connection {
                     let address = stream.target.address;
                     let idle_timeout = stream.decoded.idle_timeout;
                     request.state.pool.put(address, stream.connection, idle_timeout);
@@ -122,6 +124,7 @@
         decoded: response.decoded,
         body: response.body,
         connection: response.connection,
+        framing: response.framing,
     })
 }
 
@@ -142,6 +145,10 @@
             Some(Ok(frame)) => frame.into_data().ok().and_then(|data| splitter.push(&data)),
             Some(Err(error)) => return StreamEnd::Failed(error.to_string()),
             None => {
+                let is_delimited = stream.framing == attempt::Framing::Delimited;
+                if splitter.is_broken_off(is_delimited) {
+                    return StreamEnd::Failed("the stream ended inside an event".to_owned());
+                }
                 if let Some(remainder) = splitter.take_remainder()
                     && events.send(Ok(remainder)).await.is_err()
                 {
--- a/crates/gateway/src/proxy/sse.rs
+++ b/crates/gateway/src/proxy/sse.rs
@@ -19,6 +19,7 @@
     buffer: BytesMut,
     scanned: usize,
     last_id: Option<u64>,
+    has_events: bool,
 }
 
 impl EventSplitter {
@@ -26,7 +27,7 @@
     /// are dropped.
     #[must_use]
     pub fn new(last_id: Option<u64>) -> Self {
-        Self { buffer: BytesMut::new(), scanned: 0, last_id }
+        Self { buffer: BytesMut::new(), scanned: 0, last_id, has_events: false }
     }
 
     /// Id of the last complete event.
@@ -42,6 +43,7 @@
         while let Some(end) = self.find_event_end() {
             let event = self.buffer.split_to(end);
             self.scanned = 0;
+            self.has_events = true;
             let id = event_id(&event);
             let is_duplicate = id.zip(self.last_id).is_some_and(|(id, last_id)| id <= last_id);
             if !is_duplicate {
@@ -52,6 +54,13 @@
         (!complete.is_empty()).then(|| complete.freeze())
     }
 
+    /// Whether the stream, which has ended, was broken off inside an event. A body that was delimited
+    /// and has no event at all is no stream of events.
+    #[must_use]
+    pub fn is_broken_off(&self, is_delimited: bool) -> bool {
+        self.buffer.has_remaining() && (self.has_events || !is_delimited)
+    }
+
     /// Takes the bytes after the last complete event, once the stream has ended normally.
     pub fn take_remainder(&mut self) -> Option<Bytes> {
         self.buffer.has_remaining().then(|| self.buffer.split().freeze())
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -55,6 +55,52 @@
     });
 }
 
+/// Head of an answer that ends with its connection.
+const UNFRAMED_HEAD: &str = "HTTP/1.1 200 OK\r\nx-id: 1\r\n\r\n";
+
+#[gtest]
+fn stream_that_ends_inside_an_event_does_not_look_complete() {
+    for (name, head, events, whole) in [
+        ("unframed, whole", UNFRAMED_HEAD, "id: 1\ndata: a\n\n".to_owned(), true),
+        ("unframed, cut", UNFRAMED_HEAD, "id: 1\ndata: a\n\nid: 2\nda".to_owned(), false),
+        ("unframed, cut at a line", UNFRAMED_HEAD, "id: 1\ndata: a\n\nid: 2\n".to_owned(), false),
+        ("chunked, cut", STREAM_HEAD, chunk("id: 1\ndata: a\n\nid: 2\nda") + "0\r\n\r\n", false),
+    ] {
+        run(async {
+            let backend = backend(vec![close_after(format!("{head}{events}"))]).await;
+            let (_, address) = gateway(&[&backend]).await;
+            let response = call(address, "/stream/a", "").await;
+            expect_that!(response, contains_substring("id: 1\ndata: a\n\n"), "{name}");
+            expect_that!(response.ends_with("0\r\n\r\n"), eq(whole), "{name}: {response}");
+        });
+    }
+}
+
+#[gtest]
+fn stream_that_ends_with_its_connection_before_the_first_event_is_no_answer() {
+    for events in ["", "id: 1\nda"] {
+        run(async {
+            let backend = backend(vec![close_after(format!("{UNFRAMED_HEAD}{events}"))]).await;
+            let (_, address) = gateway(&[&backend]).await;
+            let response = call(address, "/stream/a", "").await;
+            expect_that!(status(&response), eq("502"), "{events}");
+        });
+    }
+}
+
+#[gtest]
+fn connection_that_ends_an_answer_carries_no_other_request() {
+    run(async {
+        let backend = backend(vec![close_after(format!("{UNFRAMED_HEAD}hello"))]).await;
+        let (_, address) = gateway(&[&backend]).await;
+        for _ in 0..3 {
+            let response = call(address, "/once/a", "").await;
+            expect_that!(response, contains_substring("hello"));
+            expect_that!(status(&response), eq("200"));
+        }
+    });
+}
+
 #[gtest]
 fn resumable_stream_continues_at_another_backend_server() {
     run(async {
