feat(gateway): quarantined prompt segments are saved in the list of gateways

Cause: the quarantine lived in the memory of the gateways alone; after the end of all of them engines had to crash again until they knew the segment once more. Change: a gateway whose own request was part of a crash saves the segment with its first rejection, in the table that each gateway reads at its start, so there are no further reads. A store that comes back from a copy gets it again; rows of segments that were answered since, or are an hour old, are removed. Test: quarantine_survives_the_end_of_all_gateways_and_a_store_ from_a_copy fails if the rows are not read.

--- a/crates/gateway/src/decision/quarantine.rs
+++ b/crates/gateway/src/decision/quarantine.rs
@@ -42,6 +42,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::serde_as;
 use smallvec::SmallVec;
 
 use crate::codec;
@@ -89,12 +90,14 @@
 type TimeOfDay = Duration;
 
 /// The end of a run of a backend server before the first event of a request.
+#[serde_as]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Crash {
     /// Hash of the backend server's id.
     pub backend_hash: u32,
     /// When it was noticed.
+    #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
     pub at: TimeOfDay,
 }
 
@@ -105,6 +108,7 @@
 }
 
 /// What gateways tell each other about a segment.
+#[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Suspect {
@@ -113,6 +117,7 @@
     /// Crashes since its last answer.
     pub crashes: SmallVec<[Crash; 4]>,
     /// Beginning of its last answer, if one is known; zero if none is.
+    #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
     pub answered_at: TimeOfDay,
 }
 
@@ -138,7 +143,11 @@
     changed_at: TimeOfDay,
     /// When the last single request after the hold was sent.
     trial_at: TimeOfDay,
+    /// Whether a request of this gateway was part of one of the crashes.
+    is_own: bool,
     has_rejected: bool,
+    /// Whether the store has it.
+    is_saved: bool,
 }
 
 impl Record {
@@ -167,6 +176,10 @@
         count != self.crashes.len()
     }
 
+    fn suspect(&self, segment: codec::SegmentId) -> Suspect {
+        Suspect { segment, crashes: self.crashes.clone(), answered_at: self.answered_at }
+    }
+
     fn last_crash(&self) -> TimeOfDay {
         self.crashes.iter().map(|crash| crash.at).max().unwrap_or_default()
     }
@@ -204,7 +217,9 @@
         let crash = Crash { backend_hash, at: now };
         let mut is_news = false;
         for segment in segments {
-            is_news |= self.record_mut(segment.id, now).is_some_and(|record| record.add(crash));
+            let Some(record) = self.record_mut(segment.id, now) else { continue };
+            record.is_own = true;
+            is_news |= record.add(crash);
         }
         is_news
     }
@@ -263,18 +278,43 @@
             !record.crashes.is_empty() || now.saturating_sub(record.changed_at) < TELL_CLEARED
         };
         let records = self.records.iter().filter(|(_, record)| is_told(record));
-        let mut told: Vec<_> = records
-            .map(|(segment, record)| Suspect {
-                segment: *segment,
-                crashes: record.crashes.clone(),
-                answered_at: record.answered_at,
-            })
-            .collect();
+        let mut told: Vec<_> = records.map(|(segment, record)| record.suspect(*segment)).collect();
         told.sort_unstable_by_key(|suspect| (cmp::Reverse(suspect.crashes.len()), suspect.segment));
         told.truncate(MAX_TOLD);
         told
     }
 
+    /// Quarantined segments that this gateway has to save in the store, for a fleet whose processes
+    /// all end at once. Only gateways whose own requests were part of a crash save it.
+    #[must_use]
+    pub fn unsaved(&self) -> Vec<Suspect> {
+        let is_unsaved = |record: &Record| record.is_own && record.has_rejected && !record.is_saved;
+        let records = self.records.iter().filter(|(_, record)| is_unsaved(record));
+        records.map(|(segment, record)| record.suspect(*segment)).collect()
+    }
+
+    /// Records that the store has a segment.
+    pub fn mark_saved(&mut self, segment: codec::SegmentId) {
+        if let Some(record) = self.records.get_mut(&segment) {
+            record.is_saved = true;
+        }
+    }
+
+    /// Records that the store may have lost what was saved.
+    pub fn forget_saved(&mut self) {
+        self.records.values_mut().for_each(|record| record.is_saved = false);
+    }
+
+    /// Whether what was saved about a segment is of no use any more: it was answered since, or its
+    /// last crash is long ago.
+    #[must_use]
+    pub fn is_obsolete(&self, saved: &Suspect, now: TimeOfDay) -> bool {
+        let answered_at = self.answers.get(&saved.segment).copied().unwrap_or_default();
+        let is_open =
+            |crash: &Crash| crash.at > answered_at && now.saturating_sub(crash.at) < FORGET;
+        !saved.crashes.iter().any(is_open)
+    }
+
     /// Whether a request that lost its backend server may be retried: not if one of its segments is
     /// already suspected.
     #[must_use]
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -148,7 +148,7 @@
         state.metrics.lost_prompts.inc();
         let (hash, now) = (directory::id_hash(&target.id), state.time_of_day());
         if state.quarantine.borrow_mut().record_crash(segments, hash, now) {
-            state.quarantine_changed.notify_one();
+            state.announce_quarantine();
         }
     }
 
@@ -157,7 +157,7 @@
         let (state, segments) = (&self.state, self.shared_segments());
         let now = state.time_of_day();
         if state.quarantine.borrow_mut().record_answer(segments, self.began_at, now) {
-            state.quarantine_changed.notify_one();
+            state.announce_quarantine();
         }
     }
 
@@ -173,6 +173,7 @@
             let hold_ms = rejection.time_left.as_millis() as u64;
             let crashes = rejection.crashes;
             tracing::warn!(segment, crashes, hold_ms, "prompt segment quarantined");
+            self.state.announce_quarantine();
         }
         self.state.metrics.quarantine_rejections.inc();
         let reason = format!("segment {segment} crashed {} backend servers", rejection.crashes);
--- a/crates/gateway/src/service/gateway_list.rs
+++ b/crates/gateway/src/service/gateway_list.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 use tokio::time;
 
+use super::quarantine_rows;
 use crate::peers;
 use crate::state;
 use crate::store;
@@ -58,6 +59,8 @@
             // The entry may be lost; all gateways notice that at the same time.
             time::sleep(REREGISTRATION_SPREAD.mul_f64(rand::random())).await;
             state.registered.set(false);
+            state.quarantine.borrow_mut().forget_saved();
+            state.announce_quarantine();
             interval = INITIAL_LIST_INTERVAL;
             continue;
         }
@@ -92,6 +95,10 @@
     state.registered.set(own.is_some_and(|row| row.data.as_ref() == Some(&data)));
     let now = state.clock.now();
     for row in rows.rows.iter().filter(|row| row.key != *node) {
+        if quarantine_rows::is_segment(row) {
+            quarantine_rows::load(state, row);
+            continue;
+        }
         let entry: Result<Entry, _> =
             serde_json::from_slice(row.data.as_deref().unwrap_or_default());
         match entry {
@@ -108,7 +115,8 @@
     Ok(rows)
 }
 
-/// Removes the entries of gateways that have been silent for long.
+/// Removes the entries of gateways that have been silent for long, and those of prompt segments that
+/// are no longer quarantined.
 ///
 /// Only gateways that may report usage receive messages from every gateway, and only some time
 /// after they became one. A live gateway that was removed registers again at its next read of the
@@ -128,21 +136,22 @@
     if now.saturating_duration_since(since) < peers::PEER_EXPIRY {
         return;
     }
-    let is_silent = |row: &&store::Row| state.peers.borrow().is_expired(&row.key, now);
-    for row in rows.rows.iter().filter(is_silent).take(MAX_REMOVALS) {
+    let is_obsolete = |row: &&store::Row| {
+        if quarantine_rows::is_segment(row) {
+            return quarantine_rows::load(state, row);
+        }
+        state.peers.borrow().is_expired(&row.key, now)
+    };
+    for row in rows.rows.iter().filter(is_obsolete).take(MAX_REMOVALS) {
         let (key, expected_version) = (row.key.clone(), Some(row.version));
         let writes = vec![store::Write { key, data: None, expected_version }];
         let commit =
             store::Commit { table: store::Table::Gateways, writes, preconditions: Vec::new() };
         match (store.commit)(commit).await {
-            Ok(_) => tracing::info!(gateway = row.key, "removed the entry of a silent gateway"),
+            Ok(_) => tracing::info!(key = row.key, "removed an obsolete entry"),
             Err(error) => {
                 let reason = error.to_string();
-                tracing::info!(
-                    gateway = row.key,
-                    reason,
-                    "failed to remove the entry of a silent gateway"
-                );
+                tracing::info!(key = row.key, reason, "failed to remove an obsolete entry");
             }
         }
     }
--- a/crates/gateway/src/service/gossip.rs
+++ b/crates/gateway/src/service/gossip.rs
@@ -9,6 +9,7 @@
 use tokio::time;
 
 use super::gateway_list;
+use super::quarantine_rows;
 use crate::decision::gossip_timing;
 use crate::decision::usage_counts;
 use crate::directory;
@@ -53,12 +54,13 @@
     incarnation: ids::Incarnation,
 ) {
     let socket = rc::Rc::new(socket);
-    let list = gateway_list::maintain(state.clone(), store);
+    let list = gateway_list::maintain(state.clone(), store.clone());
     let sender = rc::Rc::new(Sender { state, socket, incarnation });
     let receive = receive(sender.clone());
     let counts = futures::future::join(send_counts(sender.clone()), request_counts(sender.clone()));
-    let loads = futures::future::join(send_loads(sender.clone()), send_news(sender));
-    futures::future::join4(list, loads, counts, receive).await;
+    let save = quarantine_rows::save(sender.state.clone(), store);
+    let news = futures::future::join(send_news(sender.clone()), save);
+    futures::future::join5(list, send_loads(sender), counts, receive, news).await;
 }
 
 /// Sends messages to other gateways.
@@ -142,8 +144,9 @@
 /// them passes on what is news to it, so that it is known everywhere after a few messages.
 async fn send_news(sender: rc::Rc<Sender>) {
     let state = &sender.state;
-    loop {
-        state.quarantine_changed.notified().await;
+    let mut changes = state.quarantine_changes.subscribe();
+    // The sender is part of the state, so the channel stays open.
+    while changes.changed().await.is_ok() {
         let draw = rand::random();
         let addresses = state.peers.borrow().news_recipients(draw);
         let mut message = load_message(state, sender.incarnation);
@@ -263,7 +266,7 @@
                 let is_news =
                     state.quarantine.borrow_mut().merge(&message.suspects, state.time_of_day());
                 if is_news {
-                    state.quarantine_changed.notify_one();
+                    state.announce_quarantine();
                 }
                 let reply = state.peers.borrow_mut().handle_message(message, from, now);
                 match reply {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -87,8 +87,8 @@
     pub read_segments: cell::RefCell<collections::BTreeSet<peers::CachedSegment>>,
     /// Prompt segments that crash backend servers.
     pub quarantine: cell::RefCell<quarantine::Quarantine>,
-    /// Notified when the quarantine has news for the other gateways.
-    pub quarantine_changed: sync::Notify,
+    /// Number of changes of the quarantine that are news for the other gateways or the store.
+    pub quarantine_changes: sync::watch::Sender<u64>,
     /// Limit on the idle time of reused connections, by service.
     pub idle_limits: cell::RefCell<collections::HashMap<ids::PoolId, idle_limit::IdleLimit>>,
     /// Budget for retries, shared with the other gateways.
@@ -133,7 +133,7 @@
         let spread = f64::from(directory::id_hash(&settings.node)) / f64::from(u32::MAX);
         Self {
             quarantine: cell::RefCell::new(quarantine::Quarantine::new(spread)),
-            quarantine_changed: sync::Notify::new(),
+            quarantine_changes: sync::watch::Sender::new(0),
             configuration: cell::RefCell::new(None),
             freshness: cell::RefCell::new(freshness::Freshness::new(settings.revocation_bound)),
             refresh_requested: sync::Notify::new(),
@@ -226,6 +226,11 @@
         self.usage_counts.borrow_mut().increment(window, hash);
     }
 
+    /// Wakes the tasks that pass on changes of the quarantine.
+    pub fn announce_quarantine(&self) {
+        self.quarantine_changes.send_modify(|changes| *changes += 1);
+    }
+
     /// Estimate of the time of day, since 1970.
     #[must_use]
     pub fn time_of_day(&self) -> Duration {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -40,7 +40,7 @@
     Configuration,
     /// The entries that backend servers register for themselves.
     Backends,
-    /// The entries of running gateways.
+    /// The entries of running gateways, and prompt segments that crash backend servers.
     Gateways,
     /// The lease for usage reporting, and usage reports.
     Usage,
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -3,16 +3,22 @@
 mod support;
 
 use std::collections;
+use std::rc;
 use std::time::Duration;
 
+use azuregap_gateway::clock;
 use azuregap_gateway::codec;
 use azuregap_gateway::decision::gossip_timing;
 use azuregap_gateway::decision::quarantine;
 use azuregap_gateway::peers;
+use azuregap_gateway::service;
+use azuregap_gateway::state;
+use azuregap_gateway::store;
 use googletest::prelude::*;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 use support::addresses;
+use tokio::net as tokio_net;
 use tokio::time;
 
 /// The segment that all prompts begin with.
@@ -207,6 +213,90 @@
     expect_that!(peers::GossipMessage::decode(&older_bytes), ok(eq(&older)));
 }
 
+/// Starts a gateway that exchanges messages on a port of its own.
+async fn gateway(fake: &support::FakeStore, node: &str) -> rc::Rc<state::State> {
+    let socket = tokio_net::UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+    let mut settings = support::settings(node);
+    settings.gossip_address = socket.local_addr().expect("an address");
+    let state = rc::Rc::new(state::State::new(settings, support::CODEC, clock::Clock::system()));
+    let store = rc::Rc::new(fake.store());
+    actix_rt::spawn(service::run_gossip(state.clone(), store, socket, 1));
+    time::sleep(Duration::from_millis(100)).await;
+    state
+}
+
+fn rejects_guilty(state: &state::State) -> bool {
+    let now = state.time_of_day();
+    state.quarantine.borrow_mut().admit(&prompt(&[COMMON, GUILTY]), now).is_err()
+}
+
+/// Crashes of three backend servers with the guilty segment, seen by one gateway.
+fn crash_three(state: &state::State) {
+    for n in 1..=3 {
+        let at = state.time_of_day() - Duration::from_secs(4 - n);
+        let mut quarantine = state.quarantine.borrow_mut();
+        quarantine.record_crash(&prompt(&[GUILTY]), n as u32, at);
+    }
+    state.announce_quarantine();
+}
+
+#[gtest]
+fn gateways_tell_each_other_at_once() {
+    actix_rt::System::new().block_on(async {
+        let fake = support::FakeStore::default();
+        let (first, second) = (gateway(&fake, "g-1").await, gateway(&fake, "g-2").await);
+        time::sleep(Duration::from_millis(500)).await;
+        crash_three(&first);
+        time::sleep(Duration::from_millis(150)).await;
+        expect_that!(rejects_guilty(&second), is_true());
+    });
+}
+
+#[gtest]
+fn quarantine_survives_the_end_of_all_gateways_and_a_store_from_a_copy() {
+    for from_copy in [false, true] {
+        actix_rt::System::new().block_on(async {
+            let fake = support::FakeStore::default();
+            let first = gateway(&fake, "g-1").await;
+            let copy = fake.copy();
+            crash_three(&first);
+            expect_that!(rejects_guilty(&first), is_true());
+            first.announce_quarantine();
+            time::sleep(Duration::from_millis(200)).await;
+            if from_copy {
+                fake.restore(&copy);
+                first.observe_era(fake.tables.borrow().era);
+                time::sleep(Duration::from_millis(1_500)).await;
+            }
+            // The second gateway has never heard of the first one.
+            let _ = first.stopping.send(true);
+            fake.put(store::Table::Gateways, "g-1", None);
+            let second = gateway(&fake, "g-2").await;
+            expect_that!(rejects_guilty(&second), is_true(), "from a copy: {from_copy}");
+        });
+    }
+}
+
+#[gtest]
+fn saved_segments_that_were_answered_or_are_old_or_malformed_quarantine_nothing() {
+    actix_rt::System::new().block_on(async {
+        let fake = support::FakeStore::default();
+        fake.put(store::Table::Gateways, "quarantine/42", Some("no segment"));
+        let first = gateway(&fake, "g-1").await;
+        crash_three(&first);
+        expect_that!(rejects_guilty(&first), is_true());
+        let saved = first.quarantine.borrow().unsaved();
+        let now = first.time_of_day();
+        let answered = now + Duration::from_millis(1);
+        first.quarantine.borrow_mut().record_answer(&prompt(&[GUILTY]), answered, answered);
+        expect_that!(rejects_guilty(&first), is_false());
+        expect_that!(first.quarantine.borrow().is_obsolete(&saved[0], now), is_true());
+        let empty = quarantine::Quarantine::new(0.0);
+        expect_that!(empty.is_obsolete(&saved[0], now), is_false());
+        expect_that!(empty.is_obsolete(&saved[0], now + Duration::from_secs(7_200)), is_true());
+    });
+}
+
 /// Time until all gateways know the news of one of them, if a tenth of the messages is lost. News is
 /// passed on after one step, and each gateway repeats it to its neighbours in the ring.
 fn time_until_known(fleet: usize, seed: u64) -> Duration {
