feat(gateway): requests that wait at engines end when their prompt is quarantined

What callers saw: on fleets of 25 gateways and more 5 to 8 further engines ended after the segment was known, each with all streams in progress there. Cause: requests that had been sent before the quarantine still waited at engines. Change: a request without an event ends with 502 as soon as its prompt is quarantined, which closes its connection; a single request after the hold is left alone. The methods of a request that concern the quarantine are in proxy::screening. The new test of crashing_prompts fails without the wait.

--- a/crates/gateway/src/decision/quarantine.rs
+++ b/crates/gateway/src/decision/quarantine.rs
@@ -121,6 +121,15 @@
     pub answered_at: TimeOfDay,
 }
 
+/// How a request is admitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// No segment of its prompt is quarantined.
+    Normal,
+    /// It shows whether a quarantined segment still crashes backend servers.
+    Trial,
+}
+
 /// Why a request is rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Rejection {
@@ -293,6 +302,13 @@
         records.map(|(segment, record)| record.suspect(*segment)).collect()
     }
 
+    /// Records that a request was rejected for a segment.
+    pub fn mark_rejected(&mut self, segment: codec::SegmentId) {
+        if let Some(record) = self.records.get_mut(&segment) {
+            record.has_rejected = true;
+        }
+    }
+
     /// Records that the store has a segment.
     pub fn mark_saved(&mut self, segment: codec::SegmentId) {
         if let Some(record) = self.records.get_mut(&segment) {
@@ -327,18 +343,34 @@
     /// # Errors
     ///
     /// If one of the segments is quarantined.
-    pub fn admit(&mut self, segments: &[codec::Segment], now: TimeOfDay) -> Result<(), Rejection> {
-        let Some((segment, crashes)) = self.guilty_segment(segments, REJECT_CRASHES) else {
-            return Ok(());
+    pub fn admit(
+        &mut self,
+        segments: &[codec::Segment],
+        now: TimeOfDay,
+    ) -> Result<Admission, Rejection> {
+        let Some(rejection) = self.find_rejection(segments, now) else {
+            return Ok(Admission::Normal);
         };
-        let Some(record) = self.records.get_mut(&segment) else { return Ok(()) };
-        let until = (record.last_crash() + self.hold).max(record.trial_at + TRIAL_INTERVAL);
-        if now >= until {
+        let Some(record) = self.records.get_mut(&rejection.segment) else {
+            return Ok(Admission::Normal);
+        };
+        if rejection.time_left.is_zero() {
             record.trial_at = now;
-            return Ok(());
+            return Ok(Admission::Trial);
         }
-        let is_first = !std::mem::replace(&mut record.has_rejected, true);
-        Err(Rejection { segment, crashes, time_left: until - now, is_first })
+        record.has_rejected = true;
+        Err(rejection)
+    }
+
+    /// Why a request with these shared segments is rejected; the time left is zero if a single one
+    /// may be sent. `None` if no segment is quarantined.
+    #[must_use]
+    pub fn find_rejection(&self, segments: &[codec::Segment], now: TimeOfDay) -> Option<Rejection> {
+        let (segment, crashes) = self.guilty_segment(segments, REJECT_CRASHES)?;
+        let record = self.records.get(&segment)?;
+        let until = (record.last_crash() + self.hold).max(record.trial_at + TRIAL_INTERVAL);
+        let time_left = until.saturating_sub(now);
+        Some(Rejection { segment, crashes, time_left, is_first: !record.has_rejected })
     }
 
     /// The segment against which at least `min` crashes count, and their number.
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -15,6 +15,7 @@
 mod listener;
 pub mod pool;
 mod relay;
+mod screening;
 mod selection;
 pub mod sse;
 
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -20,7 +20,6 @@
 use crate::decision::health;
 use crate::decision::priority;
 use crate::decision::quarantine;
-use crate::directory;
 use crate::state;
 
 /// Maximum sends of one request, including those that reached no backend server.
@@ -65,6 +64,8 @@
     /// Number of sends that reached a backend server.
     deliveries: u32,
     pub(super) tried: SmallVec<[ids::BackendId; 4]>,
+    /// How the prompt was admitted at the last send.
+    pub(super) admission: quarantine::Admission,
     preference: u8,
     uncached_tokens: u64,
     /// Whether the end of the request was logged; shared by all clones.
@@ -115,6 +116,7 @@
             sends: 0,
             deliveries: 0,
             tried: SmallVec::new(),
+            admission: quarantine::Admission::Normal,
             preference: 0,
             uncached_tokens: 0,
             end_logged: rc::Rc::default(),
@@ -134,58 +136,6 @@
             && self.state.quarantine.borrow().may_retry(self.shared_segments())
     }
 
-    /// Segments of the prompt that other requests may share.
-    fn shared_segments(&self) -> &[codec::Segment] {
-        codec::shared_segments(&self.admitted.headers.segments)
-    }
-
-    /// Records that the request lost its backend server before the first event.
-    pub(super) fn record_crash(&self, target: &attempt::Target) {
-        let (state, segments) = (&self.state, self.shared_segments());
-        if segments.is_empty() {
-            return;
-        }
-        state.metrics.lost_prompts.inc();
-        let (hash, now) = (directory::id_hash(&target.id), state.time_of_day());
-        if state.quarantine.borrow_mut().record_crash(segments, hash, now) {
-            state.announce_quarantine();
-        }
-    }
-
-    /// Records that the answer is complete.
-    pub(super) fn record_answer(&self) {
-        let (state, segments) = (&self.state, self.shared_segments());
-        let now = state.time_of_day();
-        if state.quarantine.borrow_mut().record_answer(segments, self.began_at, now) {
-            state.announce_quarantine();
-        }
-    }
-
-    /// Whether the request may be sent although its prompt may crash backend servers.
-    fn check_quarantine(&self) -> Result<(), quarantine::Rejection> {
-        let now = self.state.time_of_day();
-        self.state.quarantine.borrow_mut().admit(self.shared_segments(), now)
-    }
-
-    fn rejected(&self, rejection: &quarantine::Rejection) -> RequestFailure {
-        let segment = format!("{:x}", rejection.segment);
-        if rejection.is_first {
-            let hold_ms = rejection.time_left.as_millis() as u64;
-            let crashes = rejection.crashes;
-            tracing::warn!(segment, crashes, hold_ms, "prompt segment quarantined");
-            self.state.announce_quarantine();
-        }
-        self.state.metrics.quarantine_rejections.inc();
-        let reason = format!("segment {segment} crashed {} backend servers", rejection.crashes);
-        let failure = self.failure(rejection.time_left, reason);
-        match failure.kind {
-            failure::Failure::NotExecuted => {
-                RequestFailure { kind: failure::Failure::Quarantined, ..failure }
-            }
-            _ => failure,
-        }
-    }
-
     /// Records the outcome of the request at a backend server.
     pub(super) fn observe(&self, target: &attempt::Target, outcome: health::Outcome) {
         let label = match outcome {
@@ -229,9 +179,7 @@
                 }
                 return Err(self.failure(retry_delay, reason));
             };
-            if let Err(rejection) = self.check_quarantine() {
-                return Err(self.rejected(&rejection));
-            }
+            self.admission = self.screen()?;
             if self.sends >= MAX_SENDS || !self.acquire_send() {
                 return Err(self.failure(retry_delay, reason));
             }
@@ -241,7 +189,14 @@
             self.sends += 1;
             self.tried.push(target.id.clone());
             (self.preference, self.uncached_tokens) = (target.preference, target.uncached_tokens);
-            match self.send(&target).await {
+            let outcome = tokio::select! {
+                outcome = self.send(&target) => outcome,
+                rejection = self.wait_for_rejection() => {
+                    self.executions += 1;
+                    return Err(self.reject(&rejection));
+                }
+            };
+            match outcome {
                 attempt::Outcome::Response(response) => {
                     self.deliveries += 1;
                     self.executions += 1;
@@ -331,7 +286,7 @@
         attempt::send(&self.state, target, &self.head, &self.body, &upstream, id, service).await
     }
 
-    fn failure(&self, retry_delay: Duration, reason: String) -> RequestFailure {
+    pub(super) fn failure(&self, retry_delay: Duration, reason: String) -> RequestFailure {
         let kind = match (self.executions, self.time_left() < MIN_TIME_LEFT) {
             (0, _) => failure::Failure::NotExecuted,
             (_, true) => failure::Failure::TimedOut,
--- a/crates/gateway/src/proxy/handler.rs
+++ b/crates/gateway/src/proxy/handler.rs
@@ -324,7 +324,13 @@
         backend_response;
     let mut splitter = sse::EventSplitter::new(request.last_event);
     let first = loop {
-        let frame = match time::timeout_at(request.deadline, response.body.frame()).await {
+        let frame = tokio::select! {
+            frame = time::timeout_at(request.deadline, response.body.frame()) => frame,
+            rejection = request.wait_for_rejection() => {
+                return Err(request.reject(&rejection).reason);
+            }
+        };
+        let frame = match frame {
             Err(_) => return Err("no event in time".to_owned()),
             Ok(None) if response.framing == attempt::Framing::UntilClose => {
                 request.record_crash(&target);
--- a/crates/gateway/tests/crashing_prompts.rs
+++ b/crates/gateway/tests/crashing_prompts.rs
@@ -4,11 +4,14 @@
 
 use std::cell;
 use std::rc;
+use std::time::Duration;
 
+use azuregap_gateway::codec;
 use googletest::prelude::*;
 use support::loopback::*;
 use tokio::io::AsyncWriteExt as _;
 use tokio::net as tokio_net;
+use tokio::time;
 
 /// The segment that crashes backend servers, as it stands in a request.
 const DEADLY: &str = "66:500";
@@ -67,3 +70,34 @@
         expect_that!(status(&call(address, "/resume/a", sound).await), eq("200"));
     });
 }
+
+#[gtest]
+fn requests_that_wait_at_a_backend_server_are_ended_when_their_prompt_is_quarantined() {
+    let silent =
+        |text: &str| Reply { text: text.to_owned(), closes: false, delay: Duration::from_secs(2) };
+    // The second one has sent its head.
+    for replies in [vec![silent("")], vec![keep_open(STREAM_HEAD)]] {
+        run(async {
+            let backend = backend(replies).await;
+            let (state, address) = gateway(&[&backend]).await;
+            let guilty = codec::Segment { id: 66, tokens: 500 };
+            let crash = async {
+                time::sleep(Duration::from_millis(200)).await;
+                for n in 1..=3 {
+                    let at = state.time_of_day() - Duration::from_secs(n);
+                    state.quarantine.borrow_mut().record_crash(&[guilty], n as u32, at);
+                }
+                state.announce_quarantine();
+            };
+            let headers = format!("x-tokens: 800\r\nx-segments: 1:50,{DEADLY},9:9\r\n");
+            let sound = "x-tokens: 800\r\nx-segments: 1:50,77:500,9:9\r\n";
+            let (response, other, ()) = futures::join!(
+                call(address, "/stream/a", &headers),
+                call(address, "/stream/a", sound),
+                crash
+            );
+            expect_that!(status(&response), eq("502"));
+            expect_that!(other, eq(""), "it waits on");
+        });
+    }
+}
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -148,14 +148,14 @@
     let seconds = |seconds: u64| at(seconds * 1_000);
     let rejection = quarantine.admit(&guilty, seconds(303)).expect_err("rejected");
     expect_that!(rejection.time_left, eq(Duration::from_secs(300)));
-    expect_that!(quarantine.admit(&guilty, seconds(604)), ok(()));
+    expect_that!(quarantine.admit(&guilty, seconds(604)), ok(eq(quarantine::Admission::Trial)));
     expect_that!(quarantine.admit(&guilty, seconds(605)).is_err(), is_true());
     quarantine.record_crash(&guilty, 9, seconds(606));
     expect_that!(quarantine.admit(&guilty, seconds(1_200)).is_err(), is_true());
-    expect_that!(quarantine.admit(&guilty, seconds(1_207)), ok(()));
+    expect_that!(quarantine.admit(&guilty, seconds(1_207)), ok(eq(quarantine::Admission::Trial)));
     quarantine.record_answer(&guilty, seconds(1_208), seconds(1_209));
-    expect_that!(quarantine.admit(&guilty, seconds(1_210)), ok(()));
-    expect_that!(quarantine.admit(&guilty, seconds(1_211)), ok(()));
+    expect_that!(quarantine.admit(&guilty, seconds(1_210)), ok(eq(quarantine::Admission::Normal)));
+    expect_that!(quarantine.admit(&guilty, seconds(1_211)), ok(eq(quarantine::Admission::Normal)));
 }
 
 #[gtest]
@@ -168,9 +168,9 @@
     other.record_answer(&prompt(&[COMMON]), at(5_000), at(6_000));
     expect_that!(other.told(now), is_empty());
     other.merge(&frozen.told(now), now);
-    expect_that!(other.admit(&prompt(&[COMMON]), now), ok(()));
+    expect_that!(other.admit(&prompt(&[COMMON]), now), ok(eq(quarantine::Admission::Normal)));
     frozen.merge(&other.told(now), now);
-    expect_that!(frozen.admit(&prompt(&[COMMON]), now), ok(()));
+    expect_that!(frozen.admit(&prompt(&[COMMON]), now), ok(eq(quarantine::Admission::Normal)));
     let guilty: Vec<_> = (1..=3).map(|n| Event::Crash(n * 1_000, n as u32, vec![GUILTY])).collect();
     let mut restarted = quarantine::Quarantine::new(0.0);
     restarted.merge(&play(&guilty).told(now), now);
