fix(gateway): lost connections of live backend servers quarantine no prompt

A lost connection was taken for a crash; and only a completed answer cleared a segment, which takes seconds for long streams. A prompt that was lost three times in a row within such a time was quarantined, and then never answered again. Change: after a loss the gateway connects to the backend server; only if that is refused has it ended. A connection that is accepted goes into the pool. An answer that goes on for 250 ms after its first event clears its segments, and one that is lost earlier counts as lost in the beginning. Why it works: a process that has ended refuses connections at once, a live one accepts them. The backend servers of the regression test end now, which is what the incident is about; before they only closed connections.

--- a/crates/gateway/src/decision/quarantine.rs
+++ b/crates/gateway/src/decision/quarantine.rs
@@ -2,13 +2,14 @@
 //!
 //! A prompt may hold a segment on which a model engine crashes, together with all other requests that
 //! run there. A retry of such a request, and each new one with that segment, takes the next engine
-//! down. So gateways remember the segments of requests that lost their backend server before the
-//! first event, tell each other, and reject requests with a segment that was lost too often and
+//! down. So gateways remember the segments of requests whose backend server ended before the first
+//! events, tell each other, and reject requests with a segment that was lost too often and
 //! answered never since.
 //!
 //! Most segments of lost requests are innocent. Three facts tell them apart:
 //!
-//! - An answer that began after a crash and was completed clears all segments of its prompt.
+//! - An answer that began after a crash and went on for a while, or was completed, clears all segments
+//!   of its prompt.
 //! - A crash that another segment was part of, which was lost as often, doesn't count against a
 //!   segment. So a segment that always came with the guilty one is still answered without it.
 //! - Crashes at about the same moment count once; they may have a common cause, such as a power loss.
@@ -61,6 +62,10 @@
 /// times, and their clocks differ. It is shorter than the restart of an engine.
 const SAME_CRASH: Duration = Duration::from_millis(1_500);
 
+/// An answer that goes on for this long after its first event shows that its prompt is sound. One that
+/// is lost earlier counts as lost before its first event.
+pub const PROBATION: Duration = Duration::from_millis(250);
+
 /// Time after the last crash for which requests with a segment are rejected; then single ones are
 /// sent again, since the engines may have been mended.
 const HOLD: Duration = Duration::from_secs(600);
@@ -233,8 +238,8 @@
         is_news
     }
 
-    /// Records that an answer to a prompt with these shared segments, which began at `began_at`, was
-    /// completed; returns whether this is news for the other gateways.
+    /// Records that an answer to a prompt with these shared segments, which began at `began_at`, went on
+    /// for [`PROBATION`] or was completed; returns whether this is news for the other gateways.
     pub fn record_answer(
         &mut self,
         segments: &[codec::Segment],
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -70,7 +70,7 @@
             ),
             lost_prompts: plain_counter(
                 "azuregap_lost_prompts_total",
-                "Requests that lost their backend server before the first event",
+                "Requests whose backend server ended in the beginning of their answer",
             ),
             quarantine_rejections: plain_counter(
                 "azuregap_quarantine_rejections_total",
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -66,6 +66,8 @@
     pub(super) tried: SmallVec<[ids::BackendId; 4]>,
     /// How the prompt was admitted at the last send.
     pub(super) admission: quarantine::Admission,
+    /// Whether it was recorded that the prompt is sound.
+    pub(super) is_recorded: bool,
     preference: u8,
     uncached_tokens: u64,
     /// Whether the end of the request was logged; shared by all clones.
@@ -117,6 +119,7 @@
             deliveries: 0,
             tried: SmallVec::new(),
             admission: quarantine::Admission::Normal,
+            is_recorded: false,
             preference: 0,
             uncached_tokens: 0,
             end_logged: rc::Rc::default(),
@@ -222,7 +225,7 @@
                     self.executions += 1;
                     self.observe(&target, health::Outcome::Unreachable);
                     if is_disconnect {
-                        self.record_crash(&target);
+                        self.record_loss(&target).await;
                     }
                     reason = cause;
                     if !self.may_retry() {
--- a/crates/gateway/src/proxy/handler.rs
+++ b/crates/gateway/src/proxy/handler.rs
@@ -333,14 +333,14 @@
         let frame = match frame {
             Err(_) => return Err("no event in time".to_owned()),
             Ok(None) if response.framing == attempt::Framing::UntilClose => {
-                request.record_crash(&target);
+                request.record_loss(&target).await;
                 let reason = "the stream ended before its first event".to_owned();
                 return Err(fail_attempt(request, &target, reason));
             }
             Ok(None) => break None,
             Ok(Some(Err(error))) => {
                 if attempt::is_disconnect(&error) {
-                    request.record_crash(&target);
+                    request.record_loss(&target).await;
                 }
                 let reason = format!("the stream ended early: {error}");
                 return Err(fail_attempt(request, &target, reason));
--- a/crates/gateway/src/proxy/relay.rs
+++ b/crates/gateway/src/proxy/relay.rs
@@ -41,6 +41,8 @@
     Complete,
     ClientDisconnected,
     DeadlineExceeded,
+    /// The backend server ended or closed the connection.
+    Disconnected(String),
     /// The backend server's stream failed.
     Failed(String),
 }
@@ -82,6 +84,12 @@
                 truncate(&events).await;
                 return request.record_end(200, &backend, "out of time", "");
             }
+            StreamEnd::Disconnected(reason) => {
+                if !request.is_proven() {
+                    request.record_loss(&stream.target).await;
+                }
+                reason
+            }
             StreamEnd::Failed(reason) => reason,
         };
         request.observe(&stream.target, health::Outcome::Failure);
@@ -143,6 +151,9 @@
         };
         let complete = match frame {
             Some(Ok(frame)) => frame.into_data().ok().and_then(|data| splitter.push(&data)),
+            Some(Err(error)) if attempt::is_disconnect(&error) => {
+                return StreamEnd::Disconnected(error.to_string());
+            }
             Some(Err(error)) => return StreamEnd::Failed(error.to_string()),
             None => {
                 let is_delimited = stream.framing == attempt::Framing::Delimited;
@@ -161,6 +172,9 @@
             return StreamEnd::Failed(sse::TOO_LONG.to_owned());
         }
         if let Some(complete) = complete {
+            if request.is_proven() {
+                request.record_answer();
+            }
             let now = time::Instant::now();
             let gap = now.saturating_duration_since(*last_sent);
             request.longest_gap = request.longest_gap.max(gap);
--- a/crates/gateway/src/proxy/screening.rs
+++ b/crates/gateway/src/proxy/screening.rs
@@ -2,6 +2,11 @@
 //! about the prompt; see [`crate::decision::quarantine`].
 
 use std::future;
+use std::io;
+use std::net;
+use std::time::Duration;
+
+use tokio::time;
 
 use super::attempt;
 use super::dispatch;
@@ -9,6 +14,24 @@
 use crate::decision::failure;
 use crate::decision::quarantine;
 use crate::directory;
+use crate::state;
+
+/// Time for a connection to show whether a backend server has ended: its VM refuses it at once.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Whether the process of a backend server has ended. A connection that it accepts is kept for the
+/// next request.
+async fn has_ended(state: &state::State, address: net::SocketAddr) -> bool {
+    match time::timeout(PROBE_TIMEOUT, state.pool.connect(address)).await {
+        Ok(Ok(connection)) => {
+            state.metrics.connections.inc();
+            state.pool.put(address, connection, None);
+            false
+        }
+        Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
+        Err(_) => false,
+    }
+}
 
 impl dispatch::ProxyRequest {
     /// Segments of the prompt that other requests may share.
@@ -16,10 +39,11 @@
         codec::shared_segments(&self.admitted.headers.segments)
     }
 
-    /// Records that the request lost its backend server before the first event.
-    pub(super) fn record_crash(&self, target: &attempt::Target) {
+    /// Records that the request lost its connection in the beginning of its answer, if the backend
+    /// server has ended. One that is alive may lose connections too.
+    pub(super) async fn record_loss(&self, target: &attempt::Target) {
         let (state, segments) = (&self.state, self.shared_segments());
-        if segments.is_empty() {
+        if segments.is_empty() || !has_ended(state, target.address).await {
             return;
         }
         state.metrics.lost_prompts.inc();
@@ -29,8 +53,17 @@
         }
     }
 
-    /// Records that the answer is complete.
-    pub(super) fn record_answer(&self) {
+    /// Whether the answer has gone on for so long that its prompt is sound.
+    pub(super) fn is_proven(&self) -> bool {
+        let age = self.first_byte.map(|first| self.started.elapsed().saturating_sub(first));
+        age.is_some_and(|age| age >= quarantine::PROBATION)
+    }
+
+    /// Records that the answer shows that its prompt is sound, once.
+    pub(super) fn record_answer(&mut self) {
+        if std::mem::replace(&mut self.is_recorded, true) {
+            return;
+        }
         let (state, segments) = (&self.state, self.shared_segments());
         let now = state.time_of_day();
         if state.quarantine.borrow_mut().record_answer(segments, self.began_at, now) {
--- a/crates/gateway/tests/crashing_prompts.rs
+++ b/crates/gateway/tests/crashing_prompts.rs
@@ -11,6 +11,7 @@
 use support::loopback::*;
 use tokio::io::AsyncWriteExt as _;
 use tokio::net as tokio_net;
+use tokio::sync;
 use tokio::time;
 
 /// The segment that crashes backend servers, as it stands in a request.
@@ -19,29 +20,94 @@
 /// Crashes in which a cause may be recognised, and requests with it that may follow.
 const MAX_DELIVERIES: usize = 5 + 3;
 
-/// A backend server that drops each request whose prompt has the deadly segment, and answers all
-/// others with a stream of one event; counts the dropped ones.
-async fn fragile_backend(dropped: &rc::Rc<cell::Cell<usize>>) -> Backend {
+/// What a backend server does with a request whose prompt has the deadly segment.
+#[derive(Clone, Copy)]
+enum OnDeadly {
+    /// It ends, and refuses connections for a while.
+    Crash,
+    /// It closes the connection.
+    Close,
+}
+
+/// Time until a backend server that has ended is back.
+const DOWN_TIME: Duration = Duration::from_millis(400);
+
+/// A backend server that answers all other requests with a stream of one event; counts the deadly
+/// ones.
+async fn fragile_backend(on_deadly: OnDeadly, deadly: &rc::Rc<cell::Cell<usize>>) -> Backend {
+    let listener = tokio_net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let backend = Backend { address, requests: rc::Rc::default(), disconnects: rc::Rc::default() };
+    let deadly = deadly.clone();
+    actix_rt::spawn(async move {
+        let mut listener = Some(listener);
+        loop {
+            let listening = match listener.take() {
+                Some(listener) => listener,
+                None => tokio_net::TcpListener::bind(address).await.expect("the port is free"),
+            };
+            serve_until_crash(listening, on_deadly, &deadly).await;
+            time::sleep(DOWN_TIME).await;
+        }
+    });
+    backend
+}
+
+/// Serves connections until a deadly request ends the backend server.
+async fn serve_until_crash(
+    listener: tokio_net::TcpListener,
+    on_deadly: OnDeadly,
+    deadly: &rc::Rc<cell::Cell<usize>>,
+) {
+    let crashed = rc::Rc::new(sync::Notify::new());
+    loop {
+        let mut stream = tokio::select! {
+            accepted = listener.accept() => accepted.expect("a connection").0,
+            () = crashed.notified() => return,
+        };
+        let (crashed, deadly) = (crashed.clone(), deadly.clone());
+        actix_rt::spawn(async move {
+            while let Some(head) = read_head(&mut stream).await {
+                if head.contains(DEADLY) {
+                    deadly.set(deadly.get() + 1);
+                    if matches!(on_deadly, OnDeadly::Crash) {
+                        crashed.notify_one();
+                        // The port is closed before the connection.
+                        time::sleep(Duration::from_millis(5)).await;
+                    }
+                    return;
+                }
+                let events = chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n";
+                let text = format!("{STREAM_HEAD}{events}");
+                if stream.write_all(text.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+/// A backend server whose streams take 90 ms for each event.
+async fn slow_backend(events: Vec<String>) -> Backend {
     let listener = tokio_net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let backend = Backend {
         address: listener.local_addr().expect("an address"),
         requests: rc::Rc::default(),
         disconnects: rc::Rc::default(),
     };
-    let dropped = dropped.clone();
     actix_rt::spawn(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
-            let dropped = dropped.clone();
+            let events = events.clone();
             actix_rt::spawn(async move {
-                while let Some(head) = read_head(&mut stream).await {
-                    if head.contains(DEADLY) {
-                        return dropped.set(dropped.get() + 1);
-                    }
-                    let events = chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n";
-                    let text = format!("{STREAM_HEAD}{events}");
-                    if stream.write_all(text.as_bytes()).await.is_err() {
-                        return;
+                while read_head(&mut stream).await.is_some() {
+                    let _ = stream.write_all(STREAM_HEAD.as_bytes()).await;
+                    for event in &events {
+                        time::sleep(Duration::from_millis(90)).await;
+                        if stream.write_all(event.as_bytes()).await.is_err() {
+                            return;
+                        }
                     }
+                    let _ = stream.write_all(b"0\r\n\r\n").await;
                 }
             });
         }
@@ -49,25 +115,39 @@
     backend
 }
 
+/// Sends 30 requests with the deadly segment; returns how many of them reach ten backend servers,
+/// and how many are rejected.
+async fn send_deadly(on_deadly: OnDeadly) -> (usize, u64) {
+    let deadly = rc::Rc::default();
+    let mut backends = Vec::new();
+    for _ in 0..10 {
+        backends.push(fragile_backend(on_deadly, &deadly).await);
+    }
+    let (state, address) = gateway(&backends.iter().collect::<Vec<_>>()).await;
+    for own in 100..130 {
+        let headers = format!("x-tokens: 8000\r\nx-segments: 1:6000,5:1000,{DEADLY},{own}:9\r\n");
+        call(address, "/resume/a", &headers).await;
+    }
+    let sound = "x-tokens: 8000\r\nx-segments: 1:6000,5:1000,77:500,200:9\r\n";
+    expect_that!(status(&call(address, "/resume/a", sound).await), eq("200"));
+    (deadly.get(), state.metrics.quarantine_rejections.get())
+}
+
 #[gtest]
 fn requests_whose_prompt_crashes_backend_servers_do_not_reach_all_of_them() {
     run(async {
-        let dropped = rc::Rc::default();
-        let mut backends = Vec::new();
-        for _ in 0..10 {
-            backends.push(fragile_backend(&dropped).await);
-        }
-        let (state, address) = gateway(&backends.iter().collect::<Vec<_>>()).await;
-        for own in 100..130 {
-            let headers =
-                format!("x-tokens: 8000\r\nx-segments: 1:6000,5:1000,{DEADLY},{own}:9\r\n");
-            call(address, "/resume/a", &headers).await;
-        }
-        expect_that!(dropped.get(), le(MAX_DELIVERIES));
-        expect_that!(state.metrics.quarantine_rejections.get(), ge(30 - MAX_DELIVERIES as u64));
-        let sound =
-            "connection: close\r\nx-tokens: 8000\r\nx-segments: 1:6000,5:1000,77:500,200:9\r\n";
-        expect_that!(status(&call(address, "/resume/a", sound).await), eq("200"));
+        let (reached, rejected) = send_deadly(OnDeadly::Crash).await;
+        expect_that!(reached, le(MAX_DELIVERIES));
+        expect_that!(rejected, ge(30 - MAX_DELIVERIES as u64));
+    });
+}
+
+#[gtest]
+fn connections_that_live_backend_servers_close_quarantine_nothing() {
+    run(async {
+        let (reached, rejected) = send_deadly(OnDeadly::Close).await;
+        expect_that!(reached, eq(2 * 30));
+        expect_that!(rejected, eq(0));
     });
 }
 
@@ -101,3 +181,32 @@
         });
     }
 }
+
+/// Answers of all requests share their first segment and take longer than the crashes are apart.
+#[gtest]
+fn connections_that_are_lost_now_and_then_quarantine_nothing_that_is_answered() {
+    run(async {
+        let events: Vec<_> = (0..20).map(|id| chunk(&format!("id: {id}\ndata: a\n\n"))).collect();
+        let slow = slow_backend(events).await;
+        let (state, address) = gateway(&[&slow]).await;
+        let common = codec::Segment { id: 1, tokens: 50 };
+        let headers = "connection: close\r\nx-tokens: 800\r\nx-segments: 1:50,9:9\r\n";
+        let calls = (0..15_u64).map(|n| async move {
+            time::sleep(Duration::from_millis(100 * n)).await;
+            call(address, "/stream/a", headers).await
+        });
+        let losses = async {
+            for n in 0..4 {
+                time::sleep(Duration::from_millis(400)).await;
+                let now = state.time_of_day();
+                state.quarantine.borrow_mut().record_crash(&[common], n, now);
+                state.announce_quarantine();
+            }
+        };
+        let (responses, ()) = futures::join!(futures::future::join_all(calls), losses);
+        for response in responses {
+            expect_that!(status(&response), eq("200"));
+            expect_that!(response, contains_substring("0\r\n\r\n"));
+        }
+    });
+}
