feat(gateway): leaving backend servers and configuration versions are told by gossip

A server that said that it leaves was known to the gateway alone that it told; and a gateway that started right after the store came back from a copy accepted keys that a lost configuration had withdrawn. Change: gossip messages end with news (suspects, leaving servers, configuration version); what is new is passed on at once. If the store confirms an older version after another gateway told a newer one, the gateway accepts no keys, denies nothing and isn't ready (decision::told_version).

--- a/crates/gateway/src/decision.rs
+++ b/crates/gateway/src/decision.rs
@@ -18,4 +18,5 @@
 pub mod quiet_period;
 pub mod report_readiness;
 pub mod retry_budget;
+pub mod told_version;
 pub mod usage_counts;
--- a/crates/gateway/src/decision/freshness.rs
+++ b/crates/gateway/src/decision/freshness.rs
@@ -69,6 +69,12 @@
         (!self.last_failed).then_some(recovered.unwrap_or(Duration::MAX))
     }
 
+    /// When the store was last asked and confirmed the configuration.
+    #[must_use]
+    pub const fn confirmed_at(&self) -> Option<time::Instant> {
+        self.confirmed_at
+    }
+
     /// Age of the newest confirmation.
     #[must_use]
     pub fn age(&self, now: time::Instant) -> Option<Duration> {
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -23,6 +23,12 @@
 /// returns, as its documentation states; an entry that is still missing then is gone.
 pub const REREGISTRATION_GRACE: Duration = Duration::from_secs(2);
 
+/// Time for which the other gateways are told that a run of a backend server is leaving.
+const TELL_LEAVING: Duration = Duration::from_secs(3);
+
+/// Maximum number of runs that the other gateways are told of.
+const MAX_TOLD_LEAVING: usize = 64;
+
 /// How an update changed the directory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -44,6 +50,8 @@
     notices: notice::Notices,
     /// Backend servers whose entries went missing within the grace period.
     missing: Vec<ids::BackendId>,
+    /// Runs that began to leave, and when that became known here.
+    leaving: Vec<(peers::LeavingBackend, time::Instant)>,
     grace_until: Option<time::Instant>,
 }
 
@@ -135,14 +143,42 @@
 
     /// Records that a run of a backend server says that it is leaving, and removes it. Its entry in
     /// the store may say so later. Returns whether this is news.
-    pub fn record_leaving(&mut self, id: &str, started_ms: u64) -> bool {
+    pub fn record_leaving(&mut self, id: &str, started_ms: u64, now: time::Instant) -> bool {
         let is_news = self.notices.record_leaving(id, started_ms);
+        if is_news {
+            let leaving = peers::LeavingBackend { backend_hash: id_hash(id), started_ms };
+            self.leaving.retain(|(_, at)| now.saturating_duration_since(*at) < TELL_LEAVING);
+            self.leaving.truncate(MAX_TOLD_LEAVING - 1);
+            self.leaving.push((leaving, now));
+        }
         if self.get(id).is_some_and(|state| state.backend.started_ms == started_ms) {
             self.remove(id);
         }
         is_news
     }
 
+    /// Records that another gateway has been told by a run of a backend server that it is leaving.
+    /// Returns whether this is news.
+    pub fn record_told_leaving(
+        &mut self,
+        leaving: &peers::LeavingBackend,
+        now: time::Instant,
+    ) -> bool {
+        let is_meant = |state: &&BackendState| {
+            state.hash == leaving.backend_hash && state.backend.started_ms == leaving.started_ms
+        };
+        let id = self.all().find(is_meant).map(|state| state.backend.id.clone());
+        id.is_some_and(|id| self.record_leaving(&id, leaving.started_ms, now))
+    }
+
+    /// Runs that the other gateways are told of.
+    #[must_use]
+    pub fn recently_leaving(&self, now: time::Instant) -> Vec<peers::LeavingBackend> {
+        let is_recent = |at: &time::Instant| now.saturating_duration_since(*at) < TELL_LEAVING;
+        let recent = self.leaving.iter().filter(|(_, at)| is_recent(at));
+        recent.map(|(leaving, _)| *leaving).collect()
+    }
+
     /// Records for how long a run of a backend server wants no requests.
     pub fn record_quiet_period(
         &mut self,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,6 +3,7 @@
 
 mod collected_counts;
 mod message;
+mod news;
 mod notice;
 mod peer;
 mod reply;
@@ -27,6 +28,8 @@
 pub use message::GossipMessage;
 pub use message::RankEntry;
 pub use message::UsageCount;
+pub use news::LeavingBackend;
+pub use news::News;
 pub use notice::RelayedCounts;
 pub use notice::UsageNotice;
 pub use reply::Reply;
--- a/crates/gateway/src/proxy/admission.rs
+++ b/crates/gateway/src/proxy/admission.rs
@@ -71,7 +71,9 @@
     let configuration = state.configuration().ok_or(Denial::StaleConfiguration)?;
     let now = state.clock.now();
     let freshness = *state.freshness.borrow();
-    let deny = |denial| if freshness.may_deny(now) { denial } else { Denial::StaleConfiguration };
+    let is_outdated = state.has_outdated_configuration();
+    let may_deny = freshness.may_deny(now) && !is_outdated;
+    let deny = |denial| if may_deny { denial } else { Denial::StaleConfiguration };
     let host = head.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| head.uri.host()).unwrap_or_default();
     let route =
@@ -80,7 +82,7 @@
         return Err(Denial::Stopping);
     }
     let team = if configuration.requires_key(&route) {
-        if !freshness.may_trust_keys(now) {
+        if !freshness.may_trust_keys(now) || is_outdated {
             return Err(Denial::StaleConfiguration);
         }
         let key = headers.api_key.as_deref().unwrap_or_default();
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -222,13 +222,14 @@
     decoded: &codec::ResponseHeaders,
 ) {
     let mut directory = state.directory.borrow_mut();
-    if decoded.leaving && directory.record_leaving(&target.id, target.started_ms) {
+    let now = time::Instant::now();
+    if decoded.leaving && directory.record_leaving(&target.id, target.started_ms, now) {
+        state.announce_news();
         tracing::info!(backend = target.id, "backend server says that it is leaving");
     }
     if status != http::StatusCode::SERVICE_UNAVAILABLE {
         directory.record_acceptance(&target.id, target.started_ms);
     } else if let Some(length) = decoded.quiet_for {
-        let now = time::Instant::now();
         directory.record_quiet_period(&target.id, target.started_ms, length, now);
         let quiet_ms = length.as_millis() as u64;
         tracing::info!(backend = target.id, quiet_ms, "backend server asks for a quiet period");
--- a/crates/gateway/src/proxy/screening.rs
+++ b/crates/gateway/src/proxy/screening.rs
@@ -49,7 +49,7 @@
         state.metrics.lost_prompts.inc();
         let (hash, now) = (directory::id_hash(&target.id), state.time_of_day());
         if state.quarantine.borrow_mut().record_crash(segments, hash, now) {
-            state.announce_quarantine();
+            state.announce_news();
         }
     }
 
@@ -67,7 +67,7 @@
         let (state, segments) = (&self.state, self.shared_segments());
         let now = state.time_of_day();
         if state.quarantine.borrow_mut().record_answer(segments, self.began_at, now) {
-            state.announce_quarantine();
+            state.announce_news();
         }
     }
 
@@ -86,7 +86,7 @@
     /// that is sent to see whether the prompt still crashes backend servers waits for ever.
     pub(super) async fn wait_for_rejection(&self) -> quarantine::Rejection {
         let segments = self.shared_segments();
-        let mut changes = self.state.quarantine_changes.subscribe();
+        let mut changes = self.state.news.subscribe();
         while self.admission == quarantine::Admission::Normal && !segments.is_empty() {
             let now = self.state.time_of_day();
             let rejection = self.state.quarantine.borrow().find_rejection(segments, now);
@@ -108,7 +108,7 @@
             let crashes = rejection.crashes;
             tracing::warn!(segment, crashes, hold_ms, "prompt segment quarantined");
             self.state.quarantine.borrow_mut().mark_rejected(rejection.segment);
-            self.state.announce_quarantine();
+            self.state.announce_news();
         }
         self.state.metrics.quarantine_rejections.inc();
         let reason = format!("segment {segment} crashed {} backend servers", rejection.crashes);
--- a/crates/gateway/src/service/gateway_list.rs
+++ b/crates/gateway/src/service/gateway_list.rs
@@ -60,7 +60,7 @@
             time::sleep(REREGISTRATION_SPREAD.mul_f64(rand::random())).await;
             state.registered.set(false);
             state.quarantine.borrow_mut().forget_saved();
-            state.announce_quarantine();
+            state.announce_news();
             interval = INITIAL_LIST_INTERVAL;
             continue;
         }
--- a/crates/gateway/src/service/gossip.rs
+++ b/crates/gateway/src/service/gossip.rs
@@ -140,11 +140,11 @@
     }
 }
 
-/// Sends news about prompt segments that crash backend servers to some gateways at once; each of
-/// them passes on what is news to it, so that it is known everywhere after a few messages.
+/// Sends news to some gateways at once; each of them passes on what is news to it, so that it is known
+/// everywhere after a few messages.
 async fn send_news(sender: rc::Rc<Sender>) {
     let state = &sender.state;
-    let mut changes = state.quarantine_changes.subscribe();
+    let mut changes = state.news.subscribe();
     // The sender is part of the state, so the channel stays open.
     while changes.changed().await.is_ok() {
         let draw = rand::random();
@@ -221,7 +221,11 @@
         loads: state.directory.borrow().all().filter(busy).map(backend_load).collect(),
         counts: Vec::new(),
         cached: state.read_segments.borrow().iter().copied().take(MAX_SEGMENTS).collect(),
-        suspects: state.quarantine.borrow().told(state.time_of_day()),
+        news: peers::News {
+            suspects: state.quarantine.borrow().told(state.time_of_day()),
+            leaving: state.directory.borrow().recently_leaving(time::Instant::now()),
+            configuration: state.configuration().map(|configuration| configuration.version),
+        },
         notice: Some(peers::UsageNotice {
             can_report: state.freshness.borrow().is_store_answering() && !state.is_stopping(),
             is_leaving: state.is_stopping(),
@@ -244,6 +248,21 @@
     state.peers.borrow_mut().prune_counts(usage_counts::window_at(time, length), length);
 }
 
+/// Takes over what another gateway tells, and passes it on if it is new.
+fn receive_news(state: &state::State, news: &peers::News) {
+    let mut is_new = state.quarantine.borrow_mut().merge(&news.suspects, state.time_of_day());
+    for leaving in &news.leaving {
+        let now = time::Instant::now();
+        is_new |= state.directory.borrow_mut().record_told_leaving(leaving, now);
+    }
+    if let Some(version) = news.configuration {
+        state.told_version.borrow_mut().record(version, state.clock.now());
+    }
+    if is_new {
+        state.announce_news();
+    }
+}
+
 async fn receive(sender: rc::Rc<Sender>) {
     let (state, socket) = (&sender.state, &sender.socket);
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
@@ -263,11 +282,7 @@
                 // The requests for the counts show a gateway that its counts arrive.
                 let is_requested = message.notice.is_some() && state.reporting.borrow().is_some();
                 state.directory.borrow_mut().record_reads(&message.cached, time::Instant::now());
-                let is_news =
-                    state.quarantine.borrow_mut().merge(&message.suspects, state.time_of_day());
-                if is_news {
-                    state.announce_quarantine();
-                }
+                receive_news(state, &message.news);
                 let reply = state.peers.borrow_mut().handle_message(message, from, now);
                 match reply {
                     peers::Reply::Counts => sender.answer_request(from).await,
--- a/crates/gateway/src/service/quarantine_rows.rs
+++ b/crates/gateway/src/service/quarantine_rows.rs
@@ -40,14 +40,14 @@
     let now = state.time_of_day();
     let is_obsolete = state.quarantine.borrow().is_obsolete(&saved, now);
     if !is_obsolete && state.quarantine.borrow_mut().merge(&[saved], now) {
-        state.announce_quarantine();
+        state.announce_news();
     }
     is_obsolete
 }
 
 /// Saves the segments that requests of this gateway have shown to crash backend servers.
 pub(super) async fn save(state: rc::Rc<state::State>, store: rc::Rc<store::Store>) {
-    let mut changes = state.quarantine_changes.subscribe();
+    let mut changes = state.news.subscribe();
     // The sender is part of the state, so the channel stays open.
     while changes.changed().await.is_ok() {
         loop {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -21,6 +21,7 @@
 use crate::decision::prefill_speed;
 use crate::decision::quarantine;
 use crate::decision::retry_budget;
+use crate::decision::told_version;
 use crate::decision::usage_counts;
 use crate::directory;
 use crate::logs;
@@ -87,8 +88,10 @@
     pub read_segments: cell::RefCell<collections::BTreeSet<peers::CachedSegment>>,
     /// Prompt segments that crash backend servers.
     pub quarantine: cell::RefCell<quarantine::Quarantine>,
-    /// Number of changes of the quarantine that are news for the other gateways or the store.
-    pub quarantine_changes: sync::watch::Sender<u64>,
+    /// Number of changes that are news for the other gateways or the store.
+    pub news: sync::watch::Sender<u64>,
+    /// Newest version of the configuration that another gateway has in force.
+    pub told_version: cell::RefCell<told_version::ToldVersion>,
     /// Limit on the idle time of reused connections, by service.
     pub idle_limits: cell::RefCell<collections::HashMap<ids::PoolId, idle_limit::IdleLimit>>,
     /// Budget for retries, shared with the other gateways.
@@ -133,7 +136,8 @@
         let spread = f64::from(directory::id_hash(&settings.node)) / f64::from(u32::MAX);
         Self {
             quarantine: cell::RefCell::new(quarantine::Quarantine::new(spread)),
-            quarantine_changes: sync::watch::Sender::new(0),
+            news: sync::watch::Sender::new(0),
+            told_version: cell::RefCell::default(),
             configuration: cell::RefCell::new(None),
             freshness: cell::RefCell::new(freshness::Freshness::new(settings.revocation_bound)),
             refresh_requested: sync::Notify::new(),
@@ -207,6 +211,7 @@
             && self.backends_loaded.get()
             && self.configuration.borrow().is_some()
             && self.freshness.borrow().may_trust_keys(self.clock.now())
+            && !self.has_outdated_configuration()
     }
 
     /// Number of live gateways, including this one.
@@ -226,9 +231,19 @@
         self.usage_counts.borrow_mut().increment(window, hash);
     }
 
-    /// Wakes the tasks that pass on changes of the quarantine.
-    pub fn announce_quarantine(&self) {
-        self.quarantine_changes.send_modify(|changes| *changes += 1);
+    /// Wakes the tasks that pass on news.
+    pub fn announce_news(&self) {
+        self.news.send_modify(|changes| *changes += 1);
+    }
+
+    /// Whether the store has lost the newest configuration: it was asked after another gateway told
+    /// of a newer one than it has. Keys that this one withdrew must not be accepted.
+    #[must_use]
+    pub fn has_outdated_configuration(&self) -> bool {
+        let Some(configuration) = self.configuration() else { return false };
+        let confirmed_at = self.freshness.borrow().confirmed_at();
+        let told = self.told_version.borrow();
+        told.is_lost(configuration.version, confirmed_at, self.clock.now())
     }
 
     /// Estimate of the time of day, since 1970.
--- a/crates/gateway/tests/eras.rs
+++ b/crates/gateway/tests/eras.rs
@@ -10,7 +10,9 @@
 use std::time::Duration;
 
 use azuregap_gateway::codec;
+use azuregap_gateway::configuration;
 use azuregap_gateway::decision::report_readiness;
+use azuregap_gateway::decision::told_version;
 use azuregap_gateway::directory;
 use azuregap_gateway::service;
 use azuregap_gateway::state;
@@ -19,6 +21,7 @@
 use googletest::prelude::*;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
+use support::loopback::*;
 use tokio::net as tokio_net;
 use tokio::task;
 use tokio::time;
@@ -267,3 +270,60 @@
         expect_that!(report_readiness::may_be_lost(end, noticed, due), eq(is_lost));
     }
 }
+
+/// The gateway has started after the store came back from a copy, in which a withdrawn key is valid.
+#[gtest]
+fn gateway_refuses_keys_while_the_store_lacks_a_configuration_that_others_have_in_force() {
+    run(async {
+        let backend = backend(vec![keep_open(RESPONSE)]).await;
+        let (state, address) = gateway(&[&backend]).await;
+        let confirm = || {
+            let now = state.clock.now();
+            state.freshness.borrow_mut().record_confirmation(now);
+        };
+        let keyed = || call(address, "/keyed/a", "x-key: secret\r\n");
+        expect_that!(status(&keyed().await), eq("200"));
+        state.told_version.borrow_mut().record(2, state.clock.now());
+        // The newer version may be on its way.
+        expect_that!(status(&keyed().await), eq("200"));
+        confirm();
+        expect_that!(status(&keyed().await), eq("503"));
+        expect_that!(state.is_ready(), is_false());
+        expect_that!(status(&call(address, "/unknown/a", "").await), eq("503"));
+        expect_that!(status(&call(address, "/once/a", "").await), eq("200"));
+        let written_again = configuration::Configuration::new(2).with_route(configuration::Route {
+            public: false,
+            ..route("/keyed/", configuration::RouteKind::Idempotent, 1)
+        });
+        let team = configuration::Team { name: "t".to_owned(), tier: 0 };
+        let written_again = written_again.with_team(team, ["other".to_owned()]);
+        *state.configuration.borrow_mut() = Some(rc::Rc::new(written_again));
+        confirm();
+        expect_that!(status(&keyed().await), eq("401"));
+    });
+}
+
+#[gtest]
+fn told_versions_count_only_while_they_are_told() {
+    let start = time::Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    // Versions that are told, with the moment in milliseconds; the own version, when the store
+    // confirmed it, the moment, and whether it has lost one.
+    for (name, told, own, confirmed, now, is_lost) in [
+        ("nothing told", vec![], 3, 100, 200, false),
+        ("the same", vec![(3, 0)], 3, 100, 200, false),
+        ("an older one", vec![(2, 0)], 3, 100, 200, false),
+        ("a newer one, asked before", vec![(5, 50)], 3, 40, 200, false),
+        ("a newer one, asked since", vec![(5, 50)], 3, 60, 200, true),
+        ("a newer one, told again", vec![(5, 50), (5, 5_000)], 3, 60, 12_000, true),
+        ("a newer one, told long ago", vec![(5, 50)], 3, 60, 12_000, false),
+        ("an older one after it", vec![(5, 50), (4, 70)], 4, 60, 200, true),
+        ("an older one long after it", vec![(5, 50), (4, 9_000)], 4, 10_000, 11_000, false),
+    ] {
+        let mut versions = told_version::ToldVersion::default();
+        for (version, millis) in told {
+            versions.record(version, at(millis));
+        }
+        expect_that!(versions.is_lost(own, Some(at(confirmed)), at(now)), eq(is_lost), "{name}");
+    }
+}
--- a/crates/gateway/tests/notices.rs
+++ b/crates/gateway/tests/notices.rs
@@ -8,6 +8,7 @@
 
 use azuregap_gateway::decision::quiet_period;
 use azuregap_gateway::directory;
+use azuregap_gateway::peers;
 use azuregap_gateway::state;
 use googletest::prelude::*;
 use support::loopback::*;
@@ -180,3 +181,42 @@
     state.start(Duration::MAX, start);
     expect_that!(state.time_left(start), eq(quiet_period::MAX_PERIOD));
 }
+
+#[gtest]
+fn backend_server_that_told_another_gateway_that_it_leaves_gets_no_request() {
+    run(async {
+        let (leaving, other) =
+            (backend(vec![keep_open(RESPONSE)]).await, backend(vec![keep_open(RESPONSE)]).await);
+        let (state, address) = gateway(&[&leaving]).await;
+        register_fallback(&state, other.address);
+        let told = |started_ms| peers::LeavingBackend {
+            backend_hash: directory::id_hash("b-0"),
+            started_ms,
+        };
+        let now = time::Instant::now();
+        // An earlier run of the same server is of no interest.
+        expect_that!(state.directory.borrow_mut().record_told_leaving(&told(0), now), is_false());
+        expect_that!(state.directory.borrow_mut().record_told_leaving(&told(1), now), is_true());
+        expect_that!(state.directory.borrow_mut().record_told_leaving(&told(1), now), is_false());
+        register(&state, leaving.address, 1);
+        expect_that!(status(&call(address, "/once/a", "").await), eq("200"));
+        expect_that!(leaving.requests.borrow().len(), eq(0));
+    });
+}
+
+#[gtest]
+fn leaving_backend_servers_are_told_for_a_short_time() {
+    run(async {
+        let backend = backend(vec![keep_open(LEAVING)]).await;
+        let (state, address) = gateway(&[&backend]).await;
+        let now = time::Instant::now();
+        expect_that!(state.directory.borrow().recently_leaving(now), is_empty());
+        call(address, "/once/a", "").await;
+        let told = peers::LeavingBackend { backend_hash: directory::id_hash("b-0"), started_ms: 1 };
+        let now = time::Instant::now();
+        expect_that!(state.directory.borrow().recently_leaving(now), elements_are![eq(&told)]);
+        expect_that!(*state.news.borrow(), eq(1));
+        let later = now + Duration::from_secs(10);
+        expect_that!(state.directory.borrow().recently_leaving(later), is_empty());
+    });
+}
