refactor(gateway): one type a file for the quarantine; responses, logs and the ring have files

Change: decision::quarantine has a file for each type; proxy::own_response holds the gateway's own responses, proxy::request_log the lines and metrics of a request, peers::ring the choice of recipients. No behaviour changes.

--- a/crates/gateway/src/decision/quarantine.rs
+++ b/crates/gateway/src/decision/quarantine.rs
@@ -37,17 +37,25 @@
 //! assert!(quarantine.admit(&prompt[..1], Duration::from_secs(4)).is_ok());
 //! ```
 
+mod crash;
+mod record;
+mod rejection;
+mod suspect;
+
 use std::cmp;
 use std::collections;
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde::Serialize;
-use serde_with::serde_as;
 use smallvec::SmallVec;
 
 use crate::codec;
 
+pub use crash::Crash;
+pub use record::MAX_CRASHES;
+pub use rejection::Admission;
+pub use rejection::Rejection;
+pub use suspect::Suspect;
+
 /// Crashes without an answer since after which requests with a segment are rejected.
 const REJECT_CRASHES: usize = 3;
 
@@ -58,10 +66,6 @@
 /// Crashes closer together than this count once.
 const COMMON_CAUSE: Duration = Duration::from_millis(250);
 
-/// Losses of one backend server within this time are one crash: gateways notice it at different
-/// times, and their clocks differ. It is shorter than the restart of an engine.
-const SAME_CRASH: Duration = Duration::from_millis(1_500);
-
 /// An answer that goes on for this long after its first event shows that its prompt is sound. One that
 /// is lost earlier counts as lost before its first event.
 pub const PROBATION: Duration = Duration::from_millis(250);
@@ -79,9 +83,6 @@
 /// Time for which other gateways are told that a segment was cleared.
 const TELL_CLEARED: Duration = Duration::from_secs(10);
 
-/// Maximum number of crashes that are remembered for each segment; the newest ones are kept.
-pub const MAX_CRASHES: usize = 16;
-
 /// Maximum number of segments that are remembered.
 const MAX_SUSPECTS: usize = 256;
 
@@ -91,124 +92,12 @@
 /// Maximum number of segments whose last answer is remembered.
 const MAX_ANSWERS: usize = 4_096;
 
-/// Time of day, since 1970; the same at all gateways but for the error of their clocks.
-type TimeOfDay = Duration;
-
-/// The end of a run of a backend server before the first event of a request.
-#[serde_as]
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct Crash {
-    /// Hash of the backend server's id.
-    pub backend_hash: u32,
-    /// When it was noticed.
-    #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
-    pub at: TimeOfDay,
-}
-
-impl Crash {
-    fn is_same(&self, other: &Self) -> bool {
-        self.backend_hash == other.backend_hash && self.at.abs_diff(other.at) < SAME_CRASH
-    }
-}
-
-/// What gateways tell each other about a segment.
-#[serde_as]
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct Suspect {
-    /// The segment.
-    pub segment: codec::SegmentId,
-    /// Crashes since its last answer.
-    pub crashes: SmallVec<[Crash; 4]>,
-    /// Beginning of its last answer, if one is known; zero if none is.
-    #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
-    pub answered_at: TimeOfDay,
-}
-
-/// How a request is admitted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Admission {
-    /// No segment of its prompt is quarantined.
-    Normal,
-    /// It shows whether a quarantined segment still crashes backend servers.
-    Trial,
-}
-
-/// Why a request is rejected.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Rejection {
-    /// The segment that crashed backend servers.
-    pub segment: codec::SegmentId,
-    /// Number of crashes that count against it.
-    pub crashes: usize,
-    /// Time until a request with it may be sent again.
-    pub time_left: Duration,
-    /// Whether this is the first request that is rejected for the segment here.
-    pub is_first: bool,
-}
-
-/// What is known about a segment that was part of a crash.
-#[derive(Clone, Debug, Default)]
-struct Record {
-    /// Crashes since the last answer.
-    crashes: SmallVec<[Crash; 4]>,
-    answered_at: TimeOfDay,
-    changed_at: TimeOfDay,
-    /// When the last single request after the hold was sent.
-    trial_at: TimeOfDay,
-    /// Whether a request of this gateway was part of one of the crashes.
-    is_own: bool,
-    has_rejected: bool,
-    /// Whether the store has it.
-    is_saved: bool,
-}
-
-impl Record {
-    /// Adds a crash; returns whether it is news.
-    fn add(&mut self, crash: Crash) -> bool {
-        let is_known = self.crashes.iter().any(|known| known.is_same(&crash));
-        if is_known || crash.at <= self.answered_at {
-            return false;
-        }
-        self.crashes.push(crash);
-        if self.crashes.len() > MAX_CRASHES {
-            self.crashes.sort_unstable_by_key(|crash| crash.at);
-            self.crashes.remove(0);
-        }
-        true
-    }
-
-    /// Drops the crashes before an answer; returns whether this is news.
-    fn clear(&mut self, answered_at: TimeOfDay) -> bool {
-        if answered_at <= self.answered_at {
-            return false;
-        }
-        self.answered_at = answered_at;
-        let count = self.crashes.len();
-        self.crashes.retain(|crash| crash.at > answered_at);
-        count != self.crashes.len()
-    }
-
-    fn suspect(&self, segment: codec::SegmentId) -> Suspect {
-        Suspect { segment, crashes: self.crashes.clone(), answered_at: self.answered_at }
-    }
-
-    fn last_crash(&self) -> TimeOfDay {
-        self.crashes.iter().map(|crash| crash.at).max().unwrap_or_default()
-    }
-
-    fn last_change(&self) -> TimeOfDay {
-        self.last_crash().max(self.changed_at)
-    }
-}
-
 /// Segments that were part of crashes, and which of them are kept from backend servers.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    records: collections::HashMap<codec::SegmentId, Record>,
+    records: collections::HashMap<codec::SegmentId, record::Record>,
     /// Beginning of the last answer of segments that were answered here.
-    answers: collections::HashMap<codec::SegmentId, TimeOfDay>,
+    answers: collections::HashMap<codec::SegmentId, crash::TimeOfDay>,
     hold: Duration,
 }
 
@@ -226,7 +115,7 @@
         &mut self,
         segments: &[codec::Segment],
         backend_hash: u32,
-        now: TimeOfDay,
+        now: crash::TimeOfDay,
     ) -> bool {
         let crash = Crash { backend_hash, at: now };
         let mut is_news = false;
@@ -243,8 +132,8 @@
     pub fn record_answer(
         &mut self,
         segments: &[codec::Segment],
-        began_at: TimeOfDay,
-        now: TimeOfDay,
+        began_at: crash::TimeOfDay,
+        now: crash::TimeOfDay,
     ) -> bool {
         if self.answers.len() + segments.len() > MAX_ANSWERS {
             self.answers.clear();
@@ -265,7 +154,7 @@
     }
 
     /// Adds what another gateway tells; returns whether it is news.
-    pub fn merge(&mut self, told: &[Suspect], now: TimeOfDay) -> bool {
+    pub fn merge(&mut self, told: &[Suspect], now: crash::TimeOfDay) -> bool {
         let mut is_news = false;
         for suspect in told {
             let Some(record) = self.record_mut(suspect.segment, now) else { continue };
@@ -287,8 +176,8 @@
 
     /// What the other gateways are told: the segments with most crashes first.
     #[must_use]
-    pub fn told(&self, now: TimeOfDay) -> Vec<Suspect> {
-        let is_told = |record: &Record| {
+    pub fn told(&self, now: crash::TimeOfDay) -> Vec<Suspect> {
+        let is_told = |record: &record::Record| {
             !record.crashes.is_empty() || now.saturating_sub(record.changed_at) < TELL_CLEARED
         };
         let records = self.records.iter().filter(|(_, record)| is_told(record));
@@ -302,7 +191,8 @@
     /// all end at once. Only gateways whose own requests were part of a crash save it.
     #[must_use]
     pub fn unsaved(&self) -> Vec<Suspect> {
-        let is_unsaved = |record: &Record| record.is_own && record.has_rejected && !record.is_saved;
+        let is_unsaved =
+            |record: &record::Record| record.is_own && record.has_rejected && !record.is_saved;
         let records = self.records.iter().filter(|(_, record)| is_unsaved(record));
         records.map(|(segment, record)| record.suspect(*segment)).collect()
     }
@@ -329,7 +219,7 @@
     /// Whether what was saved about a segment is of no use any more: it was answered since, or its
     /// last crash is long ago.
     #[must_use]
-    pub fn is_obsolete(&self, saved: &Suspect, now: TimeOfDay) -> bool {
+    pub fn is_obsolete(&self, saved: &Suspect, now: crash::TimeOfDay) -> bool {
         let answered_at = self.answers.get(&saved.segment).copied().unwrap_or_default();
         let is_open =
             |crash: &Crash| crash.at > answered_at && now.saturating_sub(crash.at) < FORGET;
@@ -351,7 +241,7 @@
     pub fn admit(
         &mut self,
         segments: &[codec::Segment],
-        now: TimeOfDay,
+        now: crash::TimeOfDay,
     ) -> Result<Admission, Rejection> {
         let Some(rejection) = self.find_rejection(segments, now) else {
             return Ok(Admission::Normal);
@@ -370,7 +260,11 @@
     /// Why a request with these shared segments is rejected; the time left is zero if a single one
     /// may be sent. `None` if no segment is quarantined.
     #[must_use]
-    pub fn find_rejection(&self, segments: &[codec::Segment], now: TimeOfDay) -> Option<Rejection> {
+    pub fn find_rejection(
+        &self,
+        segments: &[codec::Segment],
+        now: crash::TimeOfDay,
+    ) -> Option<Rejection> {
         let (segment, crashes) = self.guilty_segment(segments, REJECT_CRASHES)?;
         let record = self.records.get(&segment)?;
         let until = (record.last_crash() + self.hold).max(record.trial_at + TRIAL_INTERVAL);
@@ -397,7 +291,7 @@
     fn unexplained_crashes(&self, id: codec::SegmentId, prompt: &[codec::Segment]) -> usize {
         let Some(record) = self.records.get(&id) else { return 0 };
         let is_outside = |other: &codec::SegmentId| prompt.iter().all(|own| own.id != *other);
-        let others: SmallVec<[&Record; 8]> = self
+        let others: SmallVec<[&record::Record; 8]> = self
             .records
             .iter()
             .filter(|(other, rival)| {
@@ -409,9 +303,10 @@
             others.iter().any(|rival| rival.crashes.iter().any(|other| other.is_same(crash)))
         };
         let unexplained = record.crashes.iter().filter(|crash| !is_explained(crash));
-        let mut times: SmallVec<[TimeOfDay; 8]> = unexplained.map(|crash| crash.at).collect();
+        let mut times: SmallVec<[crash::TimeOfDay; 8]> =
+            unexplained.map(|crash| crash.at).collect();
         times.sort_unstable();
-        let mut counted: Option<TimeOfDay> = None;
+        let mut counted: Option<crash::TimeOfDay> = None;
         let mut count = 0;
         for at in times {
             if counted.is_none_or(|counted| at - counted >= COMMON_CAUSE) {
@@ -423,7 +318,11 @@
     }
 
     /// The record of a segment, a new one if there is none; `None` if there is no room for it.
-    fn record_mut(&mut self, segment: codec::SegmentId, now: TimeOfDay) -> Option<&mut Record> {
+    fn record_mut(
+        &mut self,
+        segment: codec::SegmentId,
+        now: crash::TimeOfDay,
+    ) -> Option<&mut record::Record> {
         if !self.records.contains_key(&segment) {
             if self.records.len() >= MAX_SUSPECTS {
                 self.make_room(now);
@@ -432,7 +331,8 @@
                 return None;
             }
             let answered_at = self.answers.get(&segment).copied().unwrap_or_default();
-            let record = Record { answered_at, changed_at: now, ..Record::default() };
+            let record =
+                record::Record { answered_at, changed_at: now, ..record::Record::default() };
             self.records.insert(segment, record);
         }
         self.records.get_mut(&segment)
@@ -440,7 +340,7 @@
 
     /// Removes segments whose last crash is long ago or that were cleared, and the least suspect one
     /// if all others are still needed.
-    fn make_room(&mut self, now: TimeOfDay) {
+    fn make_room(&mut self, now: crash::TimeOfDay) {
         self.records.retain(|_, record| {
             let age = now.saturating_sub(record.last_change());
             age < if record.crashes.is_empty() { TELL_CLEARED } else { FORGET }
@@ -448,7 +348,7 @@
         if self.records.len() < MAX_SUSPECTS {
             return;
         }
-        let suspicion = |record: &Record| (record.crashes.len(), record.last_change());
+        let suspicion = |record: &record::Record| (record.crashes.len(), record.last_change());
         let least = self.records.iter().min_by_key(|(_, record)| suspicion(record));
         if let Some(id) = least.map(|(id, _)| *id) {
             self.records.remove(&id);
--- /dev/null
+++ b/crates/gateway/src/decision/quarantine/record.rs
@@ -0,0 +1,65 @@
+//! What a gateway knows about a prompt segment that was part of a crash.
+
+use smallvec::SmallVec;
+
+use super::crash;
+use super::suspect;
+use crate::codec;
+
+/// Maximum number of crashes that are remembered for each segment; the newest ones are kept.
+pub const MAX_CRASHES: usize = 16;
+
+/// What is known about a segment that was part of a crash.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Record {
+    /// Crashes since the last answer.
+    pub(super) crashes: SmallVec<[crash::Crash; 4]>,
+    pub(super) answered_at: crash::TimeOfDay,
+    pub(super) changed_at: crash::TimeOfDay,
+    /// When the last single request after the hold was sent.
+    pub(super) trial_at: crash::TimeOfDay,
+    /// Whether a request of this gateway was part of one of the crashes.
+    pub(super) is_own: bool,
+    pub(super) has_rejected: bool,
+    /// Whether the store has it.
+    pub(super) is_saved: bool,
+}
+
+impl Record {
+    /// Adds a crash; returns whether it is news.
+    pub(super) fn add(&mut self, crash: crash::Crash) -> bool {
+        let is_known = self.crashes.iter().any(|known| known.is_same(&crash));
+        if is_known || crash.at <= self.answered_at {
+            return false;
+        }
+        self.crashes.push(crash);
+        if self.crashes.len() > MAX_CRASHES {
+            self.crashes.sort_unstable_by_key(|crash| crash.at);
+            self.crashes.remove(0);
+        }
+        true
+    }
+
+    /// Drops the crashes before an answer; returns whether this is news.
+    pub(super) fn clear(&mut self, answered_at: crash::TimeOfDay) -> bool {
+        if answered_at <= self.answered_at {
+            return false;
+        }
+        self.answered_at = answered_at;
+        let count = self.crashes.len();
+        self.crashes.retain(|crash| crash.at > answered_at);
+        count != self.crashes.len()
+    }
+
+    pub(super) fn suspect(&self, segment: codec::SegmentId) -> suspect::Suspect {
+        suspect::Suspect { segment, crashes: self.crashes.clone(), answered_at: self.answered_at }
+    }
+
+    pub(super) fn last_crash(&self) -> crash::TimeOfDay {
+        self.crashes.iter().map(|crash| crash.at).max().unwrap_or_default()
+    }
+
+    pub(super) fn last_change(&self) -> crash::TimeOfDay {
+        self.last_crash().max(self.changed_at)
+    }
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,6 +8,7 @@
 mod peer;
 mod reply;
 mod reporter;
+mod ring;
 
 use std::collections;
 use std::net;
@@ -15,7 +16,6 @@
 
 use azuregap_core::ids;
 use tokio::time;
-use xxhash_rust::xxh3;
 
 use crate::decision::candidacy;
 use crate::decision::gossip_timing;
@@ -41,10 +41,6 @@
 /// A gateway that was not listed and sent no message for this long receives no more messages.
 pub const PEER_EXPIRY: Duration = Duration::from_secs(120);
 
-/// Neighbours on each side of the ring. Each message must be repeated while its load is valid, and
-/// forty messages per second, sent and received, take one percent of a core.
-const NEIGHBOURS_PER_SIDE: usize = gossip_timing::MAX_NEIGHBOURS / 2;
-
 /// Gateways that compete for the reporting lease and receive all usage counts; see
 /// [`candidacy::competes`].
 pub const REPORTER_COUNT: usize = candidacy::CANDIDATES;
@@ -52,10 +48,6 @@
 /// Maximum number of gateways that receive the usage counts, including silent ones.
 const MAX_COUNT_RECIPIENTS: usize = 12;
 
-/// Gateways that each gateway tells news at once. In a fleet of thousands nearly all hear of it after
-/// a few messages, the rest from their neighbours.
-const NEWS_RECIPIENTS: usize = 6;
-
 /// Position in the ring; the same at every gateway.
 type Position = (u32, ids::NodeId);
 
@@ -238,42 +230,6 @@
         self.standing(node, None, now).alive_before < count
     }
 
-    /// Addresses of the neighbours of a gateway, to which it sends its load.
-    ///
-    /// Silent neighbours are included, but don't count towards the number of neighbours, so that
-    /// the two sides of a network partition find each other again.
-    #[must_use]
-    pub fn neighbours(&self, node: &str, now: time::Instant) -> Vec<net::SocketAddr> {
-        if !self.is_partial_mesh() {
-            let others = self.peers.iter().filter(|((_, name), _)| name != node);
-            return others.map(|(_, peer)| peer.address).collect();
-        }
-        let mut seen = collections::HashSet::new();
-        let neighbours = self.ring_neighbours(node, now).into_iter();
-        neighbours.map(|peer| peer.address).filter(|address| seen.insert(*address)).collect()
-    }
-
-    /// Neighbours on both sides of a gateway in the ring.
-    fn ring_neighbours(&self, node: &str, now: time::Instant) -> Vec<&peer::Peer> {
-        let own = position(node);
-        let after = self.peers.range(&own..).chain(self.peers.range(..&own));
-        let after = after.filter(|(position, _)| **position != own).map(|(_, peer)| peer);
-        let mut neighbours = Vec::new();
-        let sides: [&mut dyn Iterator<Item = &peer::Peer>; 2] =
-            [&mut after.clone(), &mut after.rev()];
-        for side in sides {
-            let mut live = 0;
-            for peer in side.take(NEIGHBOURS_PER_SIDE * 2) {
-                neighbours.push(peer);
-                live += usize::from(peer.was_heard(LIVENESS_TIMEOUT, now));
-                if live == NEIGHBOURS_PER_SIDE {
-                    break;
-                }
-            }
-        }
-        neighbours
-    }
-
     /// Whether the reporter, which has collected counts for `collecting`, asks the others for
     /// them. In a small fleet they come by themselves; it asks only at first, for what the others
     /// know of processes that have ended.
@@ -312,23 +268,6 @@
         addresses
     }
 
-    /// Addresses of the gateways that are told news at once: one in each of some equal parts of the
-    /// ring, selected by the random number `draw`.
-    #[must_use]
-    pub fn news_recipients(&self, draw: u32) -> Vec<net::SocketAddr> {
-        let count = self.peers.len();
-        let step = count.div_ceil(NEWS_RECIPIENTS).max(1);
-        let addresses: Vec<_> = self.addresses().collect();
-        let parts = addresses.chunks(step).zip(0_u32..);
-        let select = |(part, number): (&[net::SocketAddr], u32)| {
-            let mut key = [0; 8];
-            key[..4].copy_from_slice(&draw.to_le_bytes());
-            key[4..].copy_from_slice(&number.to_le_bytes());
-            part[(xxh3::xxh3_64(&key) % part.len() as u64) as usize]
-        };
-        parts.map(select).collect()
-    }
-
     /// Removes gateways that have neither been listed nor sent a message for [`PEER_EXPIRY`].
     pub fn remove_expired(&mut self, now: time::Instant) {
         let is_old = |at: time::Instant| now.saturating_duration_since(at) >= PEER_EXPIRY;
@@ -342,12 +281,6 @@
         });
     }
 
-    /// Whether there are too many gateways for all of them to be neighbours.
-    #[must_use]
-    pub fn is_partial_mesh(&self) -> bool {
-        self.peers.len() > NEIGHBOURS_PER_SIDE * 2
-    }
-
     /// Whether a gateway has been silent for so long that it is considered gone.
     #[must_use]
     pub fn is_expired(&self, node: &str, now: time::Instant) -> bool {
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -60,7 +60,7 @@
     pub(super) first_byte: Option<Duration>,
     /// Longest time between two events.
     pub(super) longest_gap: Duration,
-    sends: u32,
+    pub(super) sends: u32,
     /// Number of sends that reached a backend server.
     deliveries: u32,
     pub(super) tried: SmallVec<[ids::BackendId; 4]>,
@@ -68,10 +68,10 @@
     pub(super) admission: quarantine::Admission,
     /// Whether it was recorded that the prompt is sound.
     pub(super) is_recorded: bool,
-    preference: u8,
-    uncached_tokens: u64,
+    pub(super) preference: u8,
+    pub(super) uncached_tokens: u64,
     /// Whether the end of the request was logged; shared by all clones.
-    end_logged: rc::Rc<cell::Cell<bool>>,
+    pub(super) end_logged: rc::Rc<cell::Cell<bool>>,
 }
 
 /// A backend server's response, with the guard that counts the request in its load.
@@ -315,31 +315,6 @@
         }
     }
 
-    /// Logs an attempt that didn't lead to a complete response, with the shared segments of the
-    /// prompt: failures at different backend servers may have one in common.
-    pub(super) fn log_failed_attempt(&self, target: &attempt::Target, reason: &str) {
-        if self.state.log_limiter.allow_failure(time::Instant::now()) {
-            tracing::info!(
-                request = self.admitted.headers.id,
-                backend = target.id,
-                sends = self.sends,
-                runs = self.executions,
-                segments = self.segments_text(),
-                fetch_source = target.fetch_source.map(|address| address.to_string()),
-                first_ms = self.first_byte.map(|first| first.as_millis() as u64),
-                reason,
-                "an attempt failed"
-            );
-        }
-    }
-
-    /// Ids of the shared segments of the prompt, for logs.
-    fn segments_text(&self) -> String {
-        let ids = self.shared_segments().iter().map(|segment| format!("{:x}", segment.id));
-        let ids: SmallVec<[_; 4]> = ids.collect();
-        ids.join(",")
-    }
-
     /// Records that the first byte or event has arrived.
     pub(super) fn record_first_byte(&mut self) {
         let elapsed = self.started.elapsed();
@@ -347,48 +322,6 @@
         self.began_at = self.state.time_of_day();
         self.state.metrics.observe_first_byte(elapsed);
     }
-
-    /// Logs the end of the request and updates the metrics.
-    pub(super) fn record_end(&self, status: u16, backend: &str, outcome: &str, reason: &str) {
-        self.end_logged.set(true);
-        let state = &self.state;
-        let now = time::Instant::now();
-        state.metrics.requests.with_label_values(&[&status.to_string()]).inc();
-        state.metrics.observe_response(now.saturating_duration_since(self.started));
-        let is_success = status < 500 && outcome == "complete";
-        let may_log = if is_success {
-            state.log_limiter.allow_served(now)
-        } else {
-            state.log_limiter.allow_failure(now)
-        };
-        if !may_log {
-            return;
-        }
-        let age = state.freshness.borrow().age(state.clock.now()).unwrap_or_default();
-        tracing::info!(
-            request = self.admitted.headers.id,
-            route = self.admitted.route.name,
-            team = self.admitted.team,
-            rank = self.admitted.ranks.on_time,
-            service = self.admitted.service,
-            configuration = self.admitted.version,
-            configuration_age_ms = age.as_millis() as u64,
-            backend,
-            home = self.preference,
-            uncached = self.uncached_tokens,
-            prompt = self.admitted.headers.prompt_tokens,
-            segments = self.segments_text(),
-            sends = self.sends,
-            runs = self.executions,
-            status,
-            outcome,
-            reason,
-            first_ms = self.first_byte.map(|first| first.as_millis() as u64),
-            pause_ms = self.longest_gap.as_millis() as u64,
-            took_ms = now.saturating_duration_since(self.started).as_millis() as u64,
-            "request ended"
-        );
-    }
 }
 
 impl Drop for ProxyRequest {
--- a/crates/gateway/src/proxy/handler.rs
+++ b/crates/gateway/src/proxy/handler.rs
@@ -3,7 +3,6 @@
 use std::rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::header;
 use http::request;
 use http::response;
@@ -19,6 +18,7 @@
 use super::collect;
 use super::dispatch;
 use super::guards;
+use super::own_response;
 use super::relay;
 use super::sse;
 use crate::codec;
@@ -35,9 +35,6 @@
 /// Capacity of the channel for events that wait to be sent to the client.
 const EVENT_BUFFER: usize = 32;
 
-/// `Retry-After` base if the configuration is not known well enough.
-const STALE_CONFIGURATION_RETRY: Duration = Duration::from_millis(700);
-
 /// Length of a shared segment, in tokens, from which on other gateways are told who has cached it.
 const MIN_TOLD_TOKENS: u32 = 500;
 
@@ -65,18 +62,18 @@
     let limits = state.configuration().map(|c| c.limits).unwrap_or_default();
     let body = match Limited::new(incoming, limits.max_body_bytes).collect().await {
         Ok(body) => body.to_bytes(),
-        Err(error) => return body_error_response(&state, error.as_ref()),
+        Err(error) => return own_response::body_error_response(&state, error.as_ref()),
     };
     remove_hop_by_hop(&mut head);
     let admitted = match admit(&state, &head).await {
         Ok(admitted) => admitted,
-        Err(denial) => return denial_response(&state, &head, denial),
+        Err(denial) => return own_response::denial_response(&state, &head, denial),
     };
     state.retry_budget.borrow_mut().record_request(&admitted.service, started);
     let mut request = dispatch::ProxyRequest::new(state, admitted, head, body, started);
     respond(&mut request, &active)
         .await
-        .unwrap_or_else(|failure| failure_response(&request, &failure))
+        .unwrap_or_else(|failure| own_response::failure_response(&request, &failure))
 }
 
 /// Decides whether a request may run. If a denial would be based on an old configuration, the
@@ -116,100 +113,6 @@
     head.headers.remove(header::EXPECT);
 }
 
-/// Response to a request whose body was too long or incomplete.
-fn body_error_response(
-    state: &state::State,
-    error: &(dyn std::error::Error + Send + Sync + 'static),
-) -> Response {
-    let is_too_long = error.is::<http_body_util::LengthLimitError>();
-    let (status, text) = if is_too_long {
-        (http::StatusCode::PAYLOAD_TOO_LARGE, "6405: the body is too long")
-    } else {
-        (http::StatusCode::BAD_REQUEST, "6406: the body did not come whole")
-    };
-    state.metrics.requests.with_label_values(&[status.as_str()]).inc();
-    text_response(status, text, None)
-}
-
-/// Response to a request that was not admitted.
-fn denial_response(
-    state: &state::State,
-    head: &request::Parts,
-    denial: admission::Denial,
-) -> Response {
-    let status = denial.status();
-    state.metrics.requests.with_label_values(&[&status.to_string()]).inc();
-    let now = time::Instant::now();
-    if state.log_limiter.allow_failure(now) {
-        let age = state.freshness.borrow().age(state.clock.now());
-        let version = state.configuration().map(|configuration| configuration.version);
-        tracing::info!(
-            request = (state.codec.decode_request)(&head.headers)
-                .map(|headers| headers.id)
-                .unwrap_or_default(),
-            path = head.uri.path(),
-            configuration = version,
-            configuration_age_ms = age.map(|age| age.as_millis() as u64),
-            status,
-            reason = denial.text(),
-            "request denied"
-        );
-    }
-    let status = http::StatusCode::from_u16(status).unwrap_or(http::StatusCode::BAD_REQUEST);
-    let retry_delay = match denial {
-        admission::Denial::StaleConfiguration => Some(STALE_CONFIGURATION_RETRY),
-        admission::Denial::Stopping => Some(Duration::ZERO),
-        _ => None,
-    };
-    let retry_after =
-        retry_delay.map(|delay| failure::retry_after(delay, Duration::MAX, rand::random()));
-    text_response(status, denial.text(), retry_after)
-}
-
-/// Response to a request that no backend server answered.
-fn failure_response(
-    request: &dispatch::ProxyRequest,
-    failure: &dispatch::RequestFailure,
-) -> Response {
-    let status = failure.kind.status();
-    request.record_end(status, "", "given up", &failure.reason);
-    let retry_after = match failure.kind {
-        failure::Failure::NotExecuted => {
-            Some(failure::retry_after(failure.retry_delay, request.time_left(), rand::random()))
-        }
-        failure::Failure::Quarantined => Some(failure.retry_delay),
-        failure::Failure::OutcomeUnknown | failure::Failure::TimedOut => None,
-    };
-    let status = http::StatusCode::from_u16(status).unwrap_or(http::StatusCode::BAD_GATEWAY);
-    let text = match failure.kind {
-        failure::Failure::NotExecuted => "6407: the request was not run; come back later",
-        failure::Failure::Quarantined => {
-            "6411: the request was not run; part of its prompt crashes backend servers"
-        }
-        failure::Failure::OutcomeUnknown => "6408: the request may have run; its answer is lost",
-        failure::Failure::TimedOut => "6409: the request was not answered in time",
-    };
-    text_response(status, text, retry_after)
-}
-
-/// Builds a response of the gateway itself, with a `Retry-After` header in fractional seconds.
-fn text_response(
-    status: http::StatusCode,
-    text: &'static str,
-    retry_after: Option<Duration>,
-) -> Response {
-    let body = response_body::Body::complete(Bytes::from_static(text.as_bytes()));
-    let mut response = http::Response::new(body);
-    *response.status_mut() = status;
-    if let Some(retry_after) = retry_after {
-        let seconds = format!("{:.3}", retry_after.as_secs_f64());
-        if let Ok(value) = header::HeaderValue::from_str(&seconds) {
-            response.headers_mut().insert(header::RETRY_AFTER, value);
-        }
-    }
-    response
-}
-
 /// Sends the request to backend servers until there is a response for the client.
 async fn respond(
     request: &mut dispatch::ProxyRequest,
--- /dev/null
+++ b/crates/gateway/src/proxy/request_log.rs
@@ -0,0 +1,76 @@
+//! Log lines and metrics of a request's attempts and its end.
+
+use smallvec::SmallVec;
+use tokio::time;
+
+use super::attempt;
+use super::dispatch;
+
+impl dispatch::ProxyRequest {
+    /// Logs an attempt that didn't lead to a complete response, with the shared segments of the
+    /// prompt: failures at different backend servers may have one in common.
+    pub(super) fn log_failed_attempt(&self, target: &attempt::Target, reason: &str) {
+        if self.state.log_limiter.allow_failure(time::Instant::now()) {
+            tracing::info!(
+                request = self.admitted.headers.id,
+                backend = target.id,
+                sends = self.sends,
+                runs = self.executions,
+                segments = self.segments_text(),
+                fetch_source = target.fetch_source.map(|address| address.to_string()),
+                first_ms = self.first_byte.map(|first| first.as_millis() as u64),
+                reason,
+                "an attempt failed"
+            );
+        }
+    }
+
+    /// Ids of the shared segments of the prompt, for logs.
+    fn segments_text(&self) -> String {
+        let ids = self.shared_segments().iter().map(|segment| format!("{:x}", segment.id));
+        let ids: SmallVec<[_; 4]> = ids.collect();
+        ids.join(",")
+    }
+
+    /// Logs the end of the request and updates the metrics.
+    pub(super) fn record_end(&self, status: u16, backend: &str, outcome: &str, reason: &str) {
+        self.end_logged.set(true);
+        let state = &self.state;
+        let now = time::Instant::now();
+        state.metrics.requests.with_label_values(&[&status.to_string()]).inc();
+        state.metrics.observe_response(now.saturating_duration_since(self.started));
+        let is_success = status < 500 && outcome == "complete";
+        let may_log = if is_success {
+            state.log_limiter.allow_served(now)
+        } else {
+            state.log_limiter.allow_failure(now)
+        };
+        if !may_log {
+            return;
+        }
+        let age = state.freshness.borrow().age(state.clock.now()).unwrap_or_default();
+        tracing::info!(
+            request = self.admitted.headers.id,
+            route = self.admitted.route.name,
+            team = self.admitted.team,
+            rank = self.admitted.ranks.on_time,
+            service = self.admitted.service,
+            configuration = self.admitted.version,
+            configuration_age_ms = age.as_millis() as u64,
+            backend,
+            home = self.preference,
+            uncached = self.uncached_tokens,
+            prompt = self.admitted.headers.prompt_tokens,
+            segments = self.segments_text(),
+            sends = self.sends,
+            runs = self.executions,
+            status,
+            outcome,
+            reason,
+            first_ms = self.first_byte.map(|first| first.as_millis() as u64),
+            pause_ms = self.longest_gap.as_millis() as u64,
+            took_ms = now.saturating_duration_since(self.started).as_millis() as u64,
+            "request ended"
+        );
+    }
+}
