test(gateway): endless responses are told apart by status, not by the time they take

The verdict measured time on a wall clock, and the backend server sent chunks of 32 bytes, which a debug build decodes slowly: the time is the decoder's, not a wait of the gateway. The pauses of the gossip tests are in turns of 10 ms, in which the other tasks run also if the machine is busy.

--- a/crates/gateway/tests/endless_responses.rs
+++ b/crates/gateway/tests/endless_responses.rs
@@ -20,7 +20,7 @@
 }
 
 /// A backend server that writes `head` and then `filler` until its connection is closed.
-async fn endless_backend(head: &'static str, filler: &'static str) -> (Backend, rc::Rc<Sent>) {
+async fn endless_backend(head: &'static str, filler: &str) -> (Backend, rc::Rc<Sent>) {
     let listener = tokio_net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let backend = Backend {
         address: listener.local_addr().expect("an address"),
@@ -29,12 +29,12 @@
     };
     let sent = rc::Rc::new(Sent::default());
     let counted = sent.clone();
+    let filler = filler.repeat(64 * 1024 / filler.len());
     actix_rt::spawn(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
             if read_head(&mut stream).await.is_none() {
                 continue;
             }
-            let filler = filler.repeat(64 * 1024 / filler.len());
             let mut result = stream.write_all(head.as_bytes()).await;
             while result.is_ok() {
                 counted.bytes.set(counted.bytes.get() + filler.len());
@@ -52,34 +52,31 @@
 const MAX_BYTES: usize = 44_000_000;
 
 /// A body that isn't a stream is read until the deadline if it is not too long for the memory, and
-/// interim responses are dropped as they come; everything else is recognised earlier.
+/// interim responses are dropped as they come; everything else is recognised before the deadline.
 #[gtest]
 fn endless_responses_are_given_up_before_they_fill_the_memory() {
     const FRAMED: &str = "HTTP/1.1 200 OK\r\nx-id: 1\r\ntransfer-encoding: chunked\r\n\r\n";
     const UNFRAMED: &str = "HTTP/1.1 200 OK\r\nx-id: 1\r\n\r\n";
-    const CHUNK: &str = "20\r\nabcdefghabcdefghabcdefghabcdefgh\r\n";
-    for (name, is_recognised, path, head, filler) in [
-        ("one long header", true, "/once/a", "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-a: ", "a"),
-        ("many headers", true, "/once/a", "HTTP/1.1 200 OK\r\nx-id: 1\r\n", "x-a: a\r\n"),
-        ("interim responses", false, "/once/a", "", "HTTP/1.1 103 Early Hints\r\n\r\n"),
-        ("no response", true, "/once/a", "", "abc"),
-        ("body", false, "/once/a", UNFRAMED, "abc"),
-        ("chunks", false, "/once/a", FRAMED, CHUNK),
-        ("event", true, "/stream/a", UNFRAMED, "abc"),
-        ("event in chunks", true, "/stream/a", FRAMED, CHUNK),
+    const GIVEN_UP: &[&str] = &["502"];
+    const ANY_ERROR: &[&str] = &["502", "504"];
+    let chunk = chunk(&"a".repeat(4_096));
+    for (name, statuses, path, head, filler) in [
+        ("one long header", GIVEN_UP, "/once/a", "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-a: ", "a"),
+        ("many headers", GIVEN_UP, "/once/a", "HTTP/1.1 200 OK\r\nx-id: 1\r\n", "x-a: a\r\n"),
+        ("interim responses", ANY_ERROR, "/once/a", "", "HTTP/1.1 103 Early Hints\r\n\r\n"),
+        ("no response", GIVEN_UP, "/once/a", "", "abc"),
+        ("body", ANY_ERROR, "/once/a", UNFRAMED, "abc"),
+        ("chunks", ANY_ERROR, "/once/a", FRAMED, &chunk),
+        ("event", GIVEN_UP, "/stream/a", UNFRAMED, "abc"),
+        ("event in chunks", GIVEN_UP, "/stream/a", FRAMED, &chunk),
     ] {
         run(async {
             let (backend, sent) = endless_backend(head, filler).await;
             let (_, address) = gateway(&[&backend]).await;
             let calls = (0..4).map(|_| call(address, path, "x-patience-ms: 800\r\n"));
-            let started = time::Instant::now();
             for response in futures::future::join_all(calls).await {
-                let is_error = matches!(status(&response), "502" | "504");
-                expect_that!(is_error, is_true(), "{name}: {}", status(&response));
-            }
-            // A call returns after a silence of 900 ms; the rest is half of what the caller waits.
-            if is_recognised {
-                expect_that!(started.elapsed(), le(Duration::from_millis(900 + 400)), "{name}");
+                let status = status(&response);
+                expect_that!(statuses.contains(&status), is_true(), "{name}: {status}");
             }
             time::sleep(Duration::from_millis(100)).await;
             expect_that!(sent.is_closed.get(), is_true(), "{name}");
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -215,6 +215,14 @@
     expect_that!(peers::GossipMessage::decode(older_bytes), ok(eq(&older)));
 }
 
+/// Waits for at least some milliseconds, in turns in which all other tasks run too, also if the
+/// machine is busy.
+async fn pause(millis: u64) {
+    for _ in 0..millis / 10 {
+        time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
 /// Starts a gateway that exchanges messages on a port of its own.
 async fn gateway(fake: &support::FakeStore, node: &str) -> rc::Rc<state::State> {
     let socket = tokio_net::UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
@@ -223,7 +231,7 @@
     let state = rc::Rc::new(state::State::new(settings, support::CODEC, clock::Clock::system()));
     let store = rc::Rc::new(fake.store());
     actix_rt::spawn(service::run_gossip(state.clone(), store, socket, 1));
-    time::sleep(Duration::from_millis(100)).await;
+    pause(100).await;
     state
 }
 
@@ -247,9 +255,9 @@
     actix_rt::System::new().block_on(async {
         let fake = support::FakeStore::default();
         let (first, second) = (gateway(&fake, "g-1").await, gateway(&fake, "g-2").await);
-        time::sleep(Duration::from_millis(500)).await;
+        pause(500).await;
         crash_three(&first);
-        time::sleep(Duration::from_millis(150)).await;
+        pause(150).await;
         expect_that!(rejects_guilty(&second), is_true());
     });
 }
@@ -264,11 +272,11 @@
             crash_three(&first);
             expect_that!(rejects_guilty(&first), is_true());
             first.announce_news();
-            time::sleep(Duration::from_millis(200)).await;
+            pause(200).await;
             if from_copy {
                 fake.restore(&copy);
                 first.observe_era(fake.tables.borrow().era);
-                time::sleep(Duration::from_millis(1_500)).await;
+                pause(1_500).await;
             }
             // The second gateway has never heard of the first one.
             let _ = first.stopping.send(true);
