fix(gateway): crashes of long ago are neither told nor counted

Cause: found when reading the diff: a segment of a single crash was told in every message until it was answered, which a session's own segment never is, up to 32 of them each 200 ms; and crashes of any age counted together. Change: other gateways are told of quarantined segments, and of others for 10 s after a change; a crash is forgotten after an hour. Measured: two new tests of gateway::quarantine (told 5 s and 60 s after 1 to 3 crashes; a third crash 4,000 s later); the 12 tests of the file pass. Not run against the code before.

--- a/crates/gateway/src/decision/quarantine.rs
+++ b/crates/gateway/src/decision/quarantine.rs
@@ -77,11 +77,8 @@
 /// Interval between two single requests after [`HOLD`].
 const TRIAL_INTERVAL: Duration = Duration::from_secs(60);
 
-/// Time after the last crash after which a segment is forgotten.
-const FORGET: Duration = Duration::from_secs(3_600);
-
-/// Time for which other gateways are told that a segment was cleared.
-const TELL_CLEARED: Duration = Duration::from_secs(10);
+/// Time for which other gateways are told of a change of a segment that isn't quarantined.
+const TELL_CHANGES: Duration = Duration::from_secs(10);
 
 /// Maximum number of segments that are remembered.
 const MAX_SUSPECTS: usize = 256;
@@ -174,11 +171,13 @@
         is_news
     }
 
-    /// What the other gateways are told: the segments with most crashes first.
+    /// What the other gateways are told: quarantined segments and recent changes, the segments with
+    /// most crashes first.
     #[must_use]
     pub fn told(&self, now: crash::TimeOfDay) -> Vec<Suspect> {
         let is_told = |record: &record::Record| {
-            !record.crashes.is_empty() || now.saturating_sub(record.changed_at) < TELL_CLEARED
+            record.crashes.len() >= REJECT_CRASHES
+                || now.saturating_sub(record.last_change()) < TELL_CHANGES
         };
         let records = self.records.iter().filter(|(_, record)| is_told(record));
         let mut told: Vec<_> = records.map(|(segment, record)| record.suspect(*segment)).collect();
@@ -222,7 +221,7 @@
     pub fn is_obsolete(&self, saved: &Suspect, now: crash::TimeOfDay) -> bool {
         let answered_at = self.answers.get(&saved.segment).copied().unwrap_or_default();
         let is_open =
-            |crash: &Crash| crash.at > answered_at && now.saturating_sub(crash.at) < FORGET;
+            |crash: &Crash| crash.at > answered_at && now.saturating_sub(crash.at) < record::FORGET;
         !saved.crashes.iter().any(is_open)
     }
 
@@ -343,7 +342,7 @@
     fn make_room(&mut self, now: crash::TimeOfDay) {
         self.records.retain(|_, record| {
             let age = now.saturating_sub(record.last_change());
-            age < if record.crashes.is_empty() { TELL_CLEARED } else { FORGET }
+            age < if record.crashes.is_empty() { TELL_CHANGES } else { record::FORGET }
         });
         if self.records.len() < MAX_SUSPECTS {
             return;
--- a/crates/gateway/src/decision/quarantine/record.rs
+++ b/crates/gateway/src/decision/quarantine/record.rs
@@ -1,5 +1,7 @@
 //! What a gateway knows about a prompt segment that was part of a crash.
 
+use std::time::Duration;
+
 use smallvec::SmallVec;
 
 use super::crash;
@@ -9,6 +11,9 @@
 /// Maximum number of crashes that are remembered for each segment; the newest ones are kept.
 pub const MAX_CRASHES: usize = 16;
 
+/// Time after which a crash is forgotten.
+pub(super) const FORGET: Duration = Duration::from_secs(3_600);
+
 /// What is known about a segment that was part of a crash.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Record {
@@ -32,6 +37,7 @@
         if is_known || crash.at <= self.answered_at {
             return false;
         }
+        self.crashes.retain(|known| crash.at.saturating_sub(known.at) < FORGET);
         self.crashes.push(crash);
         if self.crashes.len() > MAX_CRASHES {
             self.crashes.sort_unstable_by_key(|crash| crash.at);
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -191,6 +191,23 @@
     expect_that!(quarantine.admit(&prompt(&[GUILTY]), at(100_000)).is_err(), is_true());
 }
 
+#[gtest]
+fn segments_of_few_crashes_are_told_for_a_short_time() {
+    let crash = |second: u64| Event::Crash(second * 1_000, second as u32, vec![GUILTY]);
+    for (crashes, told_at, told) in [(1, 5, 1), (2, 5, 1), (1, 60, 0), (2, 60, 0), (3, 60, 1)] {
+        let quarantine = play(&(1..=crashes).map(crash).collect::<Vec<_>>());
+        let count = quarantine.told(at(told_at * 1_000)).len();
+        expect_that!(count, eq(told), "{crashes} crashes, {told_at} s");
+    }
+}
+
+#[gtest]
+fn crashes_of_long_ago_are_forgotten() {
+    let crash = |second: u64| Event::Crash(second * 1_000, second as u32, vec![GUILTY]);
+    let quarantine = play(&[crash(1), crash(2), crash(4_000)]);
+    expect_that!(quarantine.may_retry(&prompt(&[GUILTY])), is_true());
+}
+
 /// A gateway of the version before tells no suspects.
 #[gtest]
 fn suspects_are_told_after_what_the_version_before_knows() {
