--- a/crates/gateway/src/decision/quarantine.rs
+++ b/crates/gateway/src/decision/quarantine.rs
@@ -106,8 +106,8 @@
         Self { hold: HOLD.mul_f64(1.0 + spread), ..Self::default() }
     }
 
-    /// Records that a request with these shared segments lost its backend server before the first
-    /// event; returns whether this is news for the other gateways.
+    /// Records that the backend server of a request with these shared segments ended before the first
+    /// event or within [`PROBATION`] after it; returns whether this is news for the other gateways.
     pub fn record_crash(
         &mut self,
         segments: &[codec::Segment],
--- a/crates/gateway/src/proxy/relay.rs
+++ b/crates/gateway/src/proxy/relay.rs
@@ -43,7 +43,7 @@
     DeadlineExceeded,
     /// The backend server ended or closed the connection.
     Disconnected(String),
-    /// The backend server's stream failed.
+    /// The backend server's stream failed, while its connection may go on.
     Failed(String),
 }
 
