feat(gateway): retry decisions are logged and counted, with the used share of the budget

Cause: no line and no metric told how many retries a gateway had granted, for how many gateways it divided the allowance, or why a request wasn't sent again, so three hypotheses on retries beyond the budget looked the same. Change: the line `retry decision` and three metrics; the decision is as before.

--- a/crates/gateway/src/decision/retry_budget.rs
+++ b/crates/gateway/src/decision/retry_budget.rs
@@ -24,6 +24,15 @@
     pub window: Duration,
 }
 
+/// How much of a gateway's share of the budget of a service is used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Usage {
+    /// Retries in the window.
+    pub used: u32,
+    /// Retries allowed in the window.
+    pub allowed: u32,
+}
+
 #[derive(Debug, Default)]
 struct Counts {
     requests: collections::VecDeque<time::Instant>,
@@ -59,17 +68,23 @@
 
     /// Takes one retry for a service; returns whether the budget allows it.
     pub fn try_acquire(&mut self, service: &str, gateways: usize, now: time::Instant) -> bool {
+        let usage = self.usage(service, gateways, now);
+        let granted = usage.used < usage.allowed;
+        if granted {
+            self.counts(service).retries.push_back(now);
+        }
+        granted
+    }
+
+    /// How much of this gateway's share of the budget is used.
+    pub fn usage(&mut self, service: &str, gateways: usize, now: time::Instant) -> Usage {
         let limits = self.limits;
         let counts = self.counts(service);
         prune(&mut counts.requests, now, limits.window);
         prune(&mut counts.retries, now, limits.window);
         let slack = limits.slack / gateways.max(1) as f64;
         let allowed = (limits.ratio * counts.requests.len() as f64 + slack) * USABLE_SHARE;
-        let granted = (counts.retries.len() as f64) < allowed.floor();
-        if granted {
-            counts.retries.push_back(now);
-        }
-        granted
+        Usage { used: counts.retries.len() as u32, allowed: allowed as u32 }
     }
 
     fn counts(&mut self, service: &str) -> &mut Counts {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -4,11 +4,14 @@
 
 use prometheus::core;
 
+use crate::decision::retry_budget;
+
 /// Upper bounds of the latency histogram buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 12] =
     [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 2.5, 5.0, 10.0, 20.0];
 
 type Counters = core::GenericCounterVec<core::AtomicU64>;
+type Gauges = core::GenericGaugeVec<core::AtomicI64>;
 
 /// Counters and histograms of one gateway.
 #[derive(Debug)]
@@ -26,6 +29,9 @@
     pub lost_prompts: core::GenericCounter<core::AtomicU64>,
     /// Requests that were rejected since their prompt crashes backend servers.
     pub quarantine_rejections: core::GenericCounter<core::AtomicU64>,
+    retries: Counters,
+    retries_used: Gauges,
+    retries_allowed: Gauges,
     first_byte: prometheus::Histogram,
     response_time: prometheus::Histogram,
 }
@@ -51,6 +57,10 @@
         let plain_counter = |name: &str, help: &str| {
             core::GenericCounter::new(name, help).expect("the metric name is valid")
         };
+        let gauge = |name: &str, help: &str| {
+            Gauges::new(prometheus::Opts::new(name, help), &["service"])
+                .expect("the metric name is valid")
+        };
         let histogram = |name: &str, help: &str| {
             let opts = prometheus::HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
             prometheus::Histogram::with_opts(opts).expect("the metric name is valid")
@@ -76,6 +86,15 @@
                 "azuregap_quarantine_rejections_total",
                 "Requests rejected since their prompt crashes backend servers",
             ),
+            retries: counter("azuregap_retries_total", "Retries by decision", "decision"),
+            retries_used: gauge(
+                "azuregap_retries_used",
+                "Retries in the window at the last decision",
+            ),
+            retries_allowed: gauge(
+                "azuregap_retries_allowed",
+                "Retries allowed in the window at the last decision",
+            ),
             first_byte: histogram("azuregap_first_byte_seconds", "Time to the first byte or event"),
             response_time: histogram("azuregap_answer_seconds", "Time to the end of the answer"),
         };
@@ -84,13 +103,16 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn core::Collector>; 8] = [
+        let collectors: [Box<dyn core::Collector>; 11] = [
             Box::new(self.requests.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.store_calls.clone()),
             Box::new(self.connections.clone()),
             Box::new(self.lost_prompts.clone()),
             Box::new(self.quarantine_rejections.clone()),
+            Box::new(self.retries.clone()),
+            Box::new(self.retries_used.clone()),
+            Box::new(self.retries_allowed.clone()),
             Box::new(self.first_byte.clone()),
             Box::new(self.response_time.clone()),
         ];
@@ -99,6 +121,14 @@
         }
     }
 
+    /// Records whether a retry was granted, and how much of the budget of its service is used.
+    pub fn record_retry(&self, service: &str, granted: bool, usage: retry_budget::Usage) {
+        let decision = if granted { "granted" } else { "denied" };
+        self.retries.with_label_values(&[decision]).inc();
+        self.retries_used.with_label_values(&[service]).set(usage.used.into());
+        self.retries_allowed.with_label_values(&[service]).set(usage.allowed.into());
+    }
+
     /// Records the time to the first byte or event of a response.
     pub fn observe_first_byte(&self, elapsed: Duration) {
         self.first_byte.observe(elapsed.as_secs_f64());
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -17,6 +17,7 @@
 pub mod pool;
 mod relay;
 mod request_log;
+mod retry;
 mod screening;
 mod selection;
 pub mod sse;
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -62,7 +62,7 @@
     pub(super) longest_gap: Duration,
     pub(super) sends: u32,
     /// Number of sends that reached a backend server.
-    deliveries: u32,
+    pub(super) deliveries: u32,
     pub(super) tried: SmallVec<[ids::BackendId; 4]>,
     /// How the prompt was admitted at the last send.
     pub(super) admission: quarantine::Admission,
@@ -183,7 +183,7 @@
                 return Err(self.failure(retry_delay, reason));
             };
             self.admission = self.screen()?;
-            if self.sends >= MAX_SENDS || !self.acquire_send() {
+            if self.sends >= MAX_SENDS || !self.acquire_send(&reason) {
                 return Err(self.failure(retry_delay, reason));
             }
             let sent_at = time::Instant::now();
@@ -238,18 +238,6 @@
         }
     }
 
-    /// Whether the request may be sent once more. Each send after the first that reached a backend
-    /// server takes from the shared retry budget.
-    fn acquire_send(&self) -> bool {
-        let state = &self.state;
-        self.deliveries == 0
-            || state.retry_budget.borrow_mut().try_acquire(
-                &self.admitted.service,
-                state.gateway_count(),
-                time::Instant::now(),
-            )
-    }
-
     fn load_guard(&self, target: &attempt::Target) -> guards::LoadGuard {
         guards::LoadGuard::new(&self.state, target, self.rank(target), self.is_long())
     }
