--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod loopback;
 pub mod report;
+pub mod retry_fleet;
 
 use std::cell::RefCell;
 use std::collections;
