fix(gateway): a part of the retry budget is used only by gateways that all others count

Callers saw retries multiply at failing services. Cause: the fixed allowance was divided by the gateways that were heard in the last eight seconds, so a process that had just started, or heard nobody, took all of it, beside the parts of the others. Change: the allowance is divided by all known gateways, silent ones included, and used only by a gateway that every other user of a part has counted for a window, which `decision::membership` derives from the list and from messages; the reason why the parts add up stands there. Entries of silent gateways are retired before they are removed, so that whoever isn't listed has stopped using its part. The check of live gateways is the same under a name that no longer speaks of budgets, and fleets of 2, 4 and 41 join the one of known gateways. The state of tests is a gateway that has been listed for long: four tests of retries had one that was in no list.

--- a/crates/gateway/src/decision.rs
+++ b/crates/gateway/src/decision.rs
@@ -10,6 +10,7 @@
 pub mod health;
 pub mod idle_limit;
 pub mod median_clock;
+pub mod membership;
 pub mod placement;
 pub mod prefill_speed;
 pub mod prefix_cache;
--- /dev/null
+++ b/crates/gateway/src/decision/membership.rs
@@ -0,0 +1,142 @@
+//! Whether a gateway may use its part of an allowance that the whole fleet shares.
+//!
+//! The parts add up to the allowance without a message for each use, as long as each gateway divides
+//! it by a number that includes every other gateway that uses a part. Gateways that are silent may
+//! only be cut off, so all known ones are counted. What remains are gateways that don't know each
+//! other. Of two of them, the one that was written into the list of gateways later finds the other
+//! one there. It uses no part
+//!
+//! - until each gateway that it found has sent it a message, since a gateway sends messages only to
+//!   those that it counts, or until [`LIST_VALIDITY`] after it registered, since a gateway that
+//!   hasn't read the list for that long uses no part either;
+//! - for a further window, so that what the others used before they counted it, or what an earlier
+//!   process of the same VM used, is no longer in any window with its own use.
+//!
+//! An entry of the list is retired for [`LIST_VALIDITY`] and more before it is removed, so whoever
+//! isn't listed has stopped using its part.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use azuregap_gateway::decision::membership;
+//! use tokio::time;
+//!
+//! let (start, window) = (time::Instant::now(), Duration::from_secs(10));
+//! let mut membership = membership::Membership::default();
+//! membership.record_registration(start);
+//! membership.record_list(["other".to_owned()], start);
+//! assert_eq!(membership.standing(window, start), membership::Standing::Listed);
+//! membership.record_message("other", start);
+//! assert_eq!(membership.standing(window, start + window), membership::Standing::Counted);
+//! ```
+
+use std::collections;
+use std::time::Duration;
+
+use azuregap_core::ids;
+use tokio::time;
+
+/// Time for which a read of the list of gateways is valid: several intervals between two reads.
+pub const LIST_VALIDITY: Duration = Duration::from_secs(60);
+
+/// What the other gateways know about a gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It may not be in the list, or not know all others.
+    Unlisted,
+    /// It is in the list, but others may not have counted it for a window yet.
+    Listed,
+    /// All others that use a part of the allowance have counted it for a window.
+    Counted,
+}
+
+impl Standing {
+    /// Name in logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Unlisted => "unlisted",
+            Self::Listed => "listed",
+            Self::Counted => "counted",
+        }
+    }
+}
+
+/// A gateway's place in the list of gateways.
+#[derive(Debug, Default)]
+pub struct Membership {
+    registered_at: Option<time::Instant>,
+    /// When the list, with this gateway in it, was last read.
+    listed_at: Option<time::Instant>,
+    /// Gateways in the first list after the registration that have sent no message since then.
+    awaited: Option<collections::HashSet<ids::NodeId>>,
+    /// Gateways that have sent a message since the registration, until the first list is read.
+    heard: collections::HashSet<ids::NodeId>,
+    /// When the last of the awaited gateways was heard.
+    known_at: Option<time::Instant>,
+}
+
+impl Membership {
+    /// Records that this gateway was written into the list.
+    pub fn record_registration(&mut self, now: time::Instant) {
+        *self = Self { registered_at: Some(now), ..Self::default() };
+    }
+
+    /// Records a read of the list, which names this gateway and `others`; `now` is when the read
+    /// was begun.
+    pub fn record_list(
+        &mut self,
+        others: impl IntoIterator<Item = ids::NodeId>,
+        now: time::Instant,
+    ) {
+        self.listed_at = Some(now);
+        if self.awaited.is_some() {
+            return;
+        }
+        let heard = std::mem::take(&mut self.heard);
+        let awaited = others.into_iter().filter(|node| !heard.contains(node));
+        self.awaited = Some(awaited.collect());
+        self.update_known(now);
+    }
+
+    /// Records that this gateway is no longer in the list.
+    pub fn record_loss(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Records a message of another gateway.
+    pub fn record_message(&mut self, node: &str, now: time::Instant) {
+        match &mut self.awaited {
+            Some(awaited) => {
+                awaited.remove(node);
+                self.update_known(now);
+            }
+            None if !self.heard.contains(node) => {
+                self.heard.insert(node.to_owned());
+            }
+            None => {}
+        }
+    }
+
+    fn update_known(&mut self, now: time::Instant) {
+        let is_complete = self.awaited.as_ref().is_some_and(collections::HashSet::is_empty);
+        if is_complete && self.known_at.is_none() {
+            self.known_at = Some(now);
+        }
+    }
+
+    /// What the others know about this gateway, if the use of the allowance is limited per `window`.
+    #[must_use]
+    pub fn standing(&self, window: Duration, now: time::Instant) -> Standing {
+        let is_within = |at: time::Instant, span| now.saturating_duration_since(at) < span;
+        let (Some(registered_at), Some(listed_at)) = (self.registered_at, self.listed_at) else {
+            return Standing::Unlisted;
+        };
+        if !is_within(listed_at, LIST_VALIDITY) {
+            return Standing::Unlisted;
+        }
+        let all_have_read = registered_at + LIST_VALIDITY;
+        let known_at = self.known_at.map_or(all_have_read, |at| at.min(all_have_read));
+        if is_within(known_at, window) { Standing::Listed } else { Standing::Counted }
+    }
+}
--- a/crates/gateway/src/decision/retry_budget.rs
+++ b/crates/gateway/src/decision/retry_budget.rs
@@ -2,7 +2,8 @@
 //!
 //! In any window, the retries of a service are limited to a ratio of its requests plus a fixed
 //! allowance. The ratio applies to this gateway's own requests; the allowance is divided by the
-//! number of gateways.
+//! number of known gateways, silent ones included, and used only by those that all others count, see
+//! [`membership`].
 
 use std::collections;
 use std::time::Duration;
@@ -10,7 +11,9 @@
 use azuregap_core::ids;
 use tokio::time;
 
-/// Share of the budget that is used; the rest covers gateways that this one doesn't know yet.
+use super::membership;
+
+/// Share of the budget that is used.
 const USABLE_SHARE: f64 = 0.7;
 
 /// Limits of the budget.
@@ -24,6 +27,15 @@
     pub window: Duration,
 }
 
+/// The fleet that shares the budget, as a gateway knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Fleet {
+    /// Gateways, including this one and those that are silent.
+    pub gateways: usize,
+    /// What the others know about this one.
+    pub standing: membership::Standing,
+}
+
 /// How much of a gateway's share of the budget of a service is used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Usage {
@@ -53,6 +65,12 @@
         Self { limits, services: collections::HashMap::new() }
     }
 
+    /// Length of the window.
+    #[must_use]
+    pub const fn window(&self) -> Duration {
+        self.limits.window
+    }
+
     /// Sets the limits; returns whether they changed.
     pub fn set_limits(&mut self, limits: Limits) -> bool {
         std::mem::replace(&mut self.limits, limits) != limits
@@ -67,8 +85,8 @@
     }
 
     /// Takes one retry for a service; returns whether the budget allows it.
-    pub fn try_acquire(&mut self, service: &str, gateways: usize, now: time::Instant) -> bool {
-        let usage = self.usage(service, gateways, now);
+    pub fn try_acquire(&mut self, service: &str, fleet: Fleet, now: time::Instant) -> bool {
+        let usage = self.usage(service, fleet, now);
         let granted = usage.used < usage.allowed;
         if granted {
             self.counts(service).retries.push_back(now);
@@ -77,12 +95,15 @@
     }
 
     /// How much of this gateway's share of the budget is used.
-    pub fn usage(&mut self, service: &str, gateways: usize, now: time::Instant) -> Usage {
+    pub fn usage(&mut self, service: &str, fleet: Fleet, now: time::Instant) -> Usage {
         let limits = self.limits;
         let counts = self.counts(service);
         prune(&mut counts.requests, now, limits.window);
         prune(&mut counts.retries, now, limits.window);
-        let slack = limits.slack / gateways.max(1) as f64;
+        let slack = match fleet.standing {
+            membership::Standing::Counted => limits.slack / fleet.gateways.max(1) as f64,
+            _ => 0.0,
+        };
         let allowed = (limits.ratio * counts.requests.len() as f64 + slack) * USABLE_SHARE;
         Usage { used: counts.retries.len() as u32, allowed: allowed as u32 }
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -34,8 +34,7 @@
 pub use notice::UsageNotice;
 pub use reply::Reply;
 
-/// A gateway that has been silent for this long is not counted as alive and has no share of the
-/// budgets.
+/// A gateway that has been silent for this long is not counted as alive.
 const LIVENESS_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// A gateway that was not listed and sent no message for this long receives no more messages.
@@ -182,7 +181,7 @@
     ///
     /// If not all gateways are neighbours, it is estimated from the share of the neighbours that
     /// are alive. If most of them are silent, it is rather the links of `node` that fail, so all
-    /// known gateways are counted: the budgets that they share must not be exceeded.
+    /// known gateways are counted.
     #[must_use]
     pub fn live_count(&self, node: &str, now: time::Instant) -> usize {
         if !self.is_partial_mesh() {
@@ -198,6 +197,13 @@
         self.peers.len() * live / neighbours.len().max(1)
     }
 
+    /// Number of other gateways that were listed or heard in the last [`PEER_EXPIRY`]; silent ones may
+    /// be cut off only from here.
+    #[must_use]
+    pub fn known_count(&self) -> usize {
+        self.peers.len()
+    }
+
     /// What a gateway knows about its place among the candidates for the lease; `reachable` is for
     /// how long it has reached the store.
     #[must_use]
--- a/crates/gateway/src/proxy/retry.rs
+++ b/crates/gateway/src/proxy/retry.rs
@@ -12,10 +12,10 @@
             return true;
         }
         let (state, service) = (&self.state, self.admitted.service.as_str());
-        let (gateways, now) = (state.gateway_count(), time::Instant::now());
+        let (fleet, now) = (state.fleet(), time::Instant::now());
         let mut budget = state.retry_budget.borrow_mut();
-        let granted = budget.try_acquire(service, gateways, now);
-        let usage = budget.usage(service, gateways, now);
+        let granted = budget.try_acquire(service, fleet, now);
+        let usage = budget.usage(service, fleet, now);
         state.metrics.record_retry(service, granted, usage);
         if state.log_limiter.allow_failure(now) {
             tracing::info!(
@@ -24,7 +24,8 @@
                 granted,
                 used = usage.used,
                 allowed = usage.allowed,
-                gateways,
+                gateways = fleet.gateways,
+                standing = fleet.standing.name(),
                 reason,
                 "retry decision"
             );
--- a/crates/gateway/src/service/gateway_list.rs
+++ b/crates/gateway/src/service/gateway_list.rs
@@ -1,14 +1,18 @@
 //! Registers this gateway in the list of gateways in the store, and keeps up with the list.
 
+use std::collections;
 use std::net;
 use std::rc;
 use std::time::Duration;
 
+use azuregap_coordination::ids as store_ids;
+use azuregap_core::ids;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::time;
 
 use super::quarantine_rows;
+use crate::decision::membership;
 use crate::peers;
 use crate::state;
 use crate::store;
@@ -26,7 +30,11 @@
 /// Time over which the gateways register again after the store came back from a copy.
 const REREGISTRATION_SPREAD: Duration = Duration::from_secs(1);
 
-/// Maximum entries of silent gateways that are removed after one read of the list.
+/// Time for which an entry has been retired before it is removed. A gateway whose entry is retired
+/// may not have read that for as long as its last read is valid.
+const RETIREMENT: Duration = membership::LIST_VALIDITY.saturating_mul(2);
+
+/// Maximum entries that are retired or removed after one read of the list.
 const MAX_REMOVALS: usize = 10;
 
 /// Entry of a gateway in the store.
@@ -34,8 +42,14 @@
 #[derive(Serialize, Deserialize)]
 struct Entry {
     address: net::SocketAddr,
+    /// Whether the gateway has been silent for long; it counts as listed until it is removed.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    is_retired: bool,
 }
 
+/// Retired entries: their versions, and when this gateway first read them.
+type Retired = collections::HashMap<ids::NodeId, (store_ids::RowVersion, time::Instant)>;
+
 /// Registers this gateway in the store and reads the list of the others.
 ///
 /// It registers before it reads: of two gateways that start at the same time, at least one finds
@@ -43,11 +57,14 @@
 pub(super) async fn maintain(state: rc::Rc<state::State>, store: rc::Rc<store::Store>) {
     let mut interval = INITIAL_LIST_INTERVAL;
     let mut reporter_since = None;
+    let mut retired = Retired::new();
     let mut era = state.store_era.subscribe();
     loop {
         let result = register_and_list(&state, &store).await;
         match &result {
-            Ok(rows) => remove_silent(&state, &store, rows, &mut reporter_since).await,
+            Ok(rows) => {
+                remove_silent(&state, &store, rows, &mut reporter_since, &mut retired).await;
+            }
             Err(error) => {
                 tracing::info!(
                     reason = error.to_string(),
@@ -59,6 +76,7 @@
             // The entry may be lost; all gateways notice that at the same time.
             time::sleep(REREGISTRATION_SPREAD.mul_f64(rand::random())).await;
             state.registered.set(false);
+            state.membership.borrow_mut().record_loss();
             state.quarantine.borrow_mut().forget_saved();
             state.announce_news();
             interval = INITIAL_LIST_INTERVAL;
@@ -78,7 +96,7 @@
 ) -> Result<store::Rows, store::StoreError> {
     let table = store::Table::Gateways;
     let node = &state.settings.node;
-    let entry = Entry { address: state.settings.gossip_address };
+    let entry = Entry { address: state.settings.gossip_address, is_retired: false };
     let data = serde_json::to_vec(&entry).expect("an entry can be encoded as JSON");
     if !state.registered.get() {
         let write =
@@ -87,13 +105,16 @@
             .await
             .map(|receipt| state.observe_era(receipt.era))?;
         state.registered.set(true);
+        state.membership.borrow_mut().record_registration(state.clock.now());
         tracing::info!(address = %entry.address, "registered in the list of gateways");
     }
+    let read_at = state.clock.now();
     let rows = (store.read)(table).await?;
     state.observe_era(rows.era);
     let own = rows.rows.iter().find(|row| row.key == *node);
     state.registered.set(own.is_some_and(|row| row.data.as_ref() == Some(&data)));
     let now = state.clock.now();
+    let mut others = Vec::new();
     for row in rows.rows.iter().filter(|row| row.key != *node) {
         if quarantine_rows::is_segment(row) {
             quarantine_rows::load(state, row);
@@ -102,7 +123,10 @@
         let entry: Result<Entry, _> =
             serde_json::from_slice(row.data.as_deref().unwrap_or_default());
         match entry {
-            Ok(entry) => state.peers.borrow_mut().add_listed(row.key.clone(), entry.address, now),
+            Ok(entry) => {
+                state.peers.borrow_mut().add_listed(row.key.clone(), entry.address, now);
+                others.push(row.key.clone());
+            }
             Err(error) => {
                 tracing::warn!(
                     gateway = row.key,
@@ -112,22 +136,31 @@
             }
         }
     }
+    let mut membership = state.membership.borrow_mut();
+    if state.registered.get() {
+        membership.record_list(others, read_at);
+    } else {
+        membership.record_loss();
+    }
+    drop(membership);
     Ok(rows)
 }
 
-/// Removes the entries of gateways that have been silent for long, and those of prompt segments that
-/// are no longer quarantined.
+/// Retires the entries of gateways that have been silent for long, and removes those that have been
+/// retired for long, and those of prompt segments that are no longer quarantined.
 ///
 /// Only gateways that may report usage receive messages from every gateway, and only some time
-/// after they became one. A live gateway that was removed registers again at its next read of the
-/// list.
+/// after they became one. A live gateway whose entry was retired registers again at its next read of
+/// the list.
 async fn remove_silent(
     state: &state::State,
     store: &store::Store,
     rows: &store::Rows,
     reporter_since: &mut Option<time::Instant>,
+    retired: &mut Retired,
 ) {
     let now = state.clock.now();
+    record_retired(rows, retired, now);
     if !state.peers.borrow().is_among_first(&state.settings.node, peers::REPORTER_COUNT, now) {
         *reporter_since = None;
         return;
@@ -136,19 +169,26 @@
     if now.saturating_duration_since(since) < peers::PEER_EXPIRY {
         return;
     }
-    let is_obsolete = |row: &&store::Row| {
+    let change_of = |row: &store::Row| {
         if quarantine_rows::is_segment(row) {
-            return quarantine_rows::load(state, row);
+            return quarantine_rows::load(state, row).then_some(None);
+        }
+        if !state.peers.borrow().is_expired(&row.key, now) {
+            return None;
         }
-        state.peers.borrow().is_expired(&row.key, now)
+        let Some((_, since)) = retired.get(&row.key) else { return retire(row).map(Some) };
+        (now.saturating_duration_since(*since) >= RETIREMENT).then_some(None)
     };
-    for row in rows.rows.iter().filter(is_obsolete).take(MAX_REMOVALS) {
+    let changes = rows.rows.iter().filter_map(|row| Some((row, change_of(row)?)));
+    for (row, data) in changes.take(MAX_REMOVALS) {
         let (key, expected_version) = (row.key.clone(), Some(row.version));
-        let writes = vec![store::Write { key, data: None, expected_version }];
+        let is_removal = data.is_none();
+        let writes = vec![store::Write { key, data, expected_version }];
         let commit =
             store::Commit { table: store::Table::Gateways, writes, preconditions: Vec::new() };
         match (store.commit)(commit).await {
-            Ok(_) => tracing::info!(key = row.key, "removed an obsolete entry"),
+            Ok(_) if is_removal => tracing::info!(key = row.key, "removed an obsolete entry"),
+            Ok(_) => tracing::info!(key = row.key, "retired the entry of a silent gateway"),
             Err(error) => {
                 let reason = error.to_string();
                 tracing::info!(key = row.key, reason, "failed to remove an obsolete entry");
@@ -156,3 +196,24 @@
         }
     }
 }
+
+/// Keeps up with which entries are retired.
+fn record_retired(rows: &store::Rows, retired: &mut Retired, now: time::Instant) {
+    let is_retired = |row: &&store::Row| {
+        let entry = serde_json::from_slice(row.data.as_deref().unwrap_or_default());
+        entry.is_ok_and(|entry: Entry| entry.is_retired)
+    };
+    let current: Vec<_> = rows.rows.iter().filter(is_retired).collect();
+    retired.retain(|key, (version, _)| {
+        current.iter().any(|row| row.key == *key && row.version == *version)
+    });
+    for row in current {
+        retired.entry(row.key.clone()).or_insert((row.version, now));
+    }
+}
+
+/// Content of an entry once it is retired.
+fn retire(row: &store::Row) -> Option<Vec<u8>> {
+    let entry: Entry = serde_json::from_slice(row.data.as_deref()?).ok()?;
+    serde_json::to_vec(&Entry { is_retired: true, ..entry }).ok()
+}
--- a/crates/gateway/src/service/gossip.rs
+++ b/crates/gateway/src/service/gossip.rs
@@ -283,6 +283,7 @@
                 let is_requested = message.notice.is_some() && state.reporting.borrow().is_some();
                 state.directory.borrow_mut().record_reads(&message.cached, time::Instant::now());
                 receive_news(state, &message.news);
+                state.membership.borrow_mut().record_message(&message.node, now);
                 let reply = state.peers.borrow_mut().handle_message(message, from, now);
                 match reply {
                     peers::Reply::Counts => sender.answer_request(from).await,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,6 +18,7 @@
 use crate::decision::freshness;
 use crate::decision::idle_limit;
 use crate::decision::median_clock;
+use crate::decision::membership;
 use crate::decision::prefill_speed;
 use crate::decision::quarantine;
 use crate::decision::retry_budget;
@@ -114,6 +115,8 @@
     pub capacity_changed: sync::Notify,
     /// Whether this process is shutting down.
     pub stopping: sync::watch::Sender<bool>,
+    /// What the other gateways know about this one.
+    pub membership: cell::RefCell<membership::Membership>,
     /// Whether this gateway has an entry in the list of gateways.
     pub registered: cell::Cell<bool>,
     /// Fencing token while this gateway reports usage.
@@ -159,6 +162,7 @@
             log_limiter: logs::Limiter::new(),
             capacity_changed: sync::Notify::new(),
             stopping: sync::watch::Sender::new(false),
+            membership: cell::RefCell::default(),
             registered: cell::Cell::new(false),
             reporting: sync::watch::Sender::new(None),
             store_era: sync::watch::Sender::new(0),
@@ -220,6 +224,14 @@
         self.peers.borrow().live_count(&self.settings.node, self.clock.now()) + 1
     }
 
+    /// The fleet that shares the retry budget.
+    #[must_use]
+    pub fn fleet(&self) -> retry_budget::Fleet {
+        let window = self.retry_budget.borrow().window();
+        let standing = self.membership.borrow().standing(window, self.clock.now());
+        retry_budget::Fleet { gateways: self.peers.borrow().known_count() + 1, standing }
+    }
+
     /// Counts a request of a team whose execution began `elapsed` before now.
     pub fn count_usage(&self, team: &str, elapsed: Duration) {
         let hash = usage_counts::team_hash(team);
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -6,6 +6,7 @@
 use azuregap_gateway::decision::health;
 use azuregap_gateway::decision::idle_limit;
 use azuregap_gateway::decision::median_clock;
+use azuregap_gateway::decision::membership;
 use azuregap_gateway::decision::prefill_speed;
 use azuregap_gateway::decision::prefix_cache;
 use azuregap_gateway::decision::priority;
@@ -57,6 +58,11 @@
     expect_that!(failure::retry_after(capacity_in, Duration::ZERO, 0.5), eq(millis(50)));
 }
 
+/// A fleet in which all gateways know each other.
+const fn fleet(gateways: usize) -> retry_budget::Fleet {
+    retry_budget::Fleet { gateways, standing: membership::Standing::Counted }
+}
+
 #[gtest]
 fn all_gateways_together_stay_within_the_retry_budget() {
     let start = time::Instant::now();
@@ -68,7 +74,7 @@
         for request in 0..1_000_u32 {
             let now = start + millis(9) * request;
             budget.record_request("s", now);
-            granted += u32::from(budget.try_acquire("s", gateways, now));
+            granted += u32::from(budget.try_acquire("s", fleet(gateways), now));
         }
     }
     expect_that!(f64::from(granted), le(0.2 * 4_000.0 + 52.0));
@@ -80,10 +86,10 @@
     let start = time::Instant::now();
     let limits = retry_budget::Limits { ratio: 0.0, slack: 2.0, window: Duration::from_secs(10) };
     let mut budget = retry_budget::RetryBudget::new(limits);
-    expect_that!(budget.try_acquire("s", 1, start), eq(true));
-    expect_that!(budget.try_acquire("s", 1, start), eq(false));
-    expect_that!(budget.try_acquire("other", 1, start), eq(true));
-    expect_that!(budget.try_acquire("s", 1, start + Duration::from_secs(11)), eq(true));
+    expect_that!(budget.try_acquire("s", fleet(1), start), eq(true));
+    expect_that!(budget.try_acquire("s", fleet(1), start), eq(false));
+    expect_that!(budget.try_acquire("other", fleet(1), start), eq(true));
+    expect_that!(budget.try_acquire("s", fleet(1), start + Duration::from_secs(11)), eq(true));
 }
 
 #[gtest]
@@ -246,7 +252,7 @@
     let mut budget = retry_budget::RetryBudget::new(limits);
     expect_that!(budget.set_limits(limits), eq(false));
     expect_that!(budget.set_limits(retry_budget::Limits { slack: 0.0, ..limits }), eq(true));
-    expect_that!(budget.try_acquire("s", 1, start), eq(false));
+    expect_that!(budget.try_acquire("s", fleet(1), start), eq(false));
 }
 
 #[gtest]
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -275,7 +275,7 @@
 
 #[gtest]
 #[tokio::test(start_paused = true)]
-async fn gateways_that_are_gone_have_no_share_of_the_budgets() {
+async fn gateways_that_are_gone_are_not_counted_as_alive() {
     for fleet in [68_u16, 3_000] {
         for gone_of_ten in [0, 1, 3] {
             let start = time::Instant::now();
@@ -289,7 +289,6 @@
             }
             let live = alive().count();
             let estimate = peers.live_count("g-9", now);
-            // The retry budget leaves three tenths for gateways that are not known.
             expect_that!(estimate * 10, ge(live * 7), "{gone_of_ten} of ten of {fleet} gone");
             expect_that!(estimate * 10, le(live * 12), "{gone_of_ten} of ten of {fleet} gone");
         }
@@ -299,11 +298,14 @@
 #[gtest]
 #[tokio::test(start_paused = true)]
 async fn a_gateway_that_hears_nobody_takes_no_larger_share_of_the_budgets() {
-    for fleet in [68, 3_000] {
+    for fleet in [2, 4, 41, 68, 3_000] {
         let start = time::Instant::now();
         let peers = listed_peers(fleet, start);
         let later = start + Duration::from_secs(60);
-        expect_that!(peers.live_count("g-0", later), eq(fleet), "{fleet} gateways");
+        expect_that!(peers.known_count(), eq(fleet), "{fleet} gateways");
+        if fleet > 41 {
+            expect_that!(peers.live_count("g-0", later), eq(fleet), "{fleet} gateways");
+        }
     }
 }
 
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -332,10 +332,20 @@
     state_since(node, time::Instant::now())
 }
 
+/// Lets a gateway be the only one in the list, for so long that it uses its part of the budgets.
+pub fn list_for_long(state: &state::State) {
+    let now = state.clock.now();
+    let mut membership = state.membership.borrow_mut();
+    membership.record_registration(now - state.settings.retry_budget.window);
+    membership.record_list([], now - state.settings.retry_budget.window);
+}
+
 /// State of a gateway whose clock showed [`START_TIME`] at `start`.
 pub fn state_since(node: &str, start: time::Instant) -> rc::Rc<state::State> {
     let clock = clock::Clock::new(time::Instant::now, move || START_TIME + start.elapsed());
-    rc::Rc::new(state::State::new(settings(node), CODEC, clock))
+    let state = rc::Rc::new(state::State::new(settings(node), CODEC, clock));
+    list_for_long(&state);
+    state
 }
 
 /// Runs a test concurrently with a service, after a short time for the service to start.
--- a/crates/gateway/tests/support/retry_fleet.rs
+++ b/crates/gateway/tests/support/retry_fleet.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use azuregap_gateway::decision::gossip_timing;
+use azuregap_gateway::decision::membership;
 use azuregap_gateway::decision::retry_budget;
 use azuregap_gateway::peers;
 use rand::RngExt as _;
@@ -67,6 +68,7 @@
     name: String,
     address: net::SocketAddr,
     peers: peers::Peers,
+    membership: membership::Membership,
     budget: retry_budget::RetryBudget,
     retries: Vec<Retry>,
     rate: f64,
@@ -80,6 +82,7 @@
     isolated_until: Duration,
     detached_until: Duration,
     is_removed: bool,
+    registered: bool,
 }
 
 /// The fleet, its callers and its backend servers.
@@ -103,6 +106,7 @@
             name: format!("g-{index}"),
             address: addresses::address(index),
             peers: peers::Peers::default(),
+            membership: membership::Membership::default(),
             budget: retry_budget::RetryBudget::new(limits),
             retries: Vec::new(),
             rate: 0.0,
@@ -115,13 +119,19 @@
             isolated_until: now,
             detached_until: now,
             is_removed: false,
+            registered: false,
         }
     }
 
+    fn fleet(&self, now: time::Instant) -> retry_budget::Fleet {
+        let standing = self.membership.standing(WINDOW, now);
+        retry_budget::Fleet { gateways: self.peers.known_count() + 1, standing }
+    }
+
     /// Takes a retry from the budget.
     fn try_acquire(&mut self, now: time::Instant) -> bool {
-        let gateways = self.peers.live_count(&self.name, now) + 1;
-        self.budget.try_acquire(SERVICE, gateways, now)
+        let fleet = self.fleet(now);
+        self.budget.try_acquire(SERVICE, fleet, now)
     }
 
     fn runs(&self, now: Duration) -> bool {
@@ -235,10 +245,17 @@
         if now < gateway.next_list || now < gateway.detached_until {
             return;
         }
-        self.listed.insert(gateway.name.clone(), gateway.address);
+        if self.listed.insert(gateway.name.clone(), gateway.address).is_none()
+            || !gateway.registered
+        {
+            gateway.registered = true;
+            gateway.membership.record_registration(at);
+        }
         for (name, address) in self.listed.iter().filter(|(name, _)| **name != gateway.name) {
             gateway.peers.add_listed(name.clone(), *address, at);
         }
+        let others = self.listed.keys().filter(|name| **name != gateway.name);
+        gateway.membership.record_list(others.cloned(), at);
         gateway.next_list = now + gateway.list_interval;
         gateway.list_interval = (gateway.list_interval * 2).min(Duration::from_secs(20));
     }
@@ -259,6 +276,7 @@
         for address in addresses {
             let receiver = &mut self.gateways[addresses::index_of(address)];
             if receiver.runs(now) && now >= receiver.isolated_until {
+                receiver.membership.record_message(&message.node, at);
                 receiver.peers.handle_message(message.clone(), from, at);
             }
         }
@@ -293,7 +311,8 @@
             }
             self.requests.push(self.now);
             if gateway.runs(self.now) {
-                gateway.budget.record_request(SERVICE, self.origin + self.now);
+                let at = self.origin + self.now;
+                gateway.budget.record_request(SERVICE, at);
                 self.fail_or_serve(index, 1);
             }
         }
