fix(gateway): the retries of ended processes stay counted, by a bound that needs no memory

Callers saw up to half more retries at a failing service than allowed when gateways ended and started again, also by a planned roll. Cause: the window's requests and retries are counted in one process, and a new one granted the ratio's retries again while those of the ended one were still in the window. Evidence: twenty processes granted 347 retries of 238 allowed, each within its own limit. A retry counts until a window after its outcome is known, by the boot-time clock.

--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -183,9 +183,12 @@
                 return Err(self.failure(retry_delay, reason));
             };
             self.admission = self.screen()?;
-            if self.sends >= MAX_SENDS || !self.acquire_send(&reason) {
+            if self.sends >= MAX_SENDS {
                 return Err(self.failure(retry_delay, reason));
             }
+            let retry_guard = self.acquire_send().ok_or_else(|| {
+                self.failure(retry_delay, "the retry budget is used up".to_owned())
+            })?;
             let sent_at = time::Instant::now();
             self.record_send(&target, sent_at);
             let load_guard = self.load_guard(&target);
@@ -199,6 +202,7 @@
                     return Err(self.reject(&rejection));
                 }
             };
+            drop(retry_guard);
             match outcome {
                 attempt::Outcome::Response(response) => {
                     self.deliveries += 1;
--- a/crates/gateway/src/proxy/guards.rs
+++ b/crates/gateway/src/proxy/guards.rs
@@ -6,6 +6,7 @@
 
 use super::attempt;
 use crate::decision::priority;
+use crate::decision::retry_budget;
 use crate::directory;
 use crate::state;
 
@@ -86,3 +87,24 @@
         self.state.capacity_changed.notify_waiters();
     }
 }
+
+/// Counts a retry as in transit, until it is dropped; a first send takes none.
+#[derive(Debug)]
+pub(super) struct RetryGuard {
+    state: rc::Rc<state::State>,
+    grant: Option<retry_budget::Grant>,
+}
+
+impl RetryGuard {
+    pub(super) fn new(state: &rc::Rc<state::State>, grant: Option<retry_budget::Grant>) -> Self {
+        Self { state: state.clone(), grant }
+    }
+}
+
+impl Drop for RetryGuard {
+    fn drop(&mut self) {
+        if let Some(grant) = self.grant.take() {
+            self.state.retry_budget.borrow_mut().release(grant, self.state.clock.now());
+        }
+    }
+}
--- a/crates/gateway/src/proxy/handler.rs
+++ b/crates/gateway/src/proxy/handler.rs
@@ -69,7 +69,8 @@
         Ok(admitted) => admitted,
         Err(denial) => return own_response::denial_response(&state, &head, denial),
     };
-    state.retry_budget.borrow_mut().record_request(&admitted.service, started);
+    let fleet = state.fleet();
+    state.retry_budget.borrow_mut().record_request(&admitted.service, fleet, state.clock.now());
     let mut request = dispatch::ProxyRequest::new(state, admitted, head, body, started);
     respond(&mut request, &active)
         .await
--- a/crates/gateway/src/proxy/retry.rs
+++ b/crates/gateway/src/proxy/retry.rs
@@ -3,33 +3,33 @@
 use tokio::time;
 
 use super::dispatch;
+use super::guards;
 
 impl dispatch::ProxyRequest {
-    /// Whether the request may be sent once more, after the last send ended for `reason`. Each send
-    /// after the first that reached a backend server takes from the shared retry budget.
-    pub(super) fn acquire_send(&self, reason: &str) -> bool {
+    /// Takes what the next send needs; returns `None` if the request may not be sent once more. Each
+    /// send after the first that reached a backend server takes from the shared retry budget.
+    pub(super) fn acquire_send(&self) -> Option<guards::RetryGuard> {
+        let (state, service) = (&self.state, self.admitted.service.as_str());
         if self.deliveries == 0 {
-            return true;
+            return Some(guards::RetryGuard::new(state, None));
         }
-        let (state, service) = (&self.state, self.admitted.service.as_str());
-        let (fleet, now) = (state.fleet(), time::Instant::now());
+        let (fleet, now) = (state.fleet(), state.clock.now());
         let mut budget = state.retry_budget.borrow_mut();
-        let granted = budget.try_acquire(service, fleet, now);
+        let grant = budget.try_acquire(service, fleet, now);
         let usage = budget.usage(service, fleet, now);
-        state.metrics.record_retry(service, granted, usage);
-        if state.log_limiter.allow_failure(now) {
+        state.metrics.record_retry(service, grant.is_some(), usage);
+        if state.log_limiter.allow_failure(time::Instant::now()) {
             tracing::info!(
                 request = self.admitted.headers.id,
                 service,
-                granted,
+                granted = grant.is_some(),
                 used = usage.used,
                 allowed = usage.allowed,
                 gateways = fleet.gateways,
                 standing = fleet.standing.name(),
-                reason,
                 "retry decision"
             );
         }
-        granted
+        grant.map(|grant| guards::RetryGuard::new(state, Some(grant)))
     }
 }
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -73,8 +73,11 @@
         let mut budget = retry_budget::RetryBudget::new(limits);
         for request in 0..1_000_u32 {
             let now = start + millis(9) * request;
-            budget.record_request("s", now);
-            granted += u32::from(budget.try_acquire("s", fleet(gateways), now));
+            budget.record_request("s", fleet(gateways), now);
+            if let Some(grant) = budget.try_acquire("s", fleet(gateways), now) {
+                budget.release(grant, now);
+                granted += 1;
+            }
         }
     }
     expect_that!(f64::from(granted), le(0.2 * 4_000.0 + 52.0));
@@ -86,10 +89,14 @@
     let start = time::Instant::now();
     let limits = retry_budget::Limits { ratio: 0.0, slack: 2.0, window: Duration::from_secs(10) };
     let mut budget = retry_budget::RetryBudget::new(limits);
-    expect_that!(budget.try_acquire("s", fleet(1), start), eq(true));
-    expect_that!(budget.try_acquire("s", fleet(1), start), eq(false));
-    expect_that!(budget.try_acquire("other", fleet(1), start), eq(true));
-    expect_that!(budget.try_acquire("s", fleet(1), start + Duration::from_secs(11)), eq(true));
+    let grant = budget.try_acquire("s", fleet(1), start);
+    expect_that!(grant, some(anything()));
+    expect_that!(budget.try_acquire("s", fleet(1), start), none());
+    expect_that!(budget.try_acquire("other", fleet(1), start), some(anything()));
+    grant.into_iter().for_each(|grant| budget.release(grant, start));
+    expect_that!(budget.try_acquire("s", fleet(1), start + millis(9_900)), none());
+    let later = start + Duration::from_secs(11);
+    expect_that!(budget.try_acquire("s", fleet(1), later), some(anything()));
 }
 
 #[gtest]
@@ -252,7 +259,7 @@
     let mut budget = retry_budget::RetryBudget::new(limits);
     expect_that!(budget.set_limits(limits), eq(false));
     expect_that!(budget.set_limits(retry_budget::Limits { slack: 0.0, ..limits }), eq(true));
-    expect_that!(budget.try_acquire("s", fleet(1), start), eq(false));
+    expect_that!(budget.try_acquire("s", fleet(1), start), none());
 }
 
 #[gtest]
--- a/crates/gateway/tests/support/retry_fleet.rs
+++ b/crates/gateway/tests/support/retry_fleet.rs
@@ -59,6 +59,7 @@
 
 /// A request that was sent again, until its outcome is known.
 struct Retry {
+    grant: retry_budget::Grant,
     arrives_at: Duration,
     ends_at: Duration,
     sends: u32,
@@ -129,7 +130,7 @@
     }
 
     /// Takes a retry from the budget.
-    fn try_acquire(&mut self, now: time::Instant) -> bool {
+    fn try_acquire(&mut self, now: time::Instant) -> Option<retry_budget::Grant> {
         let fleet = self.fleet(now);
         self.budget.try_acquire(SERVICE, fleet, now)
     }
@@ -295,6 +296,8 @@
             if retry.ends_at > now {
                 self.gateways[index].retries.push(Retry { arrives_at, ..retry });
             } else {
+                let at = self.instant();
+                self.gateways[index].budget.release(retry.grant, at);
                 self.fail_or_serve(index, retry.sends);
             }
         }
@@ -312,7 +315,8 @@
             self.requests.push(self.now);
             if gateway.runs(self.now) {
                 let at = self.origin + self.now;
-                gateway.budget.record_request(SERVICE, at);
+                let fleet = gateway.fleet(at);
+                gateway.budget.record_request(SERVICE, fleet, at);
                 self.fail_or_serve(index, 1);
             }
         }
@@ -323,12 +327,13 @@
         let (now, at) = (self.now, self.instant());
         let fails = self.rng.random::<f64>() < self.failure_share;
         let gateway = &mut self.gateways[index];
-        if !fails || sends >= MAX_SENDS || !gateway.try_acquire(at) {
+        if !fails || sends >= MAX_SENDS {
             return;
         }
+        let Some(grant) = gateway.try_acquire(at) else { return };
         let arrives_at = now + STEP;
         let ends_at = arrives_at + Duration::from_millis(self.rng.random_range(0..MAX_RESPONSE_MS));
-        gateway.retries.push(Retry { arrives_at, ends_at, sends: sends + 1 });
+        gateway.retries.push(Retry { grant, arrives_at, ends_at, sends: sends + 1 });
     }
 
     /// The window in which the most retries exceed what is allowed: its end, the retries in it and
