fix(gateway): connections that are being opened count against the limit

Callers whose requests came at the same moment could lose them: a backend server resets the connections beyond its limit. Cause: a connection was counted once it was open, so requests that came while others were connecting passed the limit. Found while looking for other limits of the whole fleet that are kept in the memory of one process. Change: a guard counts from the beginning of the connect.

--- a/crates/gateway/src/proxy/pool.rs
+++ b/crates/gateway/src/proxy/pool.rs
@@ -37,7 +37,7 @@
 pub(super) struct Connection {
     pub(super) sender: http1::SendRequest<Full<Bytes>>,
     driver: task::AbortHandle,
-    open_count: rc::Rc<cell::Cell<u32>>,
+    _open_guard: OpenGuard,
     /// Whether it has served a request before.
     pub(super) reused: bool,
     /// How long it had been idle when it was taken from the pool.
@@ -47,7 +47,23 @@
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
-        self.open_count.set(self.open_count.get().saturating_sub(1));
+    }
+}
+
+/// Counts a connection that is open, or being opened, until it is dropped.
+#[derive(Debug)]
+struct OpenGuard(rc::Rc<cell::Cell<u32>>);
+
+impl OpenGuard {
+    fn new(count: rc::Rc<cell::Cell<u32>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
     }
 }
 
@@ -77,7 +93,7 @@
         Self::default()
     }
 
-    /// Number of open connections to an address.
+    /// Number of connections to an address that are open or being opened.
     #[must_use]
     pub fn open_count(&self, address: net::SocketAddr) -> u32 {
         self.servers.borrow().get(&address).map_or(0, |server| server.open_count.get())
@@ -116,6 +132,7 @@
     /// If the backend server can't be reached in time; no request was sent to it.
     pub(super) async fn connect(&self, address: net::SocketAddr) -> std::io::Result<Connection> {
         let open_count = self.servers.borrow_mut().entry(address).or_default().open_count.clone();
+        let open_guard = OpenGuard::new(open_count);
         let stream = time::timeout(CONNECT_TIMEOUT, tokio_net::TcpStream::connect(address))
             .await
             .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
@@ -133,11 +150,10 @@
                 );
             }
         });
-        open_count.set(open_count.get() + 1);
         Ok(Connection {
             sender,
             driver: driver.abort_handle(),
-            open_count,
+            _open_guard: open_guard,
             reused: false,
             idle_time: Duration::ZERO,
         })
