fix(gateway): a gateway that hears nobody opens only its part of the connections

Callers could lose requests on connections that a backend server resets. Cause: of the class of the retry budget's faults: the limit, which holds for all callers of a backend server together, was divided by the gateways that were heard lately, so a gateway that was cut off from the others took all of it. Change: it is divided by all known gateways, as the retry budget.

--- a/crates/gateway/src/decision/retry_budget.rs
+++ b/crates/gateway/src/decision/retry_budget.rs
@@ -243,7 +243,8 @@
         let limit = self.window_limit(service, fleet, now);
         let account = self.account(service);
         let used = account.window.count() + account.bucket.count();
-        let left = limit.saturating_sub(account.window.count()) + (account.tokens + ROUNDING) as u32;
+        let left =
+            limit.saturating_sub(account.window.count()) + (account.tokens + ROUNDING) as u32;
         Usage { used, allowed: used + left }
     }
 
--- a/crates/gateway/src/proxy/selection.rs
+++ b/crates/gateway/src/proxy/selection.rs
@@ -134,7 +134,8 @@
 ) -> PerBackend<&'a directory::BackendState> {
     let state = &request.state;
     let service = &request.admitted.service;
-    let gateways = u32::try_from(state.gateway_count()).unwrap_or(u32::MAX);
+    // Silent gateways may have their connections open.
+    let gateways = u32::try_from(state.fleet().gateways).unwrap_or(u32::MAX);
     let limit = state.configuration().and_then(|configuration| {
         configuration.find_service(service).map(|service| service.max_connections)
     });
--- a/crates/gateway/tests/connection_limits.rs
+++ b/crates/gateway/tests/connection_limits.rs
@@ -37,3 +37,10 @@
         expect_that!(connections_for_six(2, 0).await, eq(2));
     });
 }
+
+#[gtest]
+fn a_gateway_that_hears_nobody_opens_no_more_than_its_part_of_the_connections() {
+    loopback::run(async {
+        expect_that!(connections_for_six(8, 3).await, eq(2));
+    });
+}
