--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -90,3 +90,20 @@
     verify_that!(costs[65], all![ge(870), le(900)]).and_log_failure();
     verify_that!(costs[66], eq(150)).and_log_failure();
 }
+
+/// One entry that restarts five times a second is offered far more than the limit for two seconds.
+#[gtest]
+fn restarts_of_an_entry_give_a_team_no_further_bursts() {
+    let team = team(Some(10), None);
+    let start = time::Instant::now();
+    let (mut limiter, mut admitted) = (limiters(1, &team), 0);
+    for tick in 0..2_000 {
+        if tick % 200 == 0 {
+            limiter = limiters(1, &team);
+        }
+        let now = start + Duration::from_millis(tick);
+        admitted += u32::from(limiter[0].admit("large", now).is_ok());
+    }
+    // The documented rate of 11 a second, and one second's worth in a burst.
+    verify_that!(admitted, le(33)).and_log_failure();
+}
