fix(policy): a team's burst builds up after a start instead of being granted again

Callers of other teams saw one team above its limit while entries restarted. Cause: the bucket of a team was full when a process first saw the team, whatever an earlier process had granted a moment before. Change: a bucket was empty when the process started and has filled since, so the bound of one process holds for any series of them; the fixture of the other tests is an entry that has run for a minute. A team waits for its first request for the time of one token after a start.

--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -102,7 +102,7 @@
         concurrency: Some(10),
     });
     let now = time::Instant::now();
-    let mut limits = limits::TeamLimiter::new();
+    let mut limits = limits::TeamLimiter::default();
     for declared in declared.collect::<Vec<_>>().chunks(count.max(1)) {
         limits.set_teams(declared);
     }
--- a/crates/policy/src/limits.rs
+++ b/crates/policy/src/limits.rs
@@ -11,7 +11,7 @@
 //! A team gets at least `limit / n` if all its requests arrive at one entry. With three entries
 //! that know of each other the excess is thus at most three tenths of the limit, plus fewer than
 //! three requests from rounding up. It is larger only while new entries are not yet known to the
-//! others.
+//! others. A team's burst builds up over the first second of an entry, so restarts add none.
 
 mod bucket;
 mod limiter;
--- a/crates/policy/src/limits/bucket.rs
+++ b/crates/policy/src/limits/bucket.rs
@@ -12,8 +12,10 @@
 }
 
 impl TokenBucket {
-    pub(super) const fn full(rate: f64, now: time::Instant) -> Self {
-        Self { tokens: capacity(rate), updated: now }
+    /// A bucket that was empty when the process started: an earlier process may have taken all that
+    /// was in its own.
+    pub(super) const fn new(started: time::Instant) -> Self {
+        Self { tokens: 0.0, updated: started }
     }
 
     /// Takes a token for one request.
--- a/crates/policy/src/limits/limiter.rs
+++ b/crates/policy/src/limits/limiter.rs
@@ -25,6 +25,7 @@
 /// Enforces the limits of all teams at one entry; see the [module](super) for the error bounds.
 #[derive(Clone, Debug)]
 pub struct TeamLimiter {
+    started: time::Instant,
     entries: u32,
     limits: collections::HashMap<ids::TeamId, team::TeamLimit>,
     usage: collections::HashMap<ids::TeamId, Usage>,
@@ -32,16 +33,16 @@
 
 impl Default for TeamLimiter {
     fn default() -> Self {
-        Self::new()
+        Self::new(time::Instant::now())
     }
 }
 
 impl TeamLimiter {
-    /// A limiter without limits that assumes a single entry.
+    /// A limiter without limits that assumes a single entry, whose process started at `started`.
     #[must_use]
-    pub fn new() -> Self {
+    pub fn new(started: time::Instant) -> Self {
         let (limits, usage) = (collections::HashMap::new(), collections::HashMap::new());
-        Self { entries: 1, limits, usage }
+        Self { started, entries: 1, limits, usage }
     }
 
     /// Sets the number of live entries, this one included.
@@ -72,7 +73,8 @@
             return Err(refuse("the team has too many requests at once", CONCURRENCY_RETRY));
         }
         if let Some(rate) = limit.rate_share(self.entries) {
-            let bucket = usage.bucket.get_or_insert_with(|| bucket::TokenBucket::full(rate, now));
+            let started = self.started;
+            let bucket = usage.bucket.get_or_insert_with(|| bucket::TokenBucket::new(started));
             let taken = bucket.take(rate, now);
             taken.map_err(|wait| refuse("the team sends requests too fast", wait))?;
         }
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -13,8 +13,17 @@
     intent::Team { name: "large".to_owned(), weight: 1, rate, concurrency }
 }
 
+/// Limiters of entries that have run for long.
 fn limiters(count: u32, team: &intent::Team) -> Vec<limits::TeamLimiter> {
-    let mut limiter = limits::TeamLimiter::new();
+    limiters_since(time::Instant::now() - Duration::from_secs(60), count, team)
+}
+
+fn limiters_since(
+    started: time::Instant,
+    count: u32,
+    team: &intent::Team,
+) -> Vec<limits::TeamLimiter> {
+    let mut limiter = limits::TeamLimiter::new(started);
     limiter.set_entries(count);
     limiter.set_teams([team]);
     vec![limiter; count as usize]
@@ -98,10 +107,10 @@
     let start = time::Instant::now();
     let (mut limiter, mut admitted) = (limiters(1, &team), 0);
     for tick in 0..2_000 {
+        let now = start + Duration::from_millis(tick);
         if tick % 200 == 0 {
-            limiter = limiters(1, &team);
+            limiter = limiters_since(now, 1, &team);
         }
-        let now = start + Duration::from_millis(tick);
         admitted += u32::from(limiter[0].admit("large", now).is_ok());
     }
     // The documented rate of 11 a second, and one second's worth in a burst.
