feat(cli): azuregap report makes a table of lost and late requests from logs

Change: a command of the product that counts ended requests by cause and service, with the gateways and backend servers concerned and the worst seconds; the line `request ended` tells the targets of its route, so late answers are told apart.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -109,6 +109,15 @@
         #[arg(required = true, value_name = "LOG")]
         files: Vec<path::PathBuf>,
     },
+    /// Table of lost and late requests from the gateways' logs
+    ///
+    /// By cause and service, with the gateways and backend servers concerned, and the seconds in
+    /// which the largest share was lost. Lines that the gateways left out are counted.
+    Report {
+        /// Logs, one or more for each gateway
+        #[arg(required = true, value_name = "LOG")]
+        files: Vec<path::PathBuf>,
+    },
     /// Send a bounded load to an entry and measure it
     ///
     /// Requests leave at random times at the rate asked for, whether or not earlier ones were
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -40,6 +40,7 @@
         }
         args::Command::Explain { request, files } => explain::explain(Some(request), files, json),
         args::Command::Incident { files } => explain::explain(None, files, json),
+        args::Command::Report { files } => explain::report(files, json),
         args::Command::Demo(options) => demo::run(options, json).await,
         args::Command::Load(options) => load::run(options, json).await,
     }
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -3,8 +3,11 @@
 mod cause;
 mod incident;
 mod line;
+mod report;
 mod story;
 
 pub(crate) use incident::Incident;
+pub(crate) use line::Line;
 pub(crate) use line::read;
+pub(crate) use report::Report;
 pub(crate) use story::Story;
--- a/crates/cli/src/render.rs
+++ b/crates/cli/src/render.rs
@@ -127,13 +127,15 @@
     at.map_or_else(|| seconds.to_string(), |at| humantime::format_rfc3339_seconds(at).to_string())
 }
 
-fn table() -> Table {
+/// An empty table without lines.
+pub(crate) fn table() -> Table {
     let mut table = Table::new();
     table.load_style(presets::NOTHING);
     table
 }
 
-fn push_table(text: &mut String, table: &Table) {
+/// Adds a table to a text.
+pub(crate) fn push_table(text: &mut String, table: &Table) {
     for line in table.to_string().lines() {
         text.push_str(line.trim_end());
         text.push('\n');
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -87,3 +87,31 @@
     expect_that!(said.err, contains_substring("/nowhere/x.log"));
     expect_that!(said.err, matches_regex(r"(?s)azuregap: \d{4}: .*"));
 }
+
+/// Log of a gateway whose requests were late or lost for several reasons.
+const LATE: &str = r#"
+{"timestamp":"2026-03-14T18:00:05.1Z","level":"INFO","message":"request ended","service":"s","backend":"b-1","runs":1,"status":200,"outcome":"complete","reason":"","first_ms":80,"target_ms":100,"pause_ms":20,"max_pause_ms":50}
+{"timestamp":"2026-03-14T18:00:05.2Z","level":"INFO","message":"request ended","service":"s","backend":"b-1","runs":1,"status":200,"outcome":"complete","reason":"","first_ms":180,"target_ms":100,"uncached":5000}
+{"timestamp":"2026-03-14T18:00:05.3Z","level":"INFO","message":"request ended","service":"s","backend":"b-2","runs":1,"status":200,"outcome":"complete","reason":"","first_ms":180,"target_ms":100,"uncached":5}
+{"timestamp":"2026-03-14T18:00:05.4Z","level":"INFO","message":"request ended","service":"s","backend":"b-2","runs":1,"status":200,"outcome":"complete","reason":"","first_ms":80,"target_ms":100,"pause_ms":70,"max_pause_ms":50}
+{"timestamp":"2026-03-14T18:00:06.1Z","level":"INFO","message":"request ended","service":"t","backend":"b-3","runs":1,"status":500,"outcome":"complete","reason":"","first_ms":8,"target_ms":100}
+{"timestamp":"2026-03-14T18:00:06.2Z","level":"INFO","message":"request ended","service":"s","backend":"b-1","runs":1,"status":200,"outcome":"out of time","reason":"","first_ms":80}
+{"timestamp":"2026-03-14T18:00:06.3Z","level":"INFO","message":"request ended","service":"s","backend":"b-1","runs":1,"status":504,"outcome":"out of time","reason":""}
+{"timestamp":"2026-03-14T18:00:06.4Z","level":"INFO","message":"request ended","service":"s","backend":"b-1","runs":1,"status":499,"outcome":"caller left","reason":""}
+{"timestamp":"2026-03-14T18:00:06.5Z","level":"INFO","message":"request ended","service":"s","backend":"","runs":1,"status":502,"outcome":"given up","reason":"the retry budget is used up"}
+"#;
+
+#[gtest]
+fn losses_are_told_by_cause_and_service() {
+    let [first, second] = logs("losses_are_told_by_cause_and_service");
+    let late = format!("{}/late.log", first.rsplit_once('/').unwrap().0);
+    std::fs::write(&late, LATE.repeat(3)).unwrap();
+    let said = command::run(&["report", &first, &second, &late]);
+    expect_that!(said.exit, some(eq(0)));
+    insta::assert_snapshot!("report", said.out);
+    let said = command::run(&["--json", "report", &late]);
+    expect_that!(said.out, contains_substring("\"on_time\": 3"));
+    let missing = command::run(&["report", "no-such.log"]);
+    expect_that!(missing.exit, some(eq(1)));
+    expect_that!(missing.err, contains_substring("no-such.log"));
+}
--- a/crates/gateway/src/configuration/route.rs
+++ b/crates/gateway/src/configuration/route.rs
@@ -28,6 +28,15 @@
         matches!(self, Self::Idempotent | Self::Stream { resumable: true, .. })
     }
 
+    /// Maximum gap between events of a stream that are still on time.
+    #[must_use]
+    pub const fn max_gap(self) -> Option<Duration> {
+        match self {
+            Self::Stream { max_gap, .. } => Some(max_gap),
+            Self::Idempotent | Self::NonIdempotent => None,
+        }
+    }
+
     /// Whether the response is a stream of events.
     #[must_use]
     pub const fn is_stream(self) -> bool {
--- a/crates/gateway/src/proxy/request_log.rs
+++ b/crates/gateway/src/proxy/request_log.rs
@@ -48,10 +48,11 @@
         if !may_log {
             return;
         }
+        let route = &self.admitted.route;
         let age = state.freshness.borrow().age(state.clock.now()).unwrap_or_default();
         tracing::info!(
             request = self.admitted.headers.id,
-            route = self.admitted.route.name,
+            route = route.name,
             team = self.admitted.team,
             rank = self.admitted.ranks.on_time,
             service = self.admitted.service,
@@ -68,6 +69,8 @@
             outcome,
             reason,
             first_ms = self.first_byte.map(|first| first.as_millis() as u64),
+            target_ms = route.latency_target.as_millis() as u64,
+            max_pause_ms = route.kind.max_gap().map(|gap| gap.as_millis() as u64),
             pause_ms = self.longest_gap.as_millis() as u64,
             took_ms = now.saturating_duration_since(self.started).as_millis() as u64,
             "request ended"
