--- a/crates/gateway/src/proxy/handler.rs
+++ b/crates/gateway/src/proxy/handler.rs
@@ -69,8 +69,7 @@
         Ok(admitted) => admitted,
         Err(denial) => return own_response::denial_response(&state, &head, denial),
     };
-    let fleet = state.fleet();
-    state.retry_budget.borrow_mut().record_request(&admitted.service, fleet, state.clock.now());
+    state.retry_budget.borrow_mut().record_request(&admitted.service, state.clock.now());
     let mut request = dispatch::ProxyRequest::new(state, admitted, head, body, started);
     respond(&mut request, &active)
         .await
