--- a/crates/gateway/src/decision/retry_budget.rs
+++ b/crates/gateway/src/decision/retry_budget.rs
@@ -2,13 +2,11 @@
 //!
 //! In any window, the retries of a service are limited to a ratio of its requests, in that window or
 //! in the one before it, and a fixed allowance. A process grants a retry only if no window that
-//! contains it could exceed
+//! contains it could exceed this limit, even if no further request came: the ratio of the mean of the
+//! process's requests in the window and in the one before it, and the process's part of the fixed
+//! allowance, if it has one, see [`membership`].
 //!
-//! - the ratio of the mean of this process's requests in the window and in the one before it, even if
-//!   no further request came,
-//! - and its part of the fixed allowance, if it has one, see [`membership`].
-//!
-//! So each process keeps this limit in every window, whatever it knows of the others. A request counts
+//! So each process keeps its limit in every window, whatever it knows of the others. A request counts
 //! at one process only, and the parts add up to the allowance at most. The sum over processes that
 //! start, end, freeze, are cut off or know nobody is therefore within the ratio of the mean of all
 //! requests in the window and in the one before it, which is no more than the larger of both. A
@@ -17,6 +15,27 @@
 //! For the window that ends `W - x` from now, the mean is half of the requests in the last `x + W`, and
 //! the retries in it so far are those of the last `x`. A retry counts until a window after its outcome
 //! is known, so it counts when it arrives.
+//!
+//! This answers services that fail for a while, partly or wholly, while gateways come and go: callers
+//! of a fleet that runs on get all that the limit allows in each window, half of the ratio at once.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use azuregap_gateway::decision::membership;
+//! use azuregap_gateway::decision::retry_budget;
+//! use tokio::time;
+//!
+//! let now = time::Instant::now();
+//! let window = Duration::from_secs(10);
+//! let limits = retry_budget::Limits { ratio: 0.2, slack: 50.0, window };
+//! let fleet = retry_budget::Fleet { gateways: 4, standing: membership::Standing::Listed };
+//! let mut budget = retry_budget::RetryBudget::new(limits);
+//! (0..10).for_each(|_| budget.record_request("pool", now));
+//! let grant = budget.try_acquire("pool", fleet, now).expect("a retry for ten requests");
+//! assert!(budget.try_acquire("pool", fleet, now).is_none());
+//! budget.release(grant, now);
+//! ```
 
 use std::collections;
 use std::time::Duration;
