fix(standins): a delayed answer takes no loss that is set later

Cause: a call decided whether its answer is lost only after the answer's delay. Ruled out: the way over HTTP, which the new test doesn't use. Change: the loss is decided as the call takes effect.

--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -87,8 +87,9 @@
             return Err(unknown("outage"));
         }
         let result = self.with(apply);
+        let is_lost = effect == Effect::Change && self.loses_answer();
         tokio::time::sleep(faults.answer_delay).await;
-        if effect == Effect::Change && self.loses_answer() {
+        if is_lost {
             return Err(unknown("the answer was lost"));
         }
         result
--- a/crates/standins/tests/platform.rs
+++ b/crates/standins/tests/platform.rs
@@ -157,6 +157,24 @@
     Ok(())
 }
 
+#[gtest]
+#[actix_rt::test]
+async fn a_call_whose_answer_is_delayed_takes_no_loss_that_is_set_later() -> Result<()> {
+    let platform = platform::Platform::new();
+    let clients = in_process(&platform);
+    platform.table.set_faults(faults::Faults::new().answer_delay(WAIT / 10));
+    let insert = |key| table::Transaction::new().check(key, 0).put(key, json!(1));
+    let later = async {
+        tokio::time::sleep(WAIT / 20).await;
+        platform.table.set_faults(faults::Faults::new().lose(1));
+        tokio::time::sleep(WAIT / 10).await;
+        clients.table.commit(insert("second")).await
+    };
+    let (first, second) = futures::join!(clients.table.commit(insert("first")), later);
+    verify_that!(first.is_ok(), eq(true))?;
+    verify_that!(matches!(second, Err(error::PlatformError::Unknown(_))), eq(true))
+}
+
 #[gtest]
 #[actix_rt::test]
 async fn a_server_that_is_not_there_refuses() -> Result<()> {
