test(standins): a frozen call is looked at before the freeze ends

Cause: the test ended the freeze and looked at the rows after it; the call that its caller had given up goes on then, and over HTTP it runs on another thread, between the two. Change: the rows are looked at first; what is expected is unchanged.

--- a/crates/standins/tests/platform.rs
+++ b/crates/standins/tests/platform.rs
@@ -128,8 +128,10 @@
         Err(error::PlatformError::Refused(_)) => "refused",
         Err(error::PlatformError::Unknown(_)) => "unknown",
     };
+    // A call that was frozen takes effect as soon as the freeze ends.
+    let took_effect = platform.table.with(|state| state.rows().count() == 1);
     platform.table.set_faults(faults::Faults::new());
-    (outcome, platform.table.with(|state| state.rows().count() == 1))
+    (outcome, took_effect)
 }
 
 #[gtest]
