--- a/crates/gateway/src/service/gateway_list.rs
+++ b/crates/gateway/src/service/gateway_list.rs
@@ -169,7 +169,8 @@
     if now.saturating_duration_since(since) < peers::PEER_EXPIRY {
         return;
     }
-    let change_of = |row: &store::Row| {
+    // New content of a row that changes, `None` if it is removed.
+    let change_of = |row: &store::Row| -> Option<Option<Vec<u8>>> {
         if quarantine_rows::is_segment(row) {
             return quarantine_rows::load(state, row).then_some(None);
         }
