refactor(gateway): the simulated network of gateways is apart from the retries of its test fleet

Cause: the test of limits that backend servers name needs the same gateways, list, messages, cuts and restarts as that of the retry budget. Change: tests/support/network.rs has them, generic over what a gateway does with its requests; retry_fleet.rs keeps the retries.

--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod addresses;
 pub mod fleet;
 pub mod loopback;
+pub mod network;
 pub mod report;
 pub mod retry_fleet;
 
