feat(gateway): limits that backend servers name are known, logged and counted

Change: the adapter decodes the limit (a number that can't be read never means none), decision::backend_limit keeps it for each run of a server in the order in which the responses were made, and its changes are logged. Metrics have the limits in force and the sends to such servers. Nothing is decided by it yet.

--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -9,6 +9,7 @@
 use smallvec::SmallVec;
 
 use crate::configuration;
+use crate::decision::backend_limit;
 use crate::decision::priority;
 use crate::directory;
 
@@ -83,7 +84,7 @@
 }
 
 /// Decoded headers of a backend server's response.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseHeaders {
     /// Id of the request that the response belongs to.
     pub id: Option<String>,
@@ -99,6 +100,8 @@
     pub leaving: bool,
     /// For how long the backend server wants no requests, if it rejected this one and says so.
     pub quiet_for: Option<Duration>,
+    /// How many requests the backend server takes, if it names a limit.
+    pub limit: backend_limit::NamedLimit,
 }
 
 /// A team and the number of its requests in a usage window.
--- a/crates/gateway/src/decision.rs
+++ b/crates/gateway/src/decision.rs
@@ -1,6 +1,7 @@
 //! Decision logic of a gateway. It does no I/O and takes the current time as an argument.
 
 pub mod arrival_rate;
+pub mod backend_limit;
 pub mod cache_source;
 pub mod candidacy;
 pub mod engine_partition;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 //! assert!(freshness.may_trust_keys(start + time::Duration::from_secs(1)));
 //! ```
 
+pub mod backend_limits;
 pub mod clock;
 pub mod codec;
 pub mod configuration;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,6 +12,7 @@
 
 type Counters = core::GenericCounterVec<core::AtomicU64>;
 type Gauges = core::GenericGaugeVec<core::AtomicI64>;
+type Rates = core::GenericGaugeVec<core::AtomicF64>;
 
 /// Counters and histograms of one gateway.
 #[derive(Debug)]
@@ -29,6 +30,9 @@
     pub lost_prompts: core::GenericCounter<core::AtomicU64>,
     /// Requests that were rejected since their prompt crashes backend servers.
     pub quarantine_rejections: core::GenericCounter<core::AtomicU64>,
+    limited_backends: core::GenericGauge<core::AtomicI64>,
+    backend_limit: Rates,
+    limited_sends: Counters,
     retries: Counters,
     retries_used: Gauges,
     retries_allowed: Gauges,
@@ -86,6 +90,24 @@
                 "azuregap_quarantine_rejections_total",
                 "Requests rejected since their prompt crashes backend servers",
             ),
+            limited_backends: core::GenericGauge::new(
+                "azuregap_limited_backends",
+                "Backend servers that name a limit",
+            )
+            .expect("the metric name is valid"),
+            backend_limit: Rates::new(
+                prometheus::Opts::new(
+                    "azuregap_backend_limit",
+                    "Requests per second that a backend server takes from all gateways",
+                ),
+                &["backend"],
+            )
+            .expect("the metric name is valid"),
+            limited_sends: counter(
+                "azuregap_limited_sends_total",
+                "Requests sent to a backend server while it names a limit",
+                "backend",
+            ),
             retries: counter("azuregap_retries_total", "Retries by decision", "decision"),
             retries_used: gauge(
                 "azuregap_retries_used",
@@ -103,13 +125,16 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn core::Collector>; 11] = [
+        let collectors: [Box<dyn core::Collector>; 14] = [
             Box::new(self.requests.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.store_calls.clone()),
             Box::new(self.connections.clone()),
             Box::new(self.lost_prompts.clone()),
             Box::new(self.quarantine_rejections.clone()),
+            Box::new(self.limited_backends.clone()),
+            Box::new(self.backend_limit.clone()),
+            Box::new(self.limited_sends.clone()),
             Box::new(self.retries.clone()),
             Box::new(self.retries_used.clone()),
             Box::new(self.retries_allowed.clone()),
@@ -129,6 +154,23 @@
         self.retries_allowed.with_label_values(&[service]).set(usage.allowed.into());
     }
 
+    /// Records the limit of a backend server, and how many name one. The metrics of a server that
+    /// names none any more are dropped.
+    pub fn record_limit(&self, backend: &str, limit: Option<f64>, count: usize) {
+        self.limited_backends.set(i64::try_from(count).unwrap_or(i64::MAX));
+        if let Some(limit) = limit {
+            return self.backend_limit.with_label_values(&[backend]).set(limit);
+        }
+        // An error means that there are none.
+        let _ = self.backend_limit.remove_label_values(&[backend]);
+        let _ = self.limited_sends.remove_label_values(&[backend]);
+    }
+
+    /// Counts a request that is sent to a backend server with a limit.
+    pub fn record_limited_send(&self, backend: &str) {
+        self.limited_sends.with_label_values(&[backend]).inc();
+    }
+
     /// Records the time to the first byte or event of a response.
     pub fn observe_first_byte(&self, elapsed: Duration) {
         self.first_byte.observe(elapsed.as_secs_f64());
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -15,7 +15,9 @@
 use tokio::time;
 
 use super::pool;
+use crate::backend_limits;
 use crate::codec;
+use crate::decision::backend_limit;
 use crate::state;
 
 /// Timeout for a pooled connection to become ready for the next request.
@@ -128,7 +130,7 @@
             }
             continue;
         }
-        let start = time::Instant::now();
+        let (start, sent_at) = (time::Instant::now(), state.clock.now());
         let sent = time::timeout_at(deadline, connection.sender.try_send_request(request)).await;
         let response = match sent {
             Err(_) => return Outcome::unknown("no response in time"),
@@ -150,7 +152,7 @@
                 }
             },
         };
-        return check_response(state, target, response, connection, id);
+        return check_response(state, target, response, connection, id, sent_at);
     }
 }
 
@@ -189,6 +191,7 @@
     response: http::Response<body::Incoming>,
     connection: pool::Connection,
     id: &str,
+    sent_at: time::Instant,
 ) -> Outcome {
     let (head, body) = response.into_parts();
     let decoded = (state.codec.decode_response)(&head.headers);
@@ -200,6 +203,7 @@
         return Outcome::NotExecuted;
     }
     record_notices(state, target, head.status, &decoded);
+    record_limit(state, target, &decoded, sent_at);
     if decoded.not_executed {
         return Outcome::NotExecuted;
     }
@@ -235,3 +239,24 @@
         tracing::info!(backend = target.id, quiet_ms, "backend server asks for a quiet period");
     }
 }
+
+/// Records the limit that the backend server names. A response that isn't signed may lack it by
+/// accident.
+fn record_limit(
+    state: &state::State,
+    target: &Target,
+    decoded: &codec::ResponseHeaders,
+    sent_at: time::Instant,
+) {
+    if decoded.limit == backend_limit::NamedLimit::None && !decoded.signed {
+        return;
+    }
+    let (limit, heard_at) = (decoded.limit, state.clock.now());
+    if limit == backend_limit::NamedLimit::Unreadable
+        && state.log_limiter.allow_failure(time::Instant::now())
+    {
+        tracing::info!(backend = target.id, "backend server names a limit that can't be read");
+    }
+    let statement = backend_limit::Statement { limit, sent_at, heard_at };
+    backend_limits::record_response(state, &target.id, target.started_ms, &statement);
+}
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -20,6 +20,7 @@
 use crate::decision::health;
 use crate::decision::priority;
 use crate::decision::quarantine;
+use crate::directory;
 use crate::state;
 
 /// Maximum sends of one request, including those that reached no backend server.
@@ -159,6 +160,10 @@
     /// Records that the request is sent; it may be the first one after a quiet period.
     fn record_send(&self, target: &attempt::Target, now: time::Instant) {
         self.state.directory.borrow_mut().record_send(&target.id, target.started_ms, now);
+        let hash = directory::id_hash(&target.id);
+        if self.state.backend_limits.borrow().limit(hash, target.started_ms).is_some() {
+            self.state.metrics.record_limited_send(&target.id);
+        }
     }
 
     /// Sends the request until a backend server responds.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,6 +14,7 @@
 use crate::codec;
 use crate::configuration;
 use crate::decision::arrival_rate;
+use crate::decision::backend_limit;
 use crate::decision::engine_partition;
 use crate::decision::freshness;
 use crate::decision::idle_limit;
@@ -91,6 +92,8 @@
     pub quarantine: cell::RefCell<quarantine::Quarantine>,
     /// Number of changes that are news for the other gateways or the store.
     pub news: sync::watch::Sender<u64>,
+    /// Limits that backend servers name.
+    pub backend_limits: cell::RefCell<backend_limit::BackendLimits>,
     /// Newest version of the configuration that another gateway has in force.
     pub told_version: cell::RefCell<told_version::ToldVersion>,
     /// Limit on the idle time of reused connections, by service.
@@ -140,6 +143,7 @@
         Self {
             quarantine: cell::RefCell::new(quarantine::Quarantine::new(spread)),
             news: sync::watch::Sender::new(0),
+            backend_limits: cell::RefCell::default(),
             told_version: cell::RefCell::default(),
             configuration: cell::RefCell::new(None),
             freshness: cell::RefCell::new(freshness::Freshness::new(settings.revocation_bound)),
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -18,6 +18,7 @@
 use azuregap_gateway::clock;
 use azuregap_gateway::codec;
 use azuregap_gateway::configuration;
+use azuregap_gateway::decision::backend_limit;
 use azuregap_gateway::decision::retry_budget;
 use azuregap_gateway::directory;
 use azuregap_gateway::settings;
@@ -284,6 +285,9 @@
         quiet_for: header(headers, "x-quiet-ms")
             .and_then(|value| value.parse().ok())
             .map(Duration::from_millis),
+        limit: header(headers, "x-limit").map_or(backend_limit::NamedLimit::None, |value| {
+            backend_limit::NamedLimit::from_rate(value.parse().unwrap_or(f64::NAN))
+        }),
     }
 }
 
