--- /dev/null
+++ b/crates/gateway/tests/limit_histories.rs
@@ -0,0 +1,158 @@
+//! The limit of a backend server over all gateways, in fleets whose gateways start, end, freeze, are
+//! cut off, are added or don't know each other.
+
+mod support;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use support::limit_fleet;
+use support::limit_fleet::Event;
+
+/// Sizes of fleets; the gateways of the last one are not all neighbours.
+const FLEETS: [usize; 4] = [1, 4, 8, 48];
+
+/// When the backend server begins to name a limit; the fleet has served for long then.
+const NAMED: u64 = 30;
+
+type History = Vec<(Duration, Event)>;
+
+/// Limits that a backend server names, each from a time on.
+type Limits = Vec<(Duration, Option<f64>)>;
+
+const fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// Limits from [`NAMED`] on, each for eight seconds, the last one until the end.
+fn limits(limits: &[Option<f64>]) -> Limits {
+    let from = (NAMED..).step_by(8).map(seconds);
+    std::iter::once((Duration::ZERO, None)).chain(from.zip(limits.iter().copied())).collect()
+}
+
+/// A history in which callers send requests from the tenth second on.
+fn busy(events: impl IntoIterator<Item = (u64, Event)>) -> History {
+    let mut history = vec![(seconds(10), Event::Rate(0..usize::MAX, 6.0))];
+    history.extend(events.into_iter().map(|(at, event)| (seconds(at), event)));
+    history.sort_by_key(|(at, _)| *at);
+    history
+}
+
+/// Asserts that no window of the history has more requests than allowed.
+fn expect_bound(name: &str, gateways: usize, limits: &Limits, seed: u64, history: &History) {
+    let mut fleet = limit_fleet::Fleet::new(gateways, limits.clone(), seed);
+    fleet.play(history, seconds(75));
+    let (end, requests, allowed) = fleet.worst_window();
+    let case = format!("{name}, {gateways} gateways, seed {seed}, window that ends at {end:?}");
+    expect_that!(requests as f64, le(allowed), "{case}");
+}
+
+/// Histories of a fleet, by what happens in them.
+fn histories(gateways: usize) -> [(&'static str, History); 10] {
+    let (all, half) = (0..gateways, 0..gateways.div_ceil(2));
+    let end = |at| (at, Event::End(all.clone()));
+    let rolling = (0..gateways).map(|index| {
+        let step = 10 * index as u64 / gateways as u64;
+        (NAMED + 2 + step, Event::End(index..index + 1))
+    });
+    [
+        ("no disruption", busy([])),
+        ("ends of all", busy([end(33), end(35), end(36), end(41)])),
+        ("ends in turn", busy(rolling)),
+        (
+            "ends while cut off",
+            busy([
+                (31, Event::Isolate(all.clone(), seconds(20))),
+                (31, Event::Detach(all.clone(), seconds(5))),
+                end(34),
+            ]),
+        ),
+        ("half of them cut off", busy([(25, Event::Isolate(half.clone(), seconds(30)))])),
+        ("all of them cut off", busy([(25, Event::Isolate(all.clone(), seconds(30)))])),
+        (
+            "freezes",
+            busy([
+                (32, Event::Freeze(all.clone(), seconds(4))),
+                (40, Event::Freeze(half.clone(), seconds(9))),
+            ]),
+        ),
+        ("added", busy([(33, Event::Add(gateways)), (45, Event::Add(1))])),
+        (
+            "added behind a cut",
+            busy([
+                (29, Event::Isolate(all.clone(), seconds(25))),
+                (32, Event::Add(gateways)),
+                (37, Event::Add(2)),
+            ]),
+        ),
+        (
+            "gone for good, then added",
+            busy([
+                (33, Event::Remove(half.clone())),
+                (35, Event::Add(half.len())),
+                (38, Event::Rate(0..usize::MAX, 15.0)),
+            ]),
+        ),
+    ]
+}
+
+#[gtest]
+fn gateways_that_restart_or_are_cut_off_send_a_limited_server_no_more_than_it_takes() {
+    for gateways in FLEETS {
+        for (name, history) in histories(gateways) {
+            expect_bound(name, gateways, &limits(&[Some(1.8)]), 1, &history);
+        }
+    }
+}
+
+#[gtest]
+fn limits_that_change_are_kept_by_all_gateways_together() {
+    for (name, named) in [
+        ("zero", &[Some(0.0)][..]),
+        ("tiny", &[Some(0.01)]),
+        ("large", &[Some(40.0)]),
+        ("falling", &[Some(20.0), Some(4.0), Some(0.5), Some(0.0)]),
+        ("rising", &[Some(0.2), Some(1.0), Some(6.0), None]),
+        ("ended and named again", &[Some(1.5), None, Some(1.5), None, Some(0.7)]),
+    ] {
+        for gateways in FLEETS {
+            expect_bound(name, gateways, &limits(named), 1, &busy([]));
+        }
+    }
+}
+
+/// A history with disruptions at random times that overlap.
+fn random_history(gateways: usize, rng: &mut ChaCha8Rng) -> History {
+    let mut events = Vec::new();
+    for _ in 0..rng.random_range(3..12) {
+        let first = rng.random_range(0..gateways);
+        let range = first..rng.random_range(first..gateways) + 1;
+        let span = Duration::from_millis(rng.random_range(500..20_000));
+        let event = match rng.random_range(0..8) {
+            0..3 => Event::End(range),
+            3 => Event::Freeze(range, span / 3),
+            4 => Event::Isolate(range, span),
+            5 => Event::Detach(range, span),
+            6 => Event::Add(rng.random_range(1..=range.len())),
+            _ => Event::Rate(range, rng.random_range(0.0..20.0)),
+        };
+        events.push((rng.random_range(20..60), event));
+    }
+    busy(events)
+}
+
+#[gtest]
+fn random_disruptions_while_a_server_names_limits_exceed_them_in_no_window() {
+    for seed in 0..60 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let gateways = FLEETS[seed as usize % 3];
+        let named: Vec<_> = (0..rng.random_range(1..5))
+            .map(|_| rng.random_bool(0.8).then(|| rng.random_range(0.0..6.0)))
+            .collect();
+        let history = random_history(gateways, &mut rng);
+        expect_bound("random", gateways, &limits(&named), seed, &history);
+    }
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod addresses;
 pub mod fleet;
+pub mod limit_fleet;
 pub mod loopback;
 pub mod network;
 pub mod report;
