fix(gateway): backend servers get no more requests than the limit that they name

What callers saw: engines that named a limit of 1.1 to 1.9 requests a second got 14 to 19 in four seconds, 12 to 16 allowed, and worked on beyond their means. Cause: the header was passed on to callers and nothing else was done with it (H1); with nothing that reads it, neither a division (H2) nor a way around it (H3) existed. A division by gateways would have broken the bound as well: the parts are smaller than a request. Change: three gateways, by rendezvous hashing over all known ones, use a third of a limit each, if all others that use a part have counted them for a window (decision::backend_limit, where the argument stands). Every send passes one gate. Placement takes a server without a place for a full one; requests wait for a place in order of rank and deadline as long as they can be on time, and are refused with the time of the next place (decision::waiting_line). Gateways tell each other limits and their ends, ask for a message of those that were listed before them, so that a large fleet needs no minute for that, and keep limits in the list of gateways for a fleet that ends as a whole.

--- a/crates/gateway/src/decision.rs
+++ b/crates/gateway/src/decision.rs
@@ -22,3 +22,4 @@
 pub mod retry_budget;
 pub mod told_version;
 pub mod usage_counts;
+pub mod waiting_line;
--- a/crates/gateway/src/decision/backend_limit/run.rs
+++ b/crates/gateway/src/decision/backend_limit/run.rs
@@ -1,14 +1,29 @@
-//! The limit of one run of a backend server.
+//! The limit of one run of a backend server, and what this gateway has used of it.
+
+use std::time::Duration;
 
 use tokio::time;
 
 use super::change;
 use super::named_limit;
+use super::place;
 use super::statement;
 
 /// Limit of a run that names one that can't be read, in requests per second.
 const UNREADABLE_LIMIT: f64 = 1.0;
 
+/// Lowest limit that is used, in requests per second: without any requests the end of the limit would
+/// never be seen.
+const MIN_LIMIT: f64 = 0.1;
+
+/// Time over which unused places are saved up; at least one place is.
+const SAVED: Duration = Duration::from_secs(1);
+
+/// Places that a gateway saves up at most.
+fn saved_places(pace: f64) -> f64 {
+    (pace * SAVED.as_secs_f64()).max(1.0)
+}
+
 /// The limit of one run of a backend server, as its newest response states it.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Run {
@@ -21,11 +36,28 @@
     /// When the newest response came.
     pub(super) heard_at: time::Instant,
     pub(super) changed_at: time::Instant,
+    /// Whether the store has it.
+    pub(super) is_saved: bool,
+    /// Requests that this gateway may send at once.
+    places: f64,
+    /// Places that come up per second; `None` until they are first asked for.
+    pace: Option<f64>,
+    counted_at: time::Instant,
 }
 
 impl Run {
     pub(super) fn new(started_ms: u64, heard_at: time::Instant) -> Self {
-        Self { started_ms, limit: None, sent_at: heard_at, heard_at, changed_at: heard_at }
+        Self {
+            started_ms,
+            limit: None,
+            sent_at: heard_at,
+            heard_at,
+            changed_at: heard_at,
+            is_saved: false,
+            places: 0.0,
+            pace: None,
+            counted_at: heard_at,
+        }
     }
 
     /// Takes over a statement of the run. Of two whose order isn't known, since their requests were
@@ -52,10 +84,42 @@
             (Some(old), Some(limit)) if old != limit => Some(change::Change::Changed(limit)),
             (Some(_), None) => Some(change::Change::Ended),
             _ => None,
-        };
-        if change.is_some() {
-            (self.limit, self.changed_at) = (limit, now);
+        }?;
+        if self.limit.is_none() {
+            (self.places, self.pace) = (0.0, None);
+        } else if let Some(pace) = self.pace {
+            self.count_places(pace, now);
         }
-        change
+        (self.limit, self.changed_at, self.counted_at) = (limit, now, now);
+        Some(change)
+    }
+
+    /// Adds the places that came up at a pace since they were last counted.
+    fn count_places(&mut self, pace: f64, now: time::Instant) {
+        let elapsed = now.saturating_duration_since(self.counted_at).as_secs_f64();
+        self.places = (self.places + pace * elapsed).min(saved_places(pace));
+        self.counted_at = now;
+    }
+
+    /// Whether a gateway that uses a share of the limit may send a request; `None` as share if it
+    /// uses none.
+    pub(super) fn place(
+        &mut self,
+        share: impl FnOnce() -> Option<f64>,
+        now: time::Instant,
+    ) -> place::Place {
+        let Some(limit) = self.limit else { return place::Place::Unlimited };
+        let Some(share) = share() else { return place::Place::Elsewhere };
+        let pace = limit.max(MIN_LIMIT) * share;
+        self.count_places(self.pace.unwrap_or(pace), now);
+        self.places = self.places.min(saved_places(pace));
+        self.pace = Some(pace);
+        let missing = (1.0 - self.places).max(0.0);
+        place::Place::Limited { wait: Duration::from_secs_f64(missing / pace), pace }
+    }
+
+    /// Takes a place for one request.
+    pub(super) fn take_place(&mut self) {
+        self.places -= 1.0;
     }
 }
--- a/crates/gateway/src/decision/membership.rs
+++ b/crates/gateway/src/decision/membership.rs
@@ -104,6 +104,11 @@
         *self = Self::default();
     }
 
+    /// Gateways that were in the list before this one and have sent no message since.
+    pub fn awaited(&self) -> impl Iterator<Item = &str> {
+        self.awaited.iter().flatten().map(String::as_str)
+    }
+
     /// Records a message of another gateway.
     pub fn record_message(&mut self, node: &str, now: time::Instant) {
         match &mut self.awaited {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -33,6 +33,7 @@
     limited_backends: core::GenericGauge<core::AtomicI64>,
     backend_limit: Rates,
     limited_sends: Counters,
+    limit_waits: Counters,
     retries: Counters,
     retries_used: Gauges,
     retries_allowed: Gauges,
@@ -108,6 +109,11 @@
                 "Requests sent to a backend server while it names a limit",
                 "backend",
             ),
+            limit_waits: counter(
+                "azuregap_limit_waits_total",
+                "Requests that waited for a backend server with a limit, by outcome",
+                "outcome",
+            ),
             retries: counter("azuregap_retries_total", "Retries by decision", "decision"),
             retries_used: gauge(
                 "azuregap_retries_used",
@@ -125,7 +131,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn core::Collector>; 14] = [
+        let collectors: [Box<dyn core::Collector>; 15] = [
             Box::new(self.requests.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.store_calls.clone()),
@@ -135,6 +141,7 @@
             Box::new(self.limited_backends.clone()),
             Box::new(self.backend_limit.clone()),
             Box::new(self.limited_sends.clone()),
+            Box::new(self.limit_waits.clone()),
             Box::new(self.retries.clone()),
             Box::new(self.retries_used.clone()),
             Box::new(self.retries_allowed.clone()),
@@ -166,6 +173,11 @@
         let _ = self.limited_sends.remove_label_values(&[backend]);
     }
 
+    /// Counts a request that waited for a backend server with a limit.
+    pub fn record_limit_wait(&self, outcome: &str) {
+        self.limit_waits.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts a request that is sent to a backend server with a limit.
     pub fn record_limited_send(&self, backend: &str) {
         self.limited_sends.with_label_values(&[backend]).inc();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -130,6 +130,9 @@
             }
             return Reply::Counts;
         }
+        if message.is_introduction {
+            return Reply::Introduction;
+        }
         let has_counts =
             !message.counts.is_empty() || notice.is_some_and(|notice| notice.totals.is_some());
         if has_counts && self.is_partial_mesh() { Reply::Acknowledgement } else { Reply::None }
@@ -204,6 +207,17 @@
         self.peers.len()
     }
 
+    /// Address of a gateway.
+    #[must_use]
+    pub fn address_of(&self, node: &str) -> Option<net::SocketAddr> {
+        Some(self.peers.get(&position(node))?.address)
+    }
+
+    /// Names of all other known gateways, including silent ones.
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        self.peers.keys().map(|(_, node)| node.as_str())
+    }
+
     /// What a gateway knows about its place among the candidates for the lease; `reachable` is for
     /// how long it has reached the store.
     #[must_use]
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -9,6 +9,7 @@
 use super::news;
 use super::notice;
 use crate::codec;
+use crate::decision::backend_limit;
 use crate::decision::priority;
 use crate::decision::quarantine;
 use crate::decision::usage_counts;
@@ -100,7 +101,7 @@
 }
 
 /// State of a gateway that it sends to other gateways.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct GossipMessage {
     /// Name of the gateway's VM.
@@ -123,13 +124,20 @@
     /// What the recipient passes on if it is new to it; empty from a gateway of an earlier version.
     #[serde(skip)]
     pub news: news::News,
+    /// Limits that backend servers name; empty from a gateway of an earlier version.
+    #[serde(skip)]
+    pub limits: Vec<backend_limit::ToldLimit>,
+    /// Whether the sender has registered and waits for a message that shows that the recipient knows
+    /// it.
+    #[serde(skip)]
+    pub is_introduction: bool,
 }
 
 impl GossipMessage {
     /// Encodes the message as a datagram.
     ///
-    /// The notice, the cached segments and the news follow the fields that every version knows;
-    /// gateways of earlier versions ignore bytes after those that they know.
+    /// The notice, the cached segments, the news, the limits and whether it is an introduction follow
+    /// the fields that every version knows; gateways of earlier versions ignore bytes after those that they know.
     ///
     /// # Panics
     ///
@@ -141,6 +149,8 @@
             bytes = postcard::to_extend(notice, bytes).expect("a notice can be encoded");
             bytes = postcard::to_extend(&self.cached, bytes).expect("segments can be encoded");
             bytes = postcard::to_extend(&self.news, bytes).expect("news can be encoded");
+            let rest = (&self.limits, self.is_introduction);
+            bytes = postcard::to_extend(&rest, bytes).expect("limits can be encoded");
         }
         bytes
     }
@@ -175,7 +185,12 @@
                 && suspect.answered_at <= MAX_WALL_TIME
                 && suspect.crashes.iter().all(|crash| crash.at <= MAX_WALL_TIME)
         };
+        let is_limit = |told: &backend_limit::ToldLimit| {
+            Duration::from_millis(told.started_ms) <= MAX_WALL_TIME
+                && told.sent_age.max(told.heard_age) <= MAX_WALL_TIME
+        };
         self.wall_time <= MAX_WALL_TIME
+            && self.limits.iter().all(is_limit)
             && self.news.suspects.len() <= quarantine::MAX_TOLD
             && self.news.suspects.iter().all(is_suspect)
             && self.loads.iter().all(is_load)
@@ -197,7 +212,11 @@
                 let (cached, rest) = postcard::take_from_bytes(rest)?;
                 message.cached = cached;
                 if !rest.is_empty() {
-                    message.news = postcard::from_bytes(rest)?;
+                    let (news, rest) = postcard::take_from_bytes(rest)?;
+                    message.news = news;
+                    if !rest.is_empty() {
+                        (message.limits, message.is_introduction) = postcard::from_bytes(rest)?;
+                    }
                 }
             }
         }
--- a/crates/gateway/src/peers/reply.rs
+++ b/crates/gateway/src/peers/reply.rs
@@ -7,6 +7,8 @@
     None,
     /// A message that shows that its counts have arrived.
     Acknowledgement,
+    /// A message that shows that this gateway knows it.
+    Introduction,
     /// The usage counts of this gateway.
     Counts,
 }
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -21,5 +21,6 @@
 mod screening;
 mod selection;
 pub mod sse;
+mod waiting;
 
 pub use listener::serve;
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -13,7 +13,7 @@
 use super::admission;
 use super::attempt;
 use super::guards;
-use super::selection;
+use super::waiting;
 use crate::codec;
 use crate::decision::engine_partition;
 use crate::decision::failure;
@@ -30,9 +30,6 @@
 /// in the sample deployments.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(10);
 
-/// How long a request waits for a backend server if its service has none.
-const NO_BACKEND_WAIT: Duration = Duration::from_millis(300);
-
 /// `Retry-After` base if the service has no backend server.
 const NO_BACKEND_RETRY: Duration = Duration::from_secs(1);
 
@@ -157,13 +154,23 @@
         }
     }
 
-    /// Records that the request is sent; it may be the first one after a quiet period.
-    fn record_send(&self, target: &attempt::Target, now: time::Instant) {
-        self.state.directory.borrow_mut().record_send(&target.id, target.started_ms, now);
-        let hash = directory::id_hash(&target.id);
-        if self.state.backend_limits.borrow().limit(hash, target.started_ms).is_some() {
-            self.state.metrics.record_limited_send(&target.id);
+    /// Takes what a send to a backend server needs: a place if the server names a limit, and the trial
+    /// after a quiet period. Every send passes here; returns whether the request may be sent.
+    fn begin_send(&self, target: &attempt::Target, now: time::Instant) -> bool {
+        let (state, hash) = (&self.state, directory::id_hash(&target.id));
+        let mut limits = state.backend_limits.borrow_mut();
+        let share = || state.limit_share(hash);
+        if !limits.try_send(hash, target.started_ms, share, state.clock.now()) {
+            return false;
+        }
+        if limits.limit(hash, target.started_ms).is_some() {
+            state.metrics.record_limited_send(&target.id);
+            if let Some(line) = state.waiting_lines.borrow_mut().get_mut(&self.admitted.service) {
+                line.record_place(self.admitted.ranks.on_time, now);
+            }
         }
+        state.directory.borrow_mut().record_send(&target.id, target.started_ms, now);
+        true
     }
 
     /// Sends the request until a backend server responds.
@@ -179,13 +186,17 @@
             if self.time_left() < MIN_TIME_LEFT {
                 return Err(self.failure(retry_delay, "deadline exceeded".to_owned()));
             }
-            let Some(target) = self.wait_for_backend().await else {
-                let quiet = selection::shortest_quiet_time(self);
-                if let Some(quiet) = quiet {
-                    reason = "all backend servers ask for a quiet period".to_owned();
-                    retry_delay = failure::not_before(quiet);
+            let target = match self.wait_for_backend().await {
+                Ok(target) => target,
+                Err(waiting::Unavailable::None) => return Err(self.failure(retry_delay, reason)),
+                Err(waiting::Unavailable::Quiet(wait)) => {
+                    let reason = "all backend servers ask for a quiet period".to_owned();
+                    return Err(self.failure(failure::not_before(wait), reason));
+                }
+                Err(waiting::Unavailable::Limited(wait)) => {
+                    let reason = "the limits that the backend servers name are used up".to_owned();
+                    return Err(self.failure(failure::not_before(wait), reason));
                 }
-                return Err(self.failure(retry_delay, reason));
             };
             self.admission = self.screen()?;
             if self.sends >= MAX_SENDS {
@@ -195,7 +206,9 @@
                 self.failure(retry_delay, "the retry budget is used up".to_owned())
             })?;
             let sent_at = time::Instant::now();
-            self.record_send(&target, sent_at);
+            if !self.begin_send(&target, sent_at) {
+                continue;
+            }
             let load_guard = self.load_guard(&target);
             self.sends += 1;
             self.tried.push(target.id.clone());
@@ -295,23 +308,6 @@
         RequestFailure { kind, retry_delay, reason }
     }
 
-    /// Selects a backend server; waits a moment if the service has none.
-    async fn wait_for_backend(&self) -> Option<attempt::Target> {
-        let until = self.deadline.min(time::Instant::now() + NO_BACKEND_WAIT);
-        loop {
-            if let Some(target) = selection::select(self) {
-                return Some(target);
-            }
-            if !self.tried.is_empty() || selection::shortest_quiet_time(self).is_some() {
-                return None;
-            }
-            let changed = self.state.capacity_changed.notified();
-            if time::timeout_at(until, changed).await.is_err() {
-                return selection::select(self);
-            }
-        }
-    }
-
     /// Records that the first byte or event has arrived.
     pub(super) fn record_first_byte(&mut self) {
         let elapsed = self.started.elapsed();
--- a/crates/gateway/src/proxy/selection.rs
+++ b/crates/gateway/src/proxy/selection.rs
@@ -8,10 +8,12 @@
 use super::attempt;
 use super::dispatch;
 use crate::codec;
+use crate::decision::backend_limit;
 use crate::decision::cache_source;
 use crate::decision::engine_partition;
 use crate::decision::gossip_timing;
 use crate::decision::placement;
+use crate::decision::waiting_line;
 use crate::directory;
 use crate::state;
 
@@ -27,12 +29,16 @@
 /// One item per backend server of a service; up to 64 are held without an allocation.
 type PerBackend<T> = SmallVec<[T; 64]>;
 
-/// Selects a backend server for a request; returns `None` if none is left that was not tried.
-pub(super) fn select(request: &dispatch::ProxyRequest) -> Option<attempt::Target> {
+/// Selects a backend server for a request, which may wait for a place at one with a limit; returns
+/// `None` if none is left that was not tried.
+pub(super) fn select(
+    request: &dispatch::ProxyRequest,
+    ticket: Option<&waiting_line::Ticket>,
+) -> Option<attempt::Target> {
     let now = time::Instant::now();
     let state = &request.state;
     let directory = state.directory.borrow();
-    let usable = usable_backends(request, &directory, now);
+    let usable = usable_backends(request, ticket, &directory, now);
     let loads = total_loads(state, &usable);
     let boundary = partition_boundary(request, &usable, &loads, now);
     let headers = &request.admitted.headers;
@@ -48,7 +54,7 @@
     let preferred = preferred.unwrap_or_default();
     let shared_tokens: u64 = shared_segments.iter().map(|segment| u64::from(segment.tokens)).sum();
     let rank = request.admitted.ranks.on_time;
-    let prefixes = cached_prefixes(&usable, shared_segments, &state.settings.zone, now);
+    let prefixes = cached_prefixes(state, &usable, shared_segments, now);
     let source = cache_source::find(&prefixes);
     let fetched_tokens = |own| source.map_or(0, |source| source.fetched_tokens(own));
     let preference_of = |hash: u32| preferred.iter().position(|preferred| *preferred == hash);
@@ -100,16 +106,22 @@
     })
 }
 
-/// What each backend server is known to have cached of the shared segments of a prompt.
+/// What each backend server is known to have cached of the shared segments of a prompt. Nothing is
+/// fetched from one with a limit.
 fn cached_prefixes(
+    state: &state::State,
     usable: &[&directory::BackendState],
     shared_segments: &[codec::Segment],
-    zone: &str,
     now: time::Instant,
 ) -> PerBackend<cache_source::CachedPrefix> {
-    let cached_prefix = |server: &&directory::BackendState| cache_source::CachedPrefix {
-        tokens: server.prefix_cache.cached_tokens(shared_segments, now),
-        same_zone: server.backend.zone == zone,
+    let limits = state.backend_limits.borrow();
+    let cached_prefix = |server: &&directory::BackendState| {
+        let is_limited = limits.limit(server.hash, server.backend.started_ms).is_some();
+        let tokens = server.prefix_cache.cached_tokens(shared_segments, now);
+        cache_source::CachedPrefix {
+            tokens: if is_limited { 0 } else { tokens },
+            same_zone: server.backend.zone == state.settings.zone,
+        }
     };
     usable.iter().map(cached_prefix).collect()
 }
@@ -125,10 +137,22 @@
     rate.expected_count(gateways, interval, now)
 }
 
-/// Backend servers that have not been tried, can get a connection and are not paused after a
-/// failure. If all of them are paused, paused ones are returned.
+/// Whether a backend server may get a request, as far as limits are concerned.
+fn place(
+    state: &state::State,
+    server: &directory::BackendState,
+    now: time::Instant,
+) -> backend_limit::Place {
+    let mut limits = state.backend_limits.borrow_mut();
+    limits.place(server.hash, server.backend.started_ms, || state.limit_share(server.hash), now)
+}
+
+/// Backend servers that have not been tried, can get a connection, are not paused after a failure and
+/// have a place for this request if they name a limit. If all of them are paused, paused ones are
+/// returned.
 fn usable_backends<'a>(
     request: &dispatch::ProxyRequest,
+    ticket: Option<&waiting_line::Ticket>,
     directory: &'a directory::Directory,
     now: time::Instant,
 ) -> PerBackend<&'a directory::BackendState> {
@@ -149,8 +173,22 @@
     let is_wanted = |server: &&directory::BackendState| {
         directory.quiet_time_left(&server.backend, now).is_zero()
     };
+    let (has_limits, clock_now) = (!state.backend_limits.borrow().is_empty(), state.clock.now());
+    let lines = state.waiting_lines.borrow();
+    let line = lines.get(service);
+    let has_place = |server: &&directory::BackendState| match place(state, server, clock_now) {
+        backend_limit::Place::Unlimited => true,
+        limited => {
+            let is_next = |line: &waiting_line::WaitingLine| {
+                line.is_next(request.admitted.ranks.on_time, ticket, server.hash, now)
+            };
+            limited.is_free() && line.is_none_or(is_next)
+        }
+    };
     let untried = directory.of_service(service).filter(is_untried);
-    let mut usable: PerBackend<_> = untried.filter(is_wanted).filter(has_connection).collect();
+    let open = untried.filter(is_wanted).filter(has_connection);
+    let mut usable: PerBackend<_> =
+        open.filter(|server| !has_limits || has_place(server)).collect();
     if usable.iter().any(|server| server.health.is_available(now)) {
         usable.retain(|server| server.health.is_available(now));
     }
@@ -167,6 +205,55 @@
     times.min().filter(|time| !time.is_zero())
 }
 
+/// When the next request may be sent to a backend server with a limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum NextPlace {
+    /// No backend server is left, or one that names no limit.
+    None,
+    /// This gateway may send one after `wait`, and then `pace` requests a second.
+    Here { wait: Duration, pace: f64 },
+    /// Only other gateways may send any; each place comes up after this time.
+    Elsewhere(Duration),
+}
+
+/// When a request that was not sent to them yet may be sent to a backend server with a limit.
+pub(super) fn next_place(request: &dispatch::ProxyRequest) -> NextPlace {
+    let state = &request.state;
+    if state.backend_limits.borrow().is_empty() {
+        return NextPlace::None;
+    }
+    let (directory, now) = (state.directory.borrow(), state.clock.now());
+    let (mut next, mut elsewhere) = (NextPlace::None, None);
+    for server in directory.of_service(&request.admitted.service) {
+        if request.tried.contains(&server.backend.id) {
+            continue;
+        }
+        match place(state, server, now) {
+            backend_limit::Place::Unlimited => return NextPlace::None,
+            backend_limit::Place::Limited { wait, pace } => {
+                next = match next {
+                    NextPlace::Here { wait: first, pace: sum } => {
+                        NextPlace::Here { wait: first.min(wait), pace: sum + pace }
+                    }
+                    _ => NextPlace::Here { wait, pace },
+                };
+            }
+            backend_limit::Place::Elsewhere => {
+                let limits = state.backend_limits.borrow();
+                let limit = limits.limit(server.hash, server.backend.started_ms).unwrap_or(0.0);
+                elsewhere = Some(elsewhere.unwrap_or(0.0) + limit);
+            }
+        }
+    }
+    match (next, elsewhere) {
+        (NextPlace::None, Some(limit)) => {
+            let wait = Duration::try_from_secs_f64(1.0 / limit).unwrap_or(Duration::MAX);
+            NextPlace::Elsewhere(wait)
+        }
+        (next, _) => next,
+    }
+}
+
 /// Load of all gateways at each backend server.
 ///
 /// Gateways without a recent report are assumed to load all backend servers equally.
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -5,6 +5,7 @@
 mod endpoints;
 mod gateway_list;
 mod gossip;
+mod limit_rows;
 mod quarantine_rows;
 mod usage;
 mod usage_reporter;
--- a/crates/gateway/src/service/gateway_list.rs
+++ b/crates/gateway/src/service/gateway_list.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 use tokio::time;
 
+use super::limit_rows;
 use super::quarantine_rows;
 use crate::decision::membership;
 use crate::peers;
@@ -78,6 +79,7 @@
             state.registered.set(false);
             state.membership.borrow_mut().record_loss();
             state.quarantine.borrow_mut().forget_saved();
+            state.backend_limits.borrow_mut().forget_saved();
             state.announce_news();
             interval = INITIAL_LIST_INTERVAL;
             continue;
@@ -120,6 +122,10 @@
             quarantine_rows::load(state, row);
             continue;
         }
+        if limit_rows::is_limit(row) {
+            limit_rows::load(state, row);
+            continue;
+        }
         let entry: Result<Entry, _> =
             serde_json::from_slice(row.data.as_deref().unwrap_or_default());
         match entry {
@@ -147,7 +153,7 @@
 }
 
 /// Retires the entries of gateways that have been silent for long, and removes those that have been
-/// retired for long, and those of prompt segments that are no longer quarantined.
+/// retired for long, those of prompt segments that are no longer quarantined, and obsolete limits.
 ///
 /// Only gateways that may report usage receive messages from every gateway, and only some time
 /// after they became one. A live gateway whose entry was retired registers again at its next read of
@@ -174,6 +180,9 @@
         if quarantine_rows::is_segment(row) {
             return quarantine_rows::load(state, row).then_some(None);
         }
+        if limit_rows::is_limit(row) {
+            return limit_rows::load(state, row).then_some(None);
+        }
         if !state.peers.borrow().is_expired(&row.key, now) {
             return None;
         }
--- a/crates/gateway/src/service/gossip.rs
+++ b/crates/gateway/src/service/gossip.rs
@@ -9,7 +9,9 @@
 use tokio::time;
 
 use super::gateway_list;
+use super::limit_rows;
 use super::quarantine_rows;
+use crate::backend_limits;
 use crate::decision::gossip_timing;
 use crate::decision::usage_counts;
 use crate::directory;
@@ -33,6 +35,13 @@
 /// Requests that are sent without a pause.
 const REQUEST_BATCH: usize = 16;
 
+/// Interval at which a gateway introduces itself to those that haven't answered.
+const INTRODUCTION_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Pause after a batch of introductions; they are sent at half the rate at which messages take two
+/// percent of a core.
+const INTRODUCTION_PAUSE: Duration = Duration::from_millis(64);
+
 /// Minimum interval between two messages with news.
 const NEWS_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -58,8 +67,11 @@
     let sender = rc::Rc::new(Sender { state, socket, incarnation });
     let receive = receive(sender.clone());
     let counts = futures::future::join(send_counts(sender.clone()), request_counts(sender.clone()));
-    let save = quarantine_rows::save(sender.state.clone(), store);
-    let news = futures::future::join(send_news(sender.clone()), save);
+    let save = futures::future::join(
+        quarantine_rows::save(sender.state.clone(), store.clone()),
+        limit_rows::save(sender.state.clone(), store),
+    );
+    let news = futures::future::join3(send_news(sender.clone()), introduce(sender.clone()), save);
     futures::future::join5(list, send_loads(sender), counts, receive, news).await;
 }
 
@@ -156,6 +168,34 @@
     }
 }
 
+/// In a large fleet, asks each gateway that was listed before this one for a message. In a small one
+/// they send their load to each other anyway.
+async fn introduce(sender: rc::Rc<Sender>) {
+    let state = &sender.state;
+    loop {
+        time::sleep(INTRODUCTION_INTERVAL).await;
+        let addresses = awaited_addresses(state);
+        if addresses.is_empty() {
+            continue;
+        }
+        let mut message = load_message(state, sender.incarnation);
+        (message.cached, message.is_introduction) = (Vec::new(), true);
+        for batch in addresses.chunks(REQUEST_BATCH) {
+            sender.send(&message, batch).await;
+            time::sleep(INTRODUCTION_PAUSE).await;
+        }
+    }
+}
+
+/// Addresses of the gateways to which this one introduces itself.
+fn awaited_addresses(state: &state::State) -> Vec<net::SocketAddr> {
+    let (peers, membership) = (state.peers.borrow(), state.membership.borrow());
+    if !peers.is_partial_mesh() {
+        return Vec::new();
+    }
+    membership.awaited().filter_map(|node| peers.address_of(node)).collect()
+}
+
 /// In a large fleet, sends the counts to the gateways that may report usage at regular intervals.
 async fn send_counts(sender: rc::Rc<Sender>) {
     let state = &sender.state;
@@ -226,6 +266,8 @@
             leaving: state.directory.borrow().recently_leaving(time::Instant::now()),
             configuration: state.configuration().map(|configuration| configuration.version),
         },
+        limits: state.backend_limits.borrow_mut().tell(state.clock.now()),
+        is_introduction: false,
         notice: Some(peers::UsageNotice {
             can_report: state.freshness.borrow().is_store_answering() && !state.is_stopping(),
             is_leaving: state.is_stopping(),
@@ -249,12 +291,16 @@
 }
 
 /// Takes over what another gateway tells, and passes it on if it is new.
-fn receive_news(state: &state::State, news: &peers::News) {
+fn receive_news(state: &state::State, message: &peers::GossipMessage) {
+    let news = &message.news;
     let mut is_new = state.quarantine.borrow_mut().merge(&news.suspects, state.time_of_day());
     for leaving in &news.leaving {
         let now = time::Instant::now();
         is_new |= state.directory.borrow_mut().record_told_leaving(leaving, now);
     }
+    for told in &message.limits {
+        is_new |= backend_limits::record_told(state, told, &message.node);
+    }
     if let Some(version) = news.configuration {
         state.told_version.borrow_mut().record(version, state.clock.now());
     }
@@ -282,7 +328,7 @@
                 // The requests for the counts show a gateway that its counts arrive.
                 let is_requested = message.notice.is_some() && state.reporting.borrow().is_some();
                 state.directory.borrow_mut().record_reads(&message.cached, time::Instant::now());
-                receive_news(state, &message.news);
+                receive_news(state, &message);
                 state.membership.borrow_mut().record_message(&message.node, now);
                 let reply = state.peers.borrow_mut().handle_message(message, from, now);
                 match reply {
@@ -290,6 +336,11 @@
                     peers::Reply::Acknowledgement if !is_requested => {
                         sender.send(&load_message(state, sender.incarnation), &[from]).await;
                     }
+                    peers::Reply::Introduction => {
+                        let mut message = load_message(state, sender.incarnation);
+                        message.cached.clear();
+                        sender.send(&message, &[from]).await;
+                    }
                     peers::Reply::Acknowledgement | peers::Reply::None => {}
                 }
             }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,6 +25,7 @@
 use crate::decision::retry_budget;
 use crate::decision::told_version;
 use crate::decision::usage_counts;
+use crate::decision::waiting_line;
 use crate::directory;
 use crate::logs;
 use crate::metrics;
@@ -94,6 +95,8 @@
     pub news: sync::watch::Sender<u64>,
     /// Limits that backend servers name.
     pub backend_limits: cell::RefCell<backend_limit::BackendLimits>,
+    /// Requests that wait for a backend server with a limit, by service.
+    pub waiting_lines: cell::RefCell<collections::HashMap<ids::PoolId, waiting_line::WaitingLine>>,
     /// Newest version of the configuration that another gateway has in force.
     pub told_version: cell::RefCell<told_version::ToldVersion>,
     /// Limit on the idle time of reused connections, by service.
@@ -144,6 +147,7 @@
             quarantine: cell::RefCell::new(quarantine::Quarantine::new(spread)),
             news: sync::watch::Sender::new(0),
             backend_limits: cell::RefCell::default(),
+            waiting_lines: cell::RefCell::default(),
             told_version: cell::RefCell::default(),
             configuration: cell::RefCell::new(None),
             freshness: cell::RefCell::new(freshness::Freshness::new(settings.revocation_bound)),
@@ -236,6 +240,13 @@
         retry_budget::Fleet { gateways: self.peers.borrow().known_count() + 1, standing }
     }
 
+    /// Share of the limit of a backend server that this gateway uses.
+    #[must_use]
+    pub fn limit_share(&self, backend: u32) -> Option<f64> {
+        let standing = self.membership.borrow().standing(backend_limit::WINDOW, self.clock.now());
+        backend_limit::share(backend, &self.settings.node, self.peers.borrow().names(), standing)
+    }
+
     /// Counts a request of a team whose execution began `elapsed` before now.
     pub fn count_usage(&self, team: &str, elapsed: Duration) {
         let hash = usage_counts::team_hash(team);
--- a/crates/gateway/tests/backend_limit.rs
+++ b/crates/gateway/tests/backend_limit.rs
@@ -14,6 +14,9 @@
 /// Start of its run, in milliseconds since 1970.
 const RUN: u64 = 100;
 
+/// A limit in a response to a request that was sent and answered so many milliseconds after the start.
+type Response = (NamedLimit, u64, u64);
+
 /// A statement in a response to a request that was sent and answered so many milliseconds after
 /// `start`.
 fn statement(
@@ -40,7 +43,7 @@
 #[gtest]
 fn limit_follows_the_responses_in_the_order_in_which_they_were_made() {
     let (none, some) = (NamedLimit::None, NamedLimit::PerSecond);
-    let cases: [(&str, &[(NamedLimit, u64, u64)], Option<f64>); 9] = [
+    let cases: [(&str, &[Response], Option<f64>); 9] = [
         ("no limit", &[(none, 0, 10)], None),
         ("a limit", &[(some(1.8), 0, 10)], Some(1.8)),
         ("raised", &[(some(1.8), 0, 10), (some(3.0), 20, 30)], Some(3.0)),
--- a/crates/gateway/tests/cache_fetch.rs
+++ b/crates/gateway/tests/cache_fetch.rs
@@ -53,13 +53,15 @@
         notice: Some(peers::UsageNotice::default()),
         cached: vec![peers::CachedSegment { backend_hash: 7, segment: 9 }],
         news: peers::News::default(),
+        limits: Vec::new(),
+        is_introduction: false,
     };
     let bytes = message.encode();
     expect_that!(peers::GossipMessage::decode(&bytes), ok(eq(&message)));
-    // The empty list and the empty news take four bytes, which that version doesn't send.
+    // What follows the notice takes six bytes if it is empty; that version doesn't send it.
     let older = peers::GossipMessage { cached: Vec::new(), ..message };
     let bytes = older.encode();
-    let bytes = &bytes[..bytes.len() - 4];
+    let bytes = &bytes[..bytes.len() - 6];
     expect_that!(peers::GossipMessage::decode(bytes), ok(eq(&older)));
 }
 
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -40,6 +40,8 @@
         wall_time: support::START_TIME,
         cached: Vec::new(),
         news: peers::News::default(),
+        limits: Vec::new(),
+        is_introduction: false,
         loads: vec![load],
         counts: Vec::new(),
         notice: None,
--- a/crates/gateway/tests/limit_histories.rs
+++ b/crates/gateway/tests/limit_histories.rs
@@ -156,3 +156,26 @@
         expect_bound("random", gateways, &limits(&named), seed, &history);
     }
 }
+
+#[gtest]
+fn a_limited_server_gets_what_it_takes_from_fleets_of_any_size() {
+    for (gateways, end) in [(1, 75), (4, 75), (8, 75), (48, 75), (301, 50)] {
+        let mut fleet = limit_fleet::Fleet::new(gateways, limits(&[Some(1.8)]), 1);
+        fleet.play(&busy([]), seconds(end));
+        let arrivals = fleet.arrivals_in(seconds(35)..seconds(end)) as f64;
+        let taken = 1.8 * (end - 35) as f64;
+        expect_that!(arrivals, all!(ge(0.8 * taken), le(1.1 * taken + 3.0)), "{gateways} gateways");
+    }
+}
+
+#[gtest]
+fn all_gateways_send_again_after_the_end_of_a_limit() {
+    for gateways in FLEETS {
+        let mut fleet = limit_fleet::Fleet::new(gateways, limits(&[Some(1.8), None]), 1);
+        fleet.play(&busy([]), seconds(50));
+        // Six requests a second reach each gateway.
+        let expected = 6.0 * 5.0 * gateways as f64;
+        let arrivals = fleet.arrivals_in(seconds(45)..seconds(50)) as f64;
+        expect_that!(arrivals, ge(0.9 * expected), "{gateways} gateways");
+    }
+}
--- a/crates/gateway/tests/malformed_messages.rs
+++ b/crates/gateway/tests/malformed_messages.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use azuregap_gateway::codec;
+use azuregap_gateway::decision::backend_limit;
 use azuregap_gateway::decision::median_clock;
 use azuregap_gateway::decision::quarantine;
 use azuregap_gateway::decision::usage_counts;
@@ -60,14 +61,29 @@
         }),
         cached: vec![peers::CachedSegment { backend_hash: 7, segment: 9 }],
         news: news(START),
+        limits: vec![limit(0, 1)],
+        is_introduction: false,
     }
 }
 
+/// What a gateway tells of a limit, as a statement of so long ago about a run.
+fn limit(age: u64, started_ms: u64) -> backend_limit::ToldLimit {
+    let age = Duration::from_millis(age);
+    let limit = Some(1.8);
+    backend_limit::ToldLimit { backend_hash: 7, started_ms, limit, sent_age: age, heard_age: age }
+}
+
 /// Does with a datagram what a gateway does.
 fn receive(peers: &mut peers::Peers, clock: &mut median_clock::MedianClock, bytes: &[u8]) {
     let now = time::Instant::now();
     let from = net::SocketAddr::from(([127, 0, 0, 1], 9));
     let Ok(message) = peers::GossipMessage::decode(bytes) else { return };
+    let mut limits = backend_limit::BackendLimits::default();
+    for told in &message.limits {
+        limits.record_told(told, now);
+        limits.place(told.backend_hash, told.started_ms, || Some(0.5), now);
+    }
+    limits.tell(now);
     let mut quarantine = quarantine::Quarantine::new(0.0);
     quarantine.merge(&message.news.suspects, START);
     let _ = quarantine.admit(&[codec::Segment { id: 9, tokens: 1 }], START);
@@ -107,6 +123,8 @@
             "totals",
             peers::GossipMessage { notice: notice(Some(vec![(u64::MAX, 1)])), ..base.clone() },
         ),
+        ("age", peers::GossipMessage { limits: vec![limit(u64::MAX, 1)], ..base.clone() }),
+        ("run", peers::GossipMessage { limits: vec![limit(0, u64::MAX)], ..base.clone() }),
         (
             "crash",
             peers::GossipMessage {
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -221,13 +221,15 @@
         notice: Some(peers::UsageNotice::default()),
         cached: vec![peers::CachedSegment { backend_hash: 7, segment: 9 }],
         news: peers::News { suspects, ..peers::News::default() },
+        limits: Vec::new(),
+        is_introduction: false,
     };
     let bytes = message.encode();
     expect_that!(peers::GossipMessage::decode(&bytes), ok(eq(&message)));
-    // The empty news take three bytes, which that version doesn't send.
+    // The empty news take three bytes, which that version doesn't send, and what follows them two.
     let older = peers::GossipMessage { news: peers::News::default(), ..message };
     let older_bytes = older.encode();
-    let older_bytes = &older_bytes[..older_bytes.len() - 3];
+    let older_bytes = &older_bytes[..older_bytes.len() - 5];
     expect_that!(&bytes[..older_bytes.len()], eq(older_bytes));
     expect_that!(peers::GossipMessage::decode(older_bytes), ok(eq(&older)));
 }
--- a/crates/gateway/tests/reporting.rs
+++ b/crates/gateway/tests/reporting.rs
@@ -278,6 +278,8 @@
         wall_time: seconds(9),
         cached: Vec::new(),
         news: peers::News::default(),
+        limits: Vec::new(),
+        is_introduction: false,
         loads: Vec::new(),
         counts: vec![peers::UsageCount { window: 1, team: 2, requests: 3 }],
         notice: None,
@@ -295,11 +297,12 @@
     expect_that!(peers::GossipMessage::decode(&new), ok(eq(&message)));
     // An earlier version reads the fields that it knows and ignores the rest.
     expect_that!(new[..old.len()], eq(&old[..]));
-    // The messages of versions before end without the empty news, and without the empty list of
-    // segments.
-    let without_news = new.len() - 3;
+    // The messages of versions before end without limits and introductions, without the empty news,
+    // and without the empty list of segments.
+    let without_limits = new.len() - 2;
+    let without_news = without_limits - 3;
     let without_segments = without_news - 1;
-    let whole = [old.len(), without_segments, without_news];
+    let whole = [old.len(), without_segments, without_news, without_limits];
     for length in 0..new.len() {
         let decoded = peers::GossipMessage::decode(&new[..length]);
         let is_whole = whole.contains(&length);
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -127,6 +127,8 @@
             counts: Vec::new(),
             cached: Vec::new(),
             news: peers::News::default(),
+            limits: Vec::new(),
+            is_introduction: false,
             notice: Some(peers::UsageNotice {
                 can_report: self.reachable_since.is_some(),
                 is_leaving: now >= self.stopping_at,
@@ -262,7 +264,9 @@
             peers::Reply::Acknowledgement if gateway.reporting.is_none() => {
                 gateway.message(self.now)
             }
-            peers::Reply::Acknowledgement | peers::Reply::None => return,
+            peers::Reply::Acknowledgement | peers::Reply::Introduction | peers::Reply::None => {
+                return;
+            }
         };
         self.send(to, &[from_address], &reply);
     }
--- a/crates/gateway/tests/support/network.rs
+++ b/crates/gateway/tests/support/network.rs
@@ -6,6 +6,7 @@
 use std::ops;
 use std::time::Duration;
 
+use azuregap_gateway::decision::backend_limit;
 use azuregap_gateway::decision::gossip_timing;
 use azuregap_gateway::decision::membership;
 use azuregap_gateway::peers;
@@ -19,6 +20,9 @@
 /// Time from the end of a process until it runs again.
 const DOWN_TIME: Duration = Duration::from_millis(500);
 
+/// Interval at which a gateway introduces itself to those that haven't answered.
+const INTRODUCTION_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Something that happens to gateways, or to the load.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -53,6 +57,7 @@
     pub is_removed: bool,
     address: net::SocketAddr,
     next_message: Duration,
+    next_introduction: Duration,
     next_list: Duration,
     list_interval: Duration,
     down_until: Duration,
@@ -74,6 +79,7 @@
             is_removed: false,
             address: addresses::address(index),
             next_message: now,
+            next_introduction: now + INTRODUCTION_INTERVAL,
             next_list: now,
             list_interval: Duration::from_secs(1),
             down_until: now,
@@ -89,6 +95,11 @@
         !self.is_removed && now >= self.down_until && now >= self.frozen_until
     }
 
+    /// Whether it serves requests: its process runs and has read the configuration from the store.
+    pub fn serves(&self, now: Duration) -> bool {
+        self.runs(now) && self.registered
+    }
+
     /// Number of requests that callers send it in this step.
     pub fn take_requests(&mut self) -> usize {
         self.credit += self.rate * STEP.as_secs_f64();
@@ -97,7 +108,7 @@
         if self.is_removed { 0 } else { count }
     }
 
-    fn message(&self, news: peers::News) -> peers::GossipMessage {
+    fn message(&self) -> peers::GossipMessage {
         peers::GossipMessage {
             node: self.name.clone(),
             incarnation: 1,
@@ -105,20 +116,27 @@
             loads: Vec::new(),
             counts: Vec::new(),
             cached: Vec::new(),
-            news,
+            news: peers::News::default(),
+            limits: Vec::new(),
+            is_introduction: false,
             notice: Some(peers::UsageNotice::default()),
         }
     }
 }
 
+/// Limits that the store keeps, by the hash of the backend server's id.
+pub type Saved = collections::BTreeMap<u32, backend_limit::SavedLimit>;
+
 /// What a fleet does with the state of its gateways.
 pub struct Hooks<T> {
     /// State of a process that has just started.
     pub start: Box<dyn Fn() -> T>,
-    /// News in a gateway's messages.
-    pub news: fn(&mut T, time::Instant) -> peers::News,
-    /// Takes over the news of another gateway.
-    pub receive: fn(&mut T, &peers::News, time::Instant),
+    /// Adds to a message what the gateway tells.
+    pub tell: fn(&mut T, &mut peers::GossipMessage, time::Instant),
+    /// Reads what the store keeps beside the list of gateways, if that is being read, and saves to it.
+    pub save: fn(&mut Gateway<T>, &mut Saved, bool, time::Instant),
+    /// Takes over what another gateway tells.
+    pub receive: fn(&mut T, &peers::GossipMessage, time::Instant),
 }
 
 /// Gateways, the network between them and the store's list of gateways.
@@ -127,6 +145,7 @@
     /// Time since the start.
     pub now: Duration,
     listed: collections::BTreeMap<String, net::SocketAddr>,
+    saved: Saved,
     origin: time::Instant,
     hooks: Hooks<T>,
 }
@@ -139,6 +158,7 @@
             gateways: (0..gateways).map(start).collect(),
             now: Duration::ZERO,
             listed: collections::BTreeMap::new(),
+            saved: Saved::new(),
             origin: time::Instant::now(),
             hooks,
         }
@@ -195,13 +215,19 @@
     pub fn run_gateway(&mut self, index: usize) {
         self.read_list(index);
         self.send_messages(index);
+        self.introduce(index);
     }
 
     /// Registers a gateway and reads the list at its intervals.
     fn read_list(&mut self, index: usize) {
         let (now, at) = (self.now, self.instant());
         let gateway = &mut self.gateways[index];
-        if now < gateway.next_list || now < gateway.detached_until {
+        if now < gateway.detached_until {
+            return;
+        }
+        let is_read = now >= gateway.next_list;
+        (self.hooks.save)(gateway, &mut self.saved, is_read, at);
+        if !is_read {
             return;
         }
         if self.listed.insert(gateway.name.clone(), gateway.address).is_none()
@@ -219,6 +245,33 @@
         gateway.list_interval = (gateway.list_interval * 2).min(Duration::from_secs(20));
     }
 
+    /// Asks the gateways that were listed before this one for a message, in a large fleet.
+    fn introduce(&mut self, index: usize) {
+        let (now, at) = (self.now, self.instant());
+        let sender = &mut self.gateways[index];
+        if now < sender.next_introduction || now < sender.isolated_until {
+            return;
+        }
+        sender.next_introduction = now + INTRODUCTION_INTERVAL;
+        if !sender.peers.is_partial_mesh() {
+            return;
+        }
+        let awaited: Vec<_> = sender.membership.awaited().map(str::to_owned).collect();
+        let (mut message, from) = (sender.message(), sender.address);
+        message.is_introduction = true;
+        for node in awaited {
+            let Some(address) = self.gateways[index].peers.address_of(&node) else { continue };
+            let other = &mut self.gateways[addresses::index_of(address)];
+            if !other.runs(now) || now < other.isolated_until {
+                continue;
+            }
+            other.membership.record_message(&message.node, at);
+            let reply = other.peers.handle_message(message.clone(), from, at);
+            assert_eq!(reply, peers::Reply::Introduction);
+            self.gateways[index].membership.record_message(&node, at);
+        }
+    }
+
     fn send_messages(&mut self, index: usize) {
         let (now, at) = (self.now, self.instant());
         let sender = &mut self.gateways[index];
@@ -231,14 +284,14 @@
         if now < sender.isolated_until {
             return;
         }
-        let news = (self.hooks.news)(&mut sender.load, at);
-        let (message, from) = (sender.message(news), sender.address);
+        let (mut message, from) = (sender.message(), sender.address);
+        (self.hooks.tell)(&mut sender.load, &mut message, at);
         for address in addresses {
             let receiver = &mut self.gateways[addresses::index_of(address)];
             if receiver.runs(now) && now >= receiver.isolated_until {
                 receiver.membership.record_message(&message.node, at);
                 receiver.peers.handle_message(message.clone(), from, at);
-                (self.hooks.receive)(&mut receiver.load, &message.news, at);
+                (self.hooks.receive)(&mut receiver.load, &message, at);
             }
         }
     }
--- a/crates/gateway/tests/support/retry_fleet.rs
+++ b/crates/gateway/tests/support/retry_fleet.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use azuregap_gateway::decision::retry_budget;
-use azuregap_gateway::peers;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
@@ -74,7 +73,8 @@
                 budget: retry_budget::RetryBudget::new(limits),
                 pending: Vec::new(),
             }),
-            news: |_, _| peers::News::default(),
+            tell: |_, _, _| {},
+            save: |_, _, _, _| {},
             receive: |_, _, _| {},
         };
         Self {
--- a/crates/gateway/tests/usage.rs
+++ b/crates/gateway/tests/usage.rs
@@ -224,6 +224,8 @@
             wall_time: support::START_TIME,
             cached: Vec::new(),
             news: peers::News::default(),
+            limits: Vec::new(),
+            is_introduction: false,
             loads: Vec::new(),
             counts: vec![peers::UsageCount { window: first_window(), team, requests: 30 }],
             notice: None,
