fix(gateway): the partition of engines doesn't follow the places of limited ones

Cause: an engine with a limit came and went as usable with each of its places, so the partition by prompt length and the preferred engines of each session moved several times a second, and shared parts were read again elsewhere. Change: the partition counts engines without a limit only; one with a limit is in the part for long prompts, since it takes a number of requests, not of tokens. Preferred engines stay the same whether an engine has a place or not. Access by limits has a file of its own.

--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -5,6 +5,7 @@
 //! that was never written and one that may have arrived. `actix-web` and `awc` hide these
 //! differences.
 
+mod access;
 mod admission;
 mod attempt;
 mod body;
--- a/crates/gateway/src/proxy/selection.rs
+++ b/crates/gateway/src/proxy/selection.rs
@@ -5,10 +5,10 @@
 use smallvec::SmallVec;
 use tokio::time;
 
+use super::access;
 use super::attempt;
 use super::dispatch;
 use crate::codec;
-use crate::decision::backend_limit;
 use crate::decision::cache_source;
 use crate::decision::engine_partition;
 use crate::decision::gossip_timing;
@@ -38,18 +38,23 @@
     let now = time::Instant::now();
     let state = &request.state;
     let directory = state.directory.borrow();
-    let usable = usable_backends(request, ticket, &directory, now);
+    let (usable, access) = usable_backends(request, ticket, &directory, now);
     let loads = total_loads(state, &usable);
-    let boundary = partition_boundary(request, &usable, &loads, now);
+    let boundary = partition_boundary(request, &usable, &access, &loads, now);
     let headers = &request.admitted.headers;
     let (segments, prompt_tokens) = (&headers.segments, u64::from(headers.prompt_tokens));
-    let in_partition = |server: &directory::BackendState| {
-        boundary.is_none_or(|boundary| (server.hash >= boundary) == request.is_long())
+    // What a server with a limit takes are requests, so it gets long ones. The partition of the others
+    // doesn't follow its places, which come and go.
+    let in_partition = |server: &directory::BackendState, access: access::Access| {
+        boundary.is_none_or(|boundary| {
+            (access != access::Access::Unlimited || server.hash >= boundary) == request.is_long()
+        })
     };
     let shared_segments = codec::shared_segments(segments);
     let preferred = shared_segments.last().map(|segment| {
-        let partition = usable.iter().filter(|server| in_partition(server));
-        placement::preferred_backends(segment.id, partition.map(|server| server.hash))
+        let partition = usable.iter().zip(&access);
+        let partition = partition.filter(|(server, access)| in_partition(server, **access));
+        placement::preferred_backends(segment.id, partition.map(|(server, _)| server.hash))
     });
     let preferred = preferred.unwrap_or_default();
     let shared_tokens: u64 = shared_segments.iter().map(|segment| u64::from(segment.tokens)).sum();
@@ -58,7 +63,8 @@
     let source = cache_source::find(&prefixes);
     let fetched_tokens = |own| source.map_or(0, |source| source.fetched_tokens(own));
     let preference_of = |hash: u32| preferred.iter().position(|preferred| *preferred == hash);
-    let candidate = |(server, load): (&&directory::BackendState, &directory::Load)| {
+    let candidate = |(index, load): (usize, &directory::Load)| {
+        let (server, access) = (usable[index], access[index]);
         let expected_tokens = preference_of(server.hash)
             .map_or(0.0, |at| shared_tokens as f64 * (1.0 - placement::EXPECTED_MISS_SHARE[at]));
         let cached_tokens =
@@ -76,11 +82,13 @@
             recomputed: shared_tokens.saturating_sub(available_tokens),
             fetched,
             cost_factor: server.health.cost_factor(now),
-            other_partition: !in_partition(server),
+            other_partition: !in_partition(server, access),
             same_zone: server.backend.zone == state.settings.zone,
         }
     };
-    let candidates: PerBackend<_> = usable.iter().zip(&loads).map(candidate).collect();
+    let open = loads.iter().enumerate().filter(|(index, _)| access[*index] != access::Access::Full);
+    let indices: PerBackend<usize> = open.clone().map(|(index, _)| index).collect();
+    let candidates: PerBackend<_> = open.map(candidate).collect();
     let cheapest = placement::choose_cheapest(&candidates, rand::random())?;
     let is_preferred = shared_tokens >= MIN_PREFERENCE_TOKENS
         && preference_of(candidates[cheapest].hash).is_some();
@@ -89,11 +97,11 @@
     } else {
         placement::choose_weighted(&candidates, expected_arrivals(request, now), rand::random())?
     };
-    let server = usable[selected];
+    let server = usable[indices[selected]];
     // Unlike the cost, this counts only what is known to be cached: a fetch that brings nothing is
     // cheap, a part that was only expected there is not.
     let fetch_source = source
-        .filter(|source| source.fetched_tokens(prefixes[selected].tokens) > 0)
+        .filter(|source| source.fetched_tokens(prefixes[indices[selected]].tokens) > 0)
         .map(|source| usable[source.index].backend.address);
     Some(attempt::Target {
         id: server.backend.id.clone(),
@@ -137,25 +145,14 @@
     rate.expected_count(gateways, interval, now)
 }
 
-/// Whether a backend server may get a request, as far as limits are concerned.
-fn place(
-    state: &state::State,
-    server: &directory::BackendState,
-    now: time::Instant,
-) -> backend_limit::Place {
-    let mut limits = state.backend_limits.borrow_mut();
-    limits.place(server.hash, server.backend.started_ms, || state.limit_share(server.hash), now)
-}
-
-/// Backend servers that have not been tried, can get a connection, are not paused after a failure and
-/// have a place for this request if they name a limit. If all of them are paused, paused ones are
-/// returned.
+/// Backend servers that have not been tried, can get a connection and are not paused after a failure,
+/// and whether they may get the request. If all that may are paused, paused ones are returned.
 fn usable_backends<'a>(
     request: &dispatch::ProxyRequest,
     ticket: Option<&waiting_line::Ticket>,
     directory: &'a directory::Directory,
     now: time::Instant,
-) -> PerBackend<&'a directory::BackendState> {
+) -> (PerBackend<&'a directory::BackendState>, PerBackend<access::Access>) {
     let state = &request.state;
     let service = &request.admitted.service;
     // Silent gateways may have their connections open.
@@ -173,26 +170,16 @@
     let is_wanted = |server: &&directory::BackendState| {
         directory.quiet_time_left(&server.backend, now).is_zero()
     };
-    let (has_limits, clock_now) = (!state.backend_limits.borrow().is_empty(), state.clock.now());
-    let lines = state.waiting_lines.borrow();
-    let line = lines.get(service);
-    let has_place = |server: &&directory::BackendState| match place(state, server, clock_now) {
-        backend_limit::Place::Unlimited => true,
-        limited => {
-            let is_next = |line: &waiting_line::WaitingLine| {
-                line.is_next(request.admitted.ranks.on_time, ticket, server.hash, now)
-            };
-            limited.is_free() && line.is_none_or(is_next)
-        }
-    };
     let untried = directory.of_service(service).filter(is_untried);
     let open = untried.filter(is_wanted).filter(has_connection);
-    let mut usable: PerBackend<_> =
-        open.filter(|server| !has_limits || has_place(server)).collect();
-    if usable.iter().any(|server| server.health.is_available(now)) {
-        usable.retain(|server| server.health.is_available(now));
-    }
-    usable
+    let access = |server| (server, access::of(request, ticket, server, now));
+    let usable: PerBackend<_> = open.map(access).collect();
+    let is_available = |server: &directory::BackendState| server.health.is_available(now);
+    let may_get = |(server, access): &(&directory::BackendState, access::Access)| {
+        *access != access::Access::Full && is_available(server)
+    };
+    let skips_paused = usable.iter().any(may_get);
+    usable.into_iter().filter(|(server, _)| !skips_paused || is_available(server)).unzip()
 }
 
 /// Time until the first backend server of the service wants requests again, if all of them have
@@ -205,55 +192,6 @@
     times.min().filter(|time| !time.is_zero())
 }
 
-/// When the next request may be sent to a backend server with a limit.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) enum NextPlace {
-    /// No backend server is left, or one that names no limit.
-    None,
-    /// This gateway may send one after `wait`, and then `pace` requests a second.
-    Here { wait: Duration, pace: f64 },
-    /// Only other gateways may send any; each place comes up after this time.
-    Elsewhere(Duration),
-}
-
-/// When a request that was not sent to them yet may be sent to a backend server with a limit.
-pub(super) fn next_place(request: &dispatch::ProxyRequest) -> NextPlace {
-    let state = &request.state;
-    if state.backend_limits.borrow().is_empty() {
-        return NextPlace::None;
-    }
-    let (directory, now) = (state.directory.borrow(), state.clock.now());
-    let (mut next, mut elsewhere) = (NextPlace::None, None);
-    for server in directory.of_service(&request.admitted.service) {
-        if request.tried.contains(&server.backend.id) {
-            continue;
-        }
-        match place(state, server, now) {
-            backend_limit::Place::Unlimited => return NextPlace::None,
-            backend_limit::Place::Limited { wait, pace } => {
-                next = match next {
-                    NextPlace::Here { wait: first, pace: sum } => {
-                        NextPlace::Here { wait: first.min(wait), pace: sum + pace }
-                    }
-                    _ => NextPlace::Here { wait, pace },
-                };
-            }
-            backend_limit::Place::Elsewhere => {
-                let limits = state.backend_limits.borrow();
-                let limit = limits.limit(server.hash, server.backend.started_ms).unwrap_or(0.0);
-                elsewhere = Some(elsewhere.unwrap_or(0.0) + limit);
-            }
-        }
-    }
-    match (next, elsewhere) {
-        (NextPlace::None, Some(limit)) => {
-            let wait = Duration::try_from_secs_f64(1.0 / limit).unwrap_or(Duration::MAX);
-            NextPlace::Elsewhere(wait)
-        }
-        (next, _) => next,
-    }
-}
-
 /// Load of all gateways at each backend server.
 ///
 /// Gateways without a recent report are assumed to load all backend servers equally.
@@ -280,6 +218,7 @@
 fn partition_boundary(
     request: &dispatch::ProxyRequest,
     usable: &[&directory::BackendState],
+    access: &[access::Access],
     loads: &[directory::Load],
     now: time::Instant,
 ) -> Option<u32> {
@@ -293,8 +232,10 @@
     let mut partitions = request.state.engine_partitions.borrow_mut();
     let partition = partitions.entry(request.admitted.service.clone()).or_default();
     partition.observe_tier(request.is_long(), request.admitted.route.tier);
-    let short = partition.update(demand, usable.len(), slots, now)?;
-    let mut hashes: PerBackend<_> = usable.iter().map(|server| server.hash).collect();
+    let unlimited =
+        usable.iter().zip(access).filter(|(_, access)| **access == access::Access::Unlimited);
+    let mut hashes: PerBackend<_> = unlimited.map(|(server, _)| server.hash).collect();
+    let short = partition.update(demand, hashes.len(), slots, now)?;
     hashes.sort_unstable();
     hashes.get(short).copied()
 }
--- a/crates/gateway/src/proxy/waiting.rs
+++ b/crates/gateway/src/proxy/waiting.rs
@@ -7,6 +7,7 @@
 use smallvec::SmallVec;
 use tokio::time;
 
+use super::access;
 use super::attempt;
 use super::dispatch;
 use super::selection;
@@ -90,17 +91,17 @@
                 return Err(Unavailable::Quiet(quiet));
             }
             let changed = self.state.capacity_changed.notified();
-            let wait_until = match selection::next_place(self) {
-                selection::NextPlace::None => {
+            let wait_until = match access::next_place(self) {
+                access::NextPlace::None => {
                     if !self.tried.is_empty() || time::Instant::now() >= until {
                         return Err(Unavailable::None);
                     }
                     until
                 }
-                selection::NextPlace::Elsewhere(wait) => {
+                access::NextPlace::Elsewhere(wait) => {
                     return Err(self.refuse_place(waiting.as_ref(), wait));
                 }
-                selection::NextPlace::Here { wait: next, pace } => {
+                access::NextPlace::Here { wait: next, pace } => {
                     let Some(waiting) = &waiting else {
                         waiting = Some(Waiting::join(self));
                         continue;
