fix(gateway): few gateways send trials of a quarantined prompt, which all know each other

Each gateway sent one request a minute with a segment after its hold, and nothing bounded their sum: a fleet of 301, or gateways that don't hear each other, could crash one backend server each. Change: three gateways for each segment, by rendezvous hashing over all known ones, and only if all others have counted them for ten seconds, as with limits. The others reject the request as not run.

--- a/crates/gateway/src/decision.rs
+++ b/crates/gateway/src/decision.rs
@@ -18,6 +18,7 @@
 pub mod priority;
 pub mod quarantine;
 pub mod quiet_period;
+pub mod rendezvous;
 pub mod report_readiness;
 pub mod retry_budget;
 pub mod told_version;
--- a/crates/gateway/src/decision/quarantine.rs
+++ b/crates/gateway/src/decision/quarantine.rs
@@ -74,8 +74,8 @@
 /// sent again, since the engines may have been mended.
 const HOLD: Duration = Duration::from_secs(600);
 
-/// Interval between two single requests after [`HOLD`].
-const TRIAL_INTERVAL: Duration = Duration::from_secs(60);
+/// Interval between two single requests of a gateway after [`HOLD`].
+pub const TRIAL_INTERVAL: Duration = Duration::from_secs(60);
 
 /// Time for which other gateways are told of a change of a segment that isn't quarantined.
 const TELL_CHANGES: Duration = Duration::from_secs(10);
--- /dev/null
+++ b/crates/gateway/src/decision/rendezvous.rs
@@ -0,0 +1,28 @@
+//! Chooses a few gateways for a key, by rendezvous hashing: all that know the same gateways agree
+//! without a message, and one that comes or goes changes only its own place.
+//!
+//! ```
+//! use azuregap_gateway::decision::rendezvous;
+//!
+//! let nodes = ["g-1", "g-2", "g-3", "g-4"];
+//! let others = |node: &str| nodes.into_iter().filter(move |other| *other != node);
+//! let is_first = |node: &&str| rendezvous::is_among_first(7, node, others(node), 2);
+//! assert_eq!(nodes.iter().filter(|node| is_first(node)).count(), 2);
+//! ```
+
+use xxhash_rust::xxh3;
+
+fn weight(key: u64, node: &str) -> u64 {
+    xxh3::xxh3_64_with_seed(node.as_bytes(), key)
+}
+
+/// Whether a gateway is among the first `count` for a key, of itself and `others`.
+pub fn is_among_first<'a>(
+    key: u64,
+    node: &str,
+    others: impl Iterator<Item = &'a str>,
+    count: usize,
+) -> bool {
+    let own = weight(key, node);
+    others.filter(|other| weight(key, other) > own).take(count).count() < count
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -214,7 +214,7 @@
     }
 
     /// Names of all other known gateways, including silent ones.
-    pub fn names(&self) -> impl Iterator<Item = &str> {
+    pub fn names(&self) -> impl Iterator<Item = &str> + Clone {
         self.peers.keys().map(|(_, node)| node.as_str())
     }
 
--- a/crates/gateway/src/proxy/screening.rs
+++ b/crates/gateway/src/proxy/screening.rs
@@ -77,8 +77,16 @@
     ///
     /// If its prompt crashes backend servers.
     pub(super) fn screen(&self) -> Result<quarantine::Admission, dispatch::RequestFailure> {
-        let now = self.state.time_of_day();
-        let admitted = self.state.quarantine.borrow_mut().admit(self.shared_segments(), now);
+        let (segments, now) = (self.shared_segments(), self.state.time_of_day());
+        let rejection = self.state.quarantine.borrow().find_rejection(segments, now);
+        let is_trial = |rejection: &quarantine::Rejection| rejection.time_left.is_zero();
+        if let Some(rejection) = rejection.filter(is_trial)
+            && !self.state.may_try(rejection.segment)
+        {
+            let time_left = quarantine::TRIAL_INTERVAL;
+            return Err(self.reject(&quarantine::Rejection { time_left, ..rejection }));
+        }
+        let admitted = self.state.quarantine.borrow_mut().admit(segments, now);
         admitted.map_err(|rejection| self.reject(&rejection))
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -22,6 +22,7 @@
 use crate::decision::membership;
 use crate::decision::prefill_speed;
 use crate::decision::quarantine;
+use crate::decision::rendezvous;
 use crate::decision::retry_budget;
 use crate::decision::told_version;
 use crate::decision::usage_counts;
@@ -33,6 +34,13 @@
 use crate::proxy::pool;
 use crate::settings;
 
+/// Gateways that send requests with a quarantined prompt segment after its hold.
+const TRIAL_GATEWAYS: usize = 3;
+
+/// Time for which all others must have counted a gateway before it does: its messages have told them
+/// what an earlier process of its VM found.
+const TRIAL_WINDOW: Duration = Duration::from_secs(10);
+
 /// Which new requests a gateway admits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -240,6 +248,16 @@
         retry_budget::Fleet { gateways: self.peers.borrow().known_count() + 1, standing }
     }
 
+    /// Whether this gateway may send a request that shows whether a prompt segment still crashes
+    /// backend servers. Few gateways do, which all know each other, however large the fleet is.
+    #[must_use]
+    pub fn may_try(&self, segment: codec::SegmentId) -> bool {
+        let standing = self.membership.borrow().standing(TRIAL_WINDOW, self.clock.now());
+        let (node, peers) = (&self.settings.node, self.peers.borrow());
+        standing == membership::Standing::Counted
+            && rendezvous::is_among_first(segment, node, peers.names(), TRIAL_GATEWAYS)
+    }
+
     /// Share of the limit of a backend server that this gateway uses.
     #[must_use]
     pub fn limit_share(&self, backend: u32) -> Option<f64> {
