feat(cli): azuregap explain names the limits behind a refusal

Cause: a request that was refused since limits were used up was explained by that reason alone, without the backend servers.

--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -1,7 +1,19 @@
 //! Finds the cause of a request's end in the lines around it.
 
+use std::collections;
+
 use super::line;
 
+/// Message of a request that waited for a place at a backend server with a limit, or got none.
+const LIMITED: &str = "request needed a place at a backend server with a limit";
+
+/// Message of the end of a limit.
+const LIMIT_ENDED: &str = "backend server names no limit any more";
+
+/// Messages of changes of limits.
+const LIMIT_CHANGES: [&str; 3] =
+    ["backend server names a limit", "backend server changes its limit", LIMIT_ENDED];
+
 /// A cause, and the lines that bear it out.
 #[derive(Debug)]
 pub(crate) struct Cause {
@@ -73,8 +85,13 @@
 }
 
 fn told(line: &line::Line) -> String {
-    let entry = &line.entry;
     let details = ["node", "incarnation", "left_out", "table", "reason", "change", "version"];
+    told_with(line, &details)
+}
+
+/// A line with those of some fields that it has.
+fn told_with(line: &line::Line, details: &[&str]) -> String {
+    let entry = &line.entry;
     let details: Vec<_> = details
         .iter()
         .filter_map(|name| Some(format!("{name}={}", entry.fields.get(*name)?)))
@@ -133,9 +150,23 @@
         let tried = own.iter().map(|line| line.entry.text("backend")).filter(|id| !id.is_empty());
         let mut evidence: Vec<_> = tried.filter_map(|backend| self.removed(backend)).collect();
         evidence.extend(self.store_lost("Backends"));
+        if own.iter().any(|line| line.entry.message == LIMITED) {
+            evidence.extend(self.limits_in_force());
+        }
         (cause, evidence)
     }
 
+    /// The lines on the limits of backend servers that this process had heard of and that hadn't
+    /// ended.
+    fn limits_in_force(&self) -> Vec<String> {
+        let is_limit = |line: &&line::Line| LIMIT_CHANGES.contains(&line.entry.message.as_str());
+        let changes = self.before().filter(|line| self.same_process(line)).filter(is_limit);
+        let newest: collections::BTreeMap<_, _> =
+            changes.map(|line| (line.entry.text("backend"), line)).collect();
+        let in_force = newest.values().filter(|line| line.entry.message != LIMIT_ENDED);
+        in_force.map(|line| told_with(line, &["backend", "limit", "source"])).collect()
+    }
+
     /// The line on the removal of a backend server, before or after.
     fn removed(&self, backend: &str) -> Option<String> {
         let removed = |line: &&line::Line| {
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -88,6 +88,34 @@
     expect_that!(said.err, matches_regex(r"(?s)azuregap: \d{4}: .*"));
 }
 
+/// Log of a gateway before three backend servers with limits, one of which has ended.
+const LIMITED: &str = r#"
+{"timestamp":"2026-03-14T18:00:04.1Z","level":"INFO","message":"backend server names a limit","backend":"b-1","started_ms":1,"limit":1.8,"source":"response"}
+{"timestamp":"2026-03-14T18:00:04.2Z","level":"INFO","message":"backend server names a limit","backend":"b-2","started_ms":1,"limit":2.0,"source":"g-2"}
+{"timestamp":"2026-03-14T18:00:04.3Z","level":"INFO","message":"backend server names a limit","backend":"b-3","started_ms":1,"limit":3.0,"source":"store"}
+{"timestamp":"2026-03-14T18:00:04.8Z","level":"INFO","message":"backend server names no limit any more","backend":"b-2","started_ms":1,"source":"response"}
+{"timestamp":"2026-03-14T18:00:05.0Z","level":"INFO","message":"backend server changes its limit","backend":"b-3","started_ms":1,"limit":0.5,"source":"response"}
+{"timestamp":"2026-03-14T18:00:05.1Z","level":"INFO","message":"request needed a place at a backend server with a limit","request":"a9","service":"s","rank":1,"waited_ms":0,"ahead":0,"outcome":"refused"}
+{"timestamp":"2026-03-14T18:00:05.1Z","level":"INFO","message":"request ended","request":"a9","service":"s","backend":"","runs":0,"status":503,"outcome":"given up","reason":"the limits that the backend servers name are used up"}
+"#;
+
+#[gtest]
+fn a_refusal_by_limits_names_the_backend_servers_and_their_limits() {
+    let [first, _] = logs("a_refusal_by_limits_names_the_backend_servers_and_their_limits");
+    let limited = format!("{}/limited.log", first.rsplit_once('/').unwrap().0);
+    std::fs::write(&limited, LIMITED).unwrap();
+    let said = command::run(&["explain", "a9", &limited]);
+    expect_that!(
+        said.out,
+        contains_substring("the limits that the backend servers name are used up")
+    );
+    expect_that!(said.out, contains_substring("limit=1.8"));
+    expect_that!(said.out, contains_substring("limit=0.5"));
+    expect_that!(said.out, not(contains_substring("limit=2.0")));
+    let said = command::run(&["report", &limited]);
+    expect_that!(said.out, contains_substring("not run: the limits"));
+}
+
 /// Log of a gateway whose requests were late or lost for several reasons.
 const LATE: &str = r#"
 {"timestamp":"2026-03-14T18:00:05.1Z","level":"INFO","message":"request ended","service":"s","backend":"b-1","runs":1,"status":200,"outcome":"complete","reason":"","first_ms":80,"target_ms":100,"pause_ms":20,"max_pause_ms":50}
