fix(gateway): metrics of limits follow the servers that have them

Cause: a server that left, started anew or was known by its hash only when its limit came from the store kept its gauge and counter for ever. Change: the gauges are made from the limits in force when metrics are read, and those of other servers are dropped.

--- a/crates/gateway/src/backend_limits.rs
+++ b/crates/gateway/src/backend_limits.rs
@@ -53,6 +53,16 @@
     }
 }
 
+/// Updates the metrics of the limits that known backend servers name.
+pub(crate) fn update_metrics(state: &state::State) {
+    let (limits, directory) = (state.backend_limits.borrow(), state.directory.borrow());
+    let limited = |server: &directory::BackendState| {
+        let limit = limits.limit(server.hash, server.backend.started_ms)?;
+        Some((server.backend.id.clone(), limit))
+    };
+    state.metrics.record_limits(&directory.all().filter_map(limited).collect());
+}
+
 /// Id of a backend server; its hash if its entry has not been read.
 fn name_of(state: &state::State, hash: u32) -> ids::BackendId {
     let directory = state.directory.borrow();
@@ -60,7 +70,7 @@
     server.map_or_else(|| format!("{hash:08x}"), |server| server.backend.id.clone())
 }
 
-/// Logs a change of a limit, and updates the metrics.
+/// Logs a change of a limit, and wakes the requests that wait for a place.
 fn report_change(
     state: &state::State,
     backend: &str,
@@ -68,8 +78,6 @@
     change: backend_limit::Change,
     source: &str,
 ) {
-    let count = state.backend_limits.borrow().count();
-    state.metrics.record_limit(backend, change.limit(), count);
     state.capacity_changed.notify_waiters();
     if !state.log_limiter.allow_failure(time::Instant::now()) {
         return;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,7 +1,10 @@
 //! Request counters and latency histograms, exported in the Prometheus text format.
 
+use std::cell;
+use std::collections;
 use std::time::Duration;
 
+use azuregap_core::ids;
 use prometheus::core;
 
 use crate::decision::retry_budget;
@@ -33,6 +36,8 @@
     limited_backends: core::GenericGauge<core::AtomicI64>,
     backend_limit: Rates,
     limited_sends: Counters,
+    /// Backend servers with metrics of their own, since they name a limit.
+    limited: cell::RefCell<collections::BTreeSet<ids::BackendId>>,
     limit_waits: Counters,
     retries: Counters,
     retries_used: Gauges,
@@ -109,6 +114,7 @@
                 "Requests sent to a backend server while it names a limit",
                 "backend",
             ),
+            limited: cell::RefCell::default(),
             limit_waits: counter(
                 "azuregap_limit_waits_total",
                 "Requests that waited for a backend server with a limit, by outcome",
@@ -161,16 +167,20 @@
         self.retries_allowed.with_label_values(&[service]).set(usage.allowed.into());
     }
 
-    /// Records the limit of a backend server, and how many name one. The metrics of a server that
-    /// names none any more are dropped.
-    pub fn record_limit(&self, backend: &str, limit: Option<f64>, count: usize) {
-        self.limited_backends.set(i64::try_from(count).unwrap_or(i64::MAX));
-        if let Some(limit) = limit {
-            return self.backend_limit.with_label_values(&[backend]).set(limit);
+    /// Records the limits that backend servers name, in requests per second by id. The metrics of
+    /// servers that name none any more are dropped.
+    pub fn record_limits(&self, limits: &collections::BTreeMap<ids::BackendId, f64>) {
+        self.limited_backends.set(i64::try_from(limits.len()).unwrap_or(i64::MAX));
+        let mut limited = self.limited.borrow_mut();
+        for backend in limited.iter().filter(|backend| !limits.contains_key(*backend)) {
+            // An error means that there are none.
+            let _ = self.backend_limit.remove_label_values(&[backend]);
+            let _ = self.limited_sends.remove_label_values(&[backend]);
         }
-        // An error means that there are none.
-        let _ = self.backend_limit.remove_label_values(&[backend]);
-        let _ = self.limited_sends.remove_label_values(&[backend]);
+        for (backend, limit) in limits {
+            self.backend_limit.with_label_values(&[backend]).set(*limit);
+        }
+        *limited = limits.keys().cloned().collect();
     }
 
     /// Counts a request that waited for a backend server with a limit.
@@ -180,6 +190,7 @@
 
     /// Counts a request that is sent to a backend server with a limit.
     pub fn record_limited_send(&self, backend: &str) {
+        self.limited.borrow_mut().insert(backend.to_owned());
         self.limited_sends.with_label_values(&[backend]).inc();
     }
 
--- a/crates/gateway/src/service/endpoints.rs
+++ b/crates/gateway/src/service/endpoints.rs
@@ -16,6 +16,7 @@
 use tokio::net;
 use tokio::time;
 
+use crate::backend_limits;
 use crate::state;
 
 /// Timeout for reading a request head; also limits how long a keep-alive connection may be idle.
@@ -67,7 +68,10 @@
     let (status, text) = match endpoint {
         Endpoint::Readiness if state.is_ready() => (http::StatusCode::OK, "ready\n".to_owned()),
         Endpoint::Readiness => (http::StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
-        Endpoint::Metrics => (http::StatusCode::OK, state.metrics.encode()),
+        Endpoint::Metrics => {
+            backend_limits::update_metrics(state);
+            (http::StatusCode::OK, state.metrics.encode())
+        }
     };
     let mut response = http::Response::new(Full::new(Bytes::from(text)));
     *response.status_mut() = status;
--- a/crates/gateway/tests/backend_limit.rs
+++ b/crates/gateway/tests/backend_limit.rs
@@ -5,6 +5,7 @@
 use azuregap_gateway::decision::backend_limit;
 use azuregap_gateway::decision::backend_limit::Change;
 use azuregap_gateway::decision::backend_limit::NamedLimit;
+use azuregap_gateway::metrics;
 use googletest::prelude::*;
 use tokio::time;
 
@@ -128,3 +129,21 @@
     }
     expect_that!(limits.count(), eq(16_384));
 }
+
+#[gtest]
+fn metrics_of_a_server_that_names_no_limit_any_more_are_dropped() {
+    let metrics = metrics::Metrics::new();
+    let limits = |limits: &[(&str, f64)]| {
+        limits.iter().map(|(backend, limit)| ((*backend).to_owned(), *limit)).collect()
+    };
+    metrics.record_limited_send("b-1");
+    metrics.record_limited_send("b-2");
+    metrics.record_limits(&limits(&[("b-1", 1.8), ("b-3", 4.0)]));
+    let text = metrics.encode();
+    expect_that!(text, contains_substring(r#"azuregap_backend_limit{backend="b-1"} 1.8"#));
+    expect_that!(text, contains_substring(r#"azuregap_limited_sends_total{backend="b-1"} 1"#));
+    expect_that!(text, contains_substring("azuregap_limited_backends 2"));
+    expect_that!(text, not(contains_substring("b-2")));
+    metrics.record_limits(&limits(&[]));
+    expect_that!(metrics.encode(), not(contains_substring("backend=")));
+}
