refactor(gateway): tests share random disruptions, messages and gateways on loopback

Change: support has random_events, messages and gossiping. Checks, bounds, seeds and what the random generator draws in which order stay.

--- a/crates/gateway/tests/limit_gossip.rs
+++ b/crates/gateway/tests/limit_gossip.rs
@@ -2,19 +2,15 @@
 
 mod support;
 
-use std::rc;
 use std::time::Duration;
 
-use azuregap_gateway::clock;
 use azuregap_gateway::decision::backend_limit;
 use azuregap_gateway::directory;
 use azuregap_gateway::peers;
-use azuregap_gateway::service;
 use azuregap_gateway::state;
 use azuregap_gateway::store;
 use googletest::prelude::*;
-use tokio::net as tokio_net;
-use tokio::time;
+use support::gossiping::*;
 
 /// Start of the backend server's run, in milliseconds since 1970.
 const RUN: u64 = 1_790_000_000_000;
@@ -23,26 +19,6 @@
     directory::id_hash("b-0")
 }
 
-/// Waits for at least some milliseconds, in turns in which all other tasks run too, also if the
-/// machine is busy.
-async fn pause(millis: u64) {
-    for _ in 0..millis / 10 {
-        time::sleep(Duration::from_millis(10)).await;
-    }
-}
-
-/// Starts a gateway that exchanges messages on a port of its own.
-async fn gateway(fake: &support::FakeStore, node: &str) -> rc::Rc<state::State> {
-    let socket = tokio_net::UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
-    let mut settings = support::settings(node);
-    settings.gossip_address = socket.local_addr().expect("an address");
-    let state = rc::Rc::new(state::State::new(settings, support::CODEC, clock::Clock::system()));
-    let store = rc::Rc::new(fake.store());
-    actix_rt::spawn(service::run_gossip(state.clone(), store, socket, 1));
-    pause(100).await;
-    state
-}
-
 /// Lets a gateway hear the limit in a response that came just now.
 fn hear(state: &state::State, limit: backend_limit::NamedLimit) {
     let now = state.clock.now();
--- a/crates/gateway/tests/limit_histories.rs
+++ b/crates/gateway/tests/limit_histories.rs
@@ -11,6 +11,7 @@
 use rand_chacha::ChaCha8Rng;
 use support::limit_fleet;
 use support::limit_fleet::Event;
+use support::network;
 
 /// Sizes of fleets; the gateways of the last one are not all neighbours.
 const FLEETS: [usize; 4] = [1, 4, 8, 48];
@@ -124,26 +125,6 @@
     }
 }
 
-/// A history with disruptions at random times that overlap.
-fn random_history(gateways: usize, rng: &mut ChaCha8Rng) -> History {
-    let mut events = Vec::new();
-    for _ in 0..rng.random_range(3..12) {
-        let first = rng.random_range(0..gateways);
-        let range = first..rng.random_range(first..gateways) + 1;
-        let span = Duration::from_millis(rng.random_range(500..20_000));
-        let event = match rng.random_range(0..8) {
-            0..3 => Event::End(range),
-            3 => Event::Freeze(range, span / 3),
-            4 => Event::Isolate(range, span),
-            5 => Event::Detach(range, span),
-            6 => Event::Add(rng.random_range(1..=range.len())),
-            _ => Event::Rate(range, rng.random_range(0.0..20.0)),
-        };
-        events.push((rng.random_range(20..60), event));
-    }
-    busy(events)
-}
-
 #[gtest]
 fn random_disruptions_while_a_server_names_limits_exceed_them_in_no_window() {
     for seed in 0..60 {
@@ -152,7 +133,7 @@
         let named: Vec<_> = (0..rng.random_range(1..5))
             .map(|_| rng.random_bool(0.8).then(|| rng.random_range(0.0..6.0)))
             .collect();
-        let history = random_history(gateways, &mut rng);
+        let history = busy(network::random_events(gateways, 20..60, 20.0, &mut rng));
         expect_bound("random", gateways, &limits(&named), seed, &history);
     }
 }
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -3,22 +3,19 @@
 mod support;
 
 use std::collections;
-use std::rc;
 use std::time::Duration;
 
-use azuregap_gateway::clock;
 use azuregap_gateway::codec;
 use azuregap_gateway::decision::gossip_timing;
 use azuregap_gateway::decision::quarantine;
 use azuregap_gateway::peers;
-use azuregap_gateway::service;
 use azuregap_gateway::state;
 use azuregap_gateway::store;
 use googletest::prelude::*;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 use support::addresses;
-use tokio::net as tokio_net;
+use support::gossiping::*;
 use tokio::time;
 
 /// The segment that all prompts begin with.
@@ -234,26 +231,6 @@
     expect_that!(peers::GossipMessage::decode(older_bytes), ok(eq(&older)));
 }
 
-/// Waits for at least some milliseconds, in turns in which all other tasks run too, also if the
-/// machine is busy.
-async fn pause(millis: u64) {
-    for _ in 0..millis / 10 {
-        time::sleep(Duration::from_millis(10)).await;
-    }
-}
-
-/// Starts a gateway that exchanges messages on a port of its own.
-async fn gateway(fake: &support::FakeStore, node: &str) -> rc::Rc<state::State> {
-    let socket = tokio_net::UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
-    let mut settings = support::settings(node);
-    settings.gossip_address = socket.local_addr().expect("an address");
-    let state = rc::Rc::new(state::State::new(settings, support::CODEC, clock::Clock::system()));
-    let store = rc::Rc::new(fake.store());
-    actix_rt::spawn(service::run_gossip(state.clone(), store, socket, 1));
-    pause(100).await;
-    state
-}
-
 fn rejects_guilty(state: &state::State) -> bool {
     let now = state.time_of_day();
     state.quarantine.borrow_mut().admit(&prompt(&[COMMON, GUILTY]), now).is_err()
--- a/crates/gateway/tests/retry_histories.rs
+++ b/crates/gateway/tests/retry_histories.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
+use support::network;
 use support::retry_fleet;
 use support::retry_fleet::Event;
 
@@ -108,32 +108,12 @@
     }
 }
 
-/// A history with disruptions at random times that overlap.
-fn random_history(gateways: usize, rng: &mut ChaCha8Rng) -> History {
-    let mut events = Vec::new();
-    for _ in 0..rng.random_range(3..12) {
-        let first = rng.random_range(0..gateways);
-        let range = first..rng.random_range(first..gateways) + 1;
-        let span = Duration::from_millis(rng.random_range(500..20_000));
-        let event = match rng.random_range(0..8) {
-            0..3 => Event::End(range),
-            3 => Event::Freeze(range, span / 3),
-            4 => Event::Isolate(range, span),
-            5 => Event::Detach(range, span),
-            6 => Event::Add(rng.random_range(1..=range.len())),
-            _ => Event::Rate(range, rng.random_range(0.0..30.0)),
-        };
-        events.push((rng.random_range(30..60), event));
-    }
-    failing(events)
-}
-
 #[gtest]
 fn random_disruptions_while_backend_servers_fail_exceed_no_retry_window() {
     for seed in 0..60 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let (gateways, slack) = FLEETS[seed as usize % 3];
-        let history = random_history(gateways, &mut rng);
+        let history = failing(network::random_events(gateways, 30..60, 30.0, &mut rng));
         expect_bound("random", gateways, slack, seed, &history);
     }
 }
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -20,6 +20,7 @@
 use tokio::time;
 
 use super::addresses;
+use super::messages;
 use super::report;
 
 /// Resolution of the simulation, and the latency of a message.
@@ -120,20 +121,14 @@
 
     fn message(&self, now: Duration) -> peers::GossipMessage {
         peers::GossipMessage {
-            node: self.name.clone(),
             incarnation: self.incarnation,
             wall_time: EPOCH + now,
-            loads: Vec::new(),
-            counts: Vec::new(),
-            cached: Vec::new(),
-            news: peers::News::default(),
-            limits: Vec::new(),
-            is_introduction: false,
             notice: Some(peers::UsageNotice {
                 can_report: self.reachable_since.is_some(),
                 is_leaving: now >= self.stopping_at,
                 ..peers::UsageNotice::default()
             }),
+            ..messages::empty(&self.name)
         }
     }
 
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -4,8 +4,10 @@
 
 pub mod addresses;
 pub mod fleet;
+pub mod gossiping;
 pub mod limit_fleet;
 pub mod loopback;
+pub mod messages;
 pub mod network;
 pub mod report;
 pub mod retry_fleet;
--- a/crates/gateway/tests/support/network.rs
+++ b/crates/gateway/tests/support/network.rs
@@ -10,9 +10,12 @@
 use azuregap_gateway::decision::gossip_timing;
 use azuregap_gateway::decision::membership;
 use azuregap_gateway::peers;
+use rand::RngExt as _;
+use rand_chacha::ChaCha8Rng;
 use tokio::time;
 
 use super::addresses;
+use super::messages;
 
 /// Resolution of the simulation, and the latency of a message.
 pub const STEP: Duration = Duration::from_millis(50);
@@ -44,6 +47,32 @@
     Failures(f64),
 }
 
+/// Three to eleven disruptions at random times in `from` that overlap, and callers that send up to
+/// `most` requests per second.
+pub fn random_events(
+    gateways: usize,
+    from: ops::Range<u64>,
+    most: f64,
+    rng: &mut ChaCha8Rng,
+) -> Vec<(u64, Event)> {
+    let mut events = Vec::new();
+    for _ in 0..rng.random_range(3..12) {
+        let first = rng.random_range(0..gateways);
+        let range = first..rng.random_range(first..gateways) + 1;
+        let span = Duration::from_millis(rng.random_range(500..20_000));
+        let event = match rng.random_range(0..8) {
+            0..3 => Event::End(range),
+            3 => Event::Freeze(range, span / 3),
+            4 => Event::Isolate(range, span),
+            5 => Event::Detach(range, span),
+            6 => Event::Add(rng.random_range(1..=range.len())),
+            _ => Event::Rate(range, rng.random_range(0.0..most)),
+        };
+        events.push((rng.random_range(from.clone()), event));
+    }
+    events
+}
+
 /// A gateway, with the state `T` that concerns its requests.
 pub struct Gateway<T> {
     pub name: String,
@@ -107,21 +136,6 @@
         self.credit -= count as f64;
         if self.is_removed { 0 } else { count }
     }
-
-    fn message(&self) -> peers::GossipMessage {
-        peers::GossipMessage {
-            node: self.name.clone(),
-            incarnation: 1,
-            wall_time: Duration::ZERO,
-            loads: Vec::new(),
-            counts: Vec::new(),
-            cached: Vec::new(),
-            news: peers::News::default(),
-            limits: Vec::new(),
-            is_introduction: false,
-            notice: Some(peers::UsageNotice::default()),
-        }
-    }
 }
 
 /// Limits that the store keeps, by the hash of the backend server's id.
@@ -257,7 +271,7 @@
             return;
         }
         let awaited: Vec<_> = sender.membership.awaited().map(str::to_owned).collect();
-        let (mut message, from) = (sender.message(), sender.address);
+        let (mut message, from) = (messages::empty(&sender.name), sender.address);
         message.is_introduction = true;
         for node in awaited {
             let Some(address) = self.gateways[index].peers.address_of(&node) else { continue };
@@ -284,7 +298,7 @@
         if now < sender.isolated_until {
             return;
         }
-        let (mut message, from) = (sender.message(), sender.address);
+        let (mut message, from) = (messages::empty(&sender.name), sender.address);
         (self.hooks.tell)(&mut sender.load, &mut message, at);
         for address in addresses {
             let receiver = &mut self.gateways[addresses::index_of(address)];
