feat(gateway): a metric tells what a gateway may send to a limited server

Cause: the metrics had the whole limit and the sends of this gateway, not what it was allowed to send. Change: azuregap_limited_sends_allowed. A test plays a trial of a quarantined prompt before a server whose limit is used up.

--- a/crates/gateway/src/backend_limits.rs
+++ b/crates/gateway/src/backend_limits.rs
@@ -5,6 +5,7 @@
 
 use crate::decision::backend_limit;
 use crate::directory;
+use crate::metrics;
 use crate::state;
 
 /// Records what a run of a backend server said in a response to this gateway.
@@ -57,8 +58,9 @@
 pub(crate) fn update_metrics(state: &state::State) {
     let (limits, directory) = (state.backend_limits.borrow(), state.directory.borrow());
     let limited = |server: &directory::BackendState| {
-        let limit = limits.limit(server.hash, server.backend.started_ms)?;
-        Some((server.backend.id.clone(), limit))
+        let whole = limits.limit(server.hash, server.backend.started_ms)?;
+        let own = whole * state.limit_share(server.hash).unwrap_or(0.0);
+        Some((server.backend.id.clone(), metrics::LimitUse { whole, own }))
     };
     state.metrics.record_limits(&directory.all().filter_map(limited).collect());
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,6 +17,15 @@
 type Gauges = core::GenericGaugeVec<core::AtomicI64>;
 type Rates = core::GenericGaugeVec<core::AtomicF64>;
 
+/// Limit of a backend server, in requests per second.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitUse {
+    /// What it takes from all gateways.
+    pub whole: f64,
+    /// What this gateway may use of it.
+    pub own: f64,
+}
+
 /// Counters and histograms of one gateway.
 #[derive(Debug)]
 pub struct Metrics {
@@ -35,6 +44,7 @@
     pub quarantine_rejections: core::GenericCounter<core::AtomicU64>,
     limited_backends: core::GenericGauge<core::AtomicI64>,
     backend_limit: Rates,
+    allowed_sends: Rates,
     limited_sends: Counters,
     /// Backend servers with metrics of their own, since they name a limit.
     limited: cell::RefCell<collections::BTreeSet<ids::BackendId>>,
@@ -71,6 +81,10 @@
             Gauges::new(prometheus::Opts::new(name, help), &["service"])
                 .expect("the metric name is valid")
         };
+        let rates = |name: &str, help: &str| {
+            Rates::new(prometheus::Opts::new(name, help), &["backend"])
+                .expect("the metric name is valid")
+        };
         let histogram = |name: &str, help: &str| {
             let opts = prometheus::HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
             prometheus::Histogram::with_opts(opts).expect("the metric name is valid")
@@ -101,14 +115,14 @@
                 "Backend servers that name a limit",
             )
             .expect("the metric name is valid"),
-            backend_limit: Rates::new(
-                prometheus::Opts::new(
-                    "azuregap_backend_limit",
-                    "Requests per second that a backend server takes from all gateways",
-                ),
-                &["backend"],
-            )
-            .expect("the metric name is valid"),
+            backend_limit: rates(
+                "azuregap_backend_limit",
+                "Requests per second that a backend server takes from all gateways",
+            ),
+            allowed_sends: rates(
+                "azuregap_limited_sends_allowed",
+                "Requests per second that this gateway may send to a backend server with a limit",
+            ),
             limited_sends: counter(
                 "azuregap_limited_sends_total",
                 "Requests sent to a backend server while it names a limit",
@@ -137,7 +151,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn core::Collector>; 15] = [
+        let collectors: [Box<dyn core::Collector>; 16] = [
             Box::new(self.requests.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.store_calls.clone()),
@@ -146,6 +160,7 @@
             Box::new(self.quarantine_rejections.clone()),
             Box::new(self.limited_backends.clone()),
             Box::new(self.backend_limit.clone()),
+            Box::new(self.allowed_sends.clone()),
             Box::new(self.limited_sends.clone()),
             Box::new(self.limit_waits.clone()),
             Box::new(self.retries.clone()),
@@ -167,18 +182,20 @@
         self.retries_allowed.with_label_values(&[service]).set(usage.allowed.into());
     }
 
-    /// Records the limits that backend servers name, in requests per second by id. The metrics of
-    /// servers that name none any more are dropped.
-    pub fn record_limits(&self, limits: &collections::BTreeMap<ids::BackendId, f64>) {
+    /// Records the limits that backend servers name and what this gateway may use of them, in requests
+    /// per second by id. The metrics of servers that name none any more are dropped.
+    pub fn record_limits(&self, limits: &collections::BTreeMap<ids::BackendId, LimitUse>) {
         self.limited_backends.set(i64::try_from(limits.len()).unwrap_or(i64::MAX));
         let mut limited = self.limited.borrow_mut();
         for backend in limited.iter().filter(|backend| !limits.contains_key(*backend)) {
             // An error means that there are none.
             let _ = self.backend_limit.remove_label_values(&[backend]);
+            let _ = self.allowed_sends.remove_label_values(&[backend]);
             let _ = self.limited_sends.remove_label_values(&[backend]);
         }
         for (backend, limit) in limits {
-            self.backend_limit.with_label_values(&[backend]).set(*limit);
+            self.backend_limit.with_label_values(&[backend]).set(limit.whole);
+            self.allowed_sends.with_label_values(&[backend]).set(limit.own);
         }
         *limited = limits.keys().cloned().collect();
     }
--- a/crates/gateway/tests/backend_limit.rs
+++ b/crates/gateway/tests/backend_limit.rs
@@ -134,7 +134,8 @@
 fn metrics_of_a_server_that_names_no_limit_any_more_are_dropped() {
     let metrics = metrics::Metrics::new();
     let limits = |limits: &[(&str, f64)]| {
-        limits.iter().map(|(backend, limit)| ((*backend).to_owned(), *limit)).collect()
+        let limit = |whole: f64| metrics::LimitUse { whole, own: whole / 3.0 };
+        limits.iter().map(|(backend, whole)| ((*backend).to_owned(), limit(*whole))).collect()
     };
     metrics.record_limited_send("b-1");
     metrics.record_limited_send("b-2");
@@ -142,6 +143,7 @@
     let text = metrics.encode();
     expect_that!(text, contains_substring(r#"azuregap_backend_limit{backend="b-1"} 1.8"#));
     expect_that!(text, contains_substring(r#"azuregap_limited_sends_total{backend="b-1"} 1"#));
+    expect_that!(text, contains_substring(r#"azuregap_limited_sends_allowed{backend="b-1"} 0.6"#));
     expect_that!(text, contains_substring("azuregap_limited_backends 2"));
     expect_that!(text, not(contains_substring("b-2")));
     metrics.record_limits(&limits(&[]));
--- a/crates/gateway/tests/quarantine_trials.rs
+++ b/crates/gateway/tests/quarantine_trials.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use azuregap_gateway::codec;
+use azuregap_gateway::decision::backend_limit;
 use azuregap_gateway::decision::rendezvous;
+use azuregap_gateway::directory;
 use azuregap_gateway::state;
 use googletest::prelude::*;
 use support::loopback::*;
@@ -70,3 +72,19 @@
         expect_that!(backend.requests.borrow().len(), eq(0));
     });
 }
+
+#[gtest]
+fn a_trial_passes_by_no_limit() {
+    run(async {
+        let backend = backend(vec![keep_open(RESPONSE)]).await;
+        let (state, address) = gateway(&[&backend]).await;
+        crash_long_ago(&state);
+        let now = state.clock.now();
+        let limit = backend_limit::NamedLimit::PerSecond(0.0);
+        let statement = backend_limit::Statement { limit, sent_at: now, heard_at: now };
+        let hash = directory::id_hash("b-0");
+        state.backend_limits.borrow_mut().record(hash, 1, &statement, now);
+        expect_that!(status(&call(address, "/once/a", HEADERS).await), eq("503"));
+        expect_that!(backend.requests.borrow().len(), eq(0));
+    });
+}
