docs(gateway): the example of the rendezvous choice compiles, a doc link is public

The example of decision::rendezvous didn't compile, which the tests of examples would have shown. Change: both.

--- a/crates/gateway/src/decision/quarantine.rs
+++ b/crates/gateway/src/decision/quarantine.rs
@@ -74,7 +74,7 @@
 /// sent again, since the engines may have been mended.
 const HOLD: Duration = Duration::from_secs(600);
 
-/// Interval between two single requests of a gateway after [`HOLD`].
+/// Interval between two single requests of a gateway after the hold.
 pub const TRIAL_INTERVAL: Duration = Duration::from_secs(60);
 
 /// Time for which other gateways are told of a change of a segment that isn't quarantined.
--- a/crates/gateway/src/decision/rendezvous.rs
+++ b/crates/gateway/src/decision/rendezvous.rs
@@ -5,9 +5,11 @@
 //! use azuregap_gateway::decision::rendezvous;
 //!
 //! let nodes = ["g-1", "g-2", "g-3", "g-4"];
-//! let others = |node: &str| nodes.into_iter().filter(move |other| *other != node);
-//! let is_first = |node: &&str| rendezvous::is_among_first(7, node, others(node), 2);
-//! assert_eq!(nodes.iter().filter(|node| is_first(node)).count(), 2);
+//! let is_first = |node: &&&str| {
+//!     let others = nodes.into_iter().filter(|other| other != *node);
+//!     rendezvous::is_among_first(7, node, others, 2)
+//! };
+//! assert_eq!(nodes.iter().filter(is_first).count(), 2);
 //! ```
 
 use xxhash_rust::xxh3;
