feat(gateway): requests that are lost are logged with a digest and whether the server has ended

Cause: the log of an incident didn't tell which of the lost requests were the same, and looked only for prompts with segments whether the server or the connection had ended. Change: a digest of method, host, path with query, team and body, computed only when a request is lost; a line for each loss names it, the run of the server, how long the request ran there, and whether the server refuses connections since.

--- a/crates/cli/src/explain/incident.rs
+++ b/crates/cli/src/explain/incident.rs
@@ -102,7 +102,7 @@
             Kind::Failure(format!("{status} {outcome} {reason}").trim_end().to_owned())
         }
         "request denied" => Kind::Failure(entry.text("reason").to_owned()),
-        "an attempt failed" => Kind::Detail,
+        "an attempt failed" | "request lost at a backend server" => Kind::Detail,
         "backend server" => Kind::Event(named("change")),
         "the store is lost" | "the store answers again" => Kind::Event(named("table")),
         "configuration in force" => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod peers;
 pub mod process;
 pub mod proxy;
+pub mod request_digest;
 pub mod service;
 pub mod settings;
 pub mod state;
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -21,6 +21,7 @@
 use crate::decision::priority;
 use crate::decision::quarantine;
 use crate::directory;
+use crate::request_digest;
 use crate::state;
 
 /// Maximum sends of one request, including those that reached no backend server.
@@ -62,6 +63,10 @@
     /// Number of sends that reached a backend server.
     pub(super) deliveries: u32,
     pub(super) tried: SmallVec<[ids::BackendId; 4]>,
+    /// Time of day of the last send.
+    pub(super) sent_at: Duration,
+    /// Digest of the request, once it is needed; shared by all clones.
+    pub(super) digest: rc::Rc<cell::OnceCell<request_digest::RequestDigest>>,
     /// How the prompt was admitted at the last send.
     pub(super) admission: quarantine::Admission,
     /// Whether it was recorded that the prompt is sound.
@@ -116,6 +121,8 @@
             sends: 0,
             deliveries: 0,
             tried: SmallVec::new(),
+            sent_at: Duration::ZERO,
+            digest: rc::Rc::default(),
             admission: quarantine::Admission::Normal,
             is_recorded: false,
             preference: 0,
@@ -211,6 +218,7 @@
             }
             let load_guard = self.load_guard(&target);
             self.sends += 1;
+            self.sent_at = self.state.time_of_day();
             self.tried.push(target.id.clone());
             (self.preference, self.uncached_tokens) = (target.preference, target.uncached_tokens);
             let outcome = tokio::select! {
--- a/crates/gateway/src/proxy/request_log.rs
+++ b/crates/gateway/src/proxy/request_log.rs
@@ -25,6 +25,28 @@
         }
     }
 
+    /// Logs that the connection was lost while the backend server ran the request, and whether the
+    /// server has ended. Lines with the same digest are about the same request.
+    pub(super) fn log_loss(&self, target: &attempt::Target, has_ended: bool) {
+        if !self.state.log_limiter.allow_failure(time::Instant::now()) {
+            return;
+        }
+        let ran_for = self.state.time_of_day().saturating_sub(self.sent_at);
+        tracing::info!(
+            request = self.admitted.headers.id,
+            digest = self.digest().to_string(),
+            path = self.head.uri.path(),
+            team = self.admitted.team,
+            service = self.admitted.service,
+            backend = target.id,
+            started_ms = target.started_ms,
+            sends = self.sends,
+            ran_ms = ran_for.as_millis() as u64,
+            has_ended,
+            "request lost at a backend server"
+        );
+    }
+
     /// Ids of the shared segments of the prompt, for logs.
     fn segments_text(&self) -> String {
         let ids = self.shared_segments().iter().map(|segment| format!("{:x}", segment.id));
--- a/crates/gateway/src/proxy/screening.rs
+++ b/crates/gateway/src/proxy/screening.rs
@@ -6,6 +6,7 @@
 use std::net;
 use std::time::Duration;
 
+use http::header;
 use tokio::time;
 
 use super::attempt;
@@ -14,6 +15,7 @@
 use crate::decision::failure;
 use crate::decision::quarantine;
 use crate::directory;
+use crate::request_digest;
 use crate::state;
 
 /// Time for a connection to show whether a backend server has ended: its VM refuses it at once.
@@ -34,6 +36,20 @@
 }
 
 impl dispatch::ProxyRequest {
+    /// Digest by which the request is known if it comes again.
+    pub(super) fn digest(&self) -> request_digest::RequestDigest {
+        let head = &self.head;
+        let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+        let identity = || request_digest::Identity {
+            method: head.method.as_str(),
+            host: host.or_else(|| head.uri.host()).unwrap_or_default(),
+            target: head.uri.path_and_query().map_or("", |target| target.as_str()),
+            team: self.admitted.team.as_deref(),
+            body: &self.body,
+        };
+        *self.digest.get_or_init(|| identity().digest())
+    }
+
     /// Segments of the prompt that other requests may share.
     pub(super) fn shared_segments(&self) -> &[codec::Segment] {
         codec::shared_segments(&self.admitted.headers.segments)
@@ -43,7 +59,9 @@
     /// server has ended. One that is alive may lose connections too.
     pub(super) async fn record_loss(&self, target: &attempt::Target) {
         let (state, segments) = (&self.state, self.shared_segments());
-        if segments.is_empty() || !has_ended(state, target.address).await {
+        let has_ended = has_ended(state, target.address).await;
+        self.log_loss(target, has_ended);
+        if segments.is_empty() || !has_ended {
             return;
         }
         state.metrics.lost_prompts.inc();
