--- a/crates/gateway/tests/crashing_prompts.rs
+++ b/crates/gateway/tests/crashing_prompts.rs
@@ -2,16 +2,15 @@
 
 mod support;
 
-use std::cell;
 use std::rc;
 use std::time::Duration;
 
 use azuregap_gateway::codec;
 use googletest::prelude::*;
+use support::fragile;
 use support::loopback::*;
 use tokio::io::AsyncWriteExt as _;
 use tokio::net as tokio_net;
-use tokio::sync;
 use tokio::time;
 
 /// The segment that crashes backend servers, as it stands in a request.
@@ -20,73 +19,6 @@
 /// Crashes in which a cause may be recognised, and requests with it that may follow.
 const MAX_DELIVERIES: usize = 5 + 3;
 
-/// What a backend server does with a request whose prompt has the deadly segment.
-#[derive(Clone, Copy)]
-enum OnDeadly {
-    /// It ends, and refuses connections for a while.
-    Crash,
-    /// It closes the connection.
-    Close,
-}
-
-/// Time until a backend server that has ended is back.
-const DOWN_TIME: Duration = Duration::from_millis(400);
-
-/// A backend server that answers all other requests with a stream of one event; counts the deadly
-/// ones.
-async fn fragile_backend(on_deadly: OnDeadly, deadly: &rc::Rc<cell::Cell<usize>>) -> Backend {
-    let listener = tokio_net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let address = listener.local_addr().expect("an address");
-    let backend = Backend { address, requests: rc::Rc::default(), disconnects: rc::Rc::default() };
-    let deadly = deadly.clone();
-    actix_rt::spawn(async move {
-        let mut listener = Some(listener);
-        loop {
-            let listening = match listener.take() {
-                Some(listener) => listener,
-                None => tokio_net::TcpListener::bind(address).await.expect("the port is free"),
-            };
-            serve_until_crash(listening, on_deadly, &deadly).await;
-            time::sleep(DOWN_TIME).await;
-        }
-    });
-    backend
-}
-
-/// Serves connections until a deadly request ends the backend server.
-async fn serve_until_crash(
-    listener: tokio_net::TcpListener,
-    on_deadly: OnDeadly,
-    deadly: &rc::Rc<cell::Cell<usize>>,
-) {
-    let crashed = rc::Rc::new(sync::Notify::new());
-    loop {
-        let mut stream = tokio::select! {
-            accepted = listener.accept() => accepted.expect("a connection").0,
-            () = crashed.notified() => return,
-        };
-        let (crashed, deadly) = (crashed.clone(), deadly.clone());
-        actix_rt::spawn(async move {
-            while let Some(head) = read_head(&mut stream).await {
-                if head.contains(DEADLY) {
-                    deadly.set(deadly.get() + 1);
-                    if matches!(on_deadly, OnDeadly::Crash) {
-                        crashed.notify_one();
-                        // The port is closed before the connection.
-                        time::sleep(Duration::from_millis(5)).await;
-                    }
-                    return;
-                }
-                let events = chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n";
-                let text = format!("{STREAM_HEAD}{events}");
-                if stream.write_all(text.as_bytes()).await.is_err() {
-                    return;
-                }
-            }
-        });
-    }
-}
-
 /// A backend server whose streams take 90 ms for each event.
 async fn slow_backend(events: Vec<String>) -> Backend {
     let listener = tokio_net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
@@ -117,11 +49,11 @@
 
 /// Sends 30 requests with the deadly segment; returns how many of them reach ten backend servers,
 /// and how many are rejected.
-async fn send_deadly(on_deadly: OnDeadly) -> (usize, u64) {
-    let deadly = rc::Rc::default();
+async fn send_deadly(on_deadly: fragile::OnDeadly) -> (usize, u64) {
+    let deadly = fragile::Deadly::new(DEADLY);
     let mut backends = Vec::new();
     for _ in 0..10 {
-        backends.push(fragile_backend(on_deadly, &deadly).await);
+        backends.push(fragile::backend(on_deadly, &deadly).await);
     }
     let (state, address) = gateway(&backends.iter().collect::<Vec<_>>()).await;
     for own in 100..130 {
@@ -130,13 +62,13 @@
     }
     let sound = "x-tokens: 8000\r\nx-segments: 1:6000,5:1000,77:500,200:9\r\n";
     expect_that!(status(&call(address, "/resume/a", sound).await), eq("200"));
-    (deadly.get(), state.metrics.quarantine_rejections.get())
+    (deadly.count.get(), state.metrics.quarantine_rejections.get())
 }
 
 #[gtest]
 fn requests_whose_prompt_crashes_backend_servers_do_not_reach_all_of_them() {
     run(async {
-        let (reached, rejected) = send_deadly(OnDeadly::Crash).await;
+        let (reached, rejected) = send_deadly(fragile::OnDeadly::Crash).await;
         expect_that!(reached, le(MAX_DELIVERIES));
         expect_that!(rejected, ge(30 - MAX_DELIVERIES as u64));
     });
@@ -145,7 +77,7 @@
 #[gtest]
 fn connections_that_live_backend_servers_close_quarantine_nothing() {
     run(async {
-        let (reached, rejected) = send_deadly(OnDeadly::Close).await;
+        let (reached, rejected) = send_deadly(fragile::OnDeadly::Close).await;
         expect_that!(reached, eq(2 * 30));
         expect_that!(rejected, eq(0));
     });
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod addresses;
 pub mod fleet;
+pub mod fragile;
 pub mod gossiping;
 pub mod limit_fleet;
 pub mod loopback;
