--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -14,6 +14,13 @@
 const LIMIT_CHANGES: [&str; 3] =
     ["backend server names a limit", "backend server changes its limit", LIMIT_ENDED];
 
+/// Messages on a request that crashes backend servers, or its prompt.
+const CRASHES: [&str; 3] =
+    ["request lost at a backend server", "suspect of crashes", "suspect of crashes was answered"];
+
+/// Lines on crashes that are shown at most.
+const MAX_CRASHES: usize = 12;
+
 /// A cause, and the lines that bear it out.
 #[derive(Debug)]
 pub(crate) struct Cause {
@@ -153,9 +160,23 @@
         if own.iter().any(|line| line.entry.message == LIMITED) {
             evidence.extend(self.limits_in_force());
         }
+        evidence.extend(self.crashes());
         (cause, evidence)
     }
 
+    /// The lines of all processes on the crashes for which the request was rejected.
+    fn crashes(&self) -> Vec<String> {
+        let words: Vec<_> = self.last.entry.text("reason").split(' ').collect();
+        let [_, suspect, "crashed", ..] = words[..] else { return Vec::new() };
+        let is_about = |line: &&line::Line| {
+            CRASHES.contains(&line.entry.message.as_str())
+                && [line.entry.text("suspect"), line.entry.text("digest")].contains(&suspect)
+        };
+        let details = ["backend", "ran_ms", "has_ended", "path", "team", "crashes", "source"];
+        let lines = self.before().filter(is_about).take(MAX_CRASHES);
+        lines.map(|line| told_with(line, &details)).collect()
+    }
+
     /// The lines on the limits of backend servers that this process had heard of and that hadn't
     /// ended.
     fn limits_in_force(&self) -> Vec<String> {
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -116,6 +116,29 @@
     expect_that!(said.out, contains_substring("not run: the limits"));
 }
 
+/// Log of a gateway that rejects a request which has crashed three backend servers.
+const CRASHED: &str = r#"
+{"timestamp":"2026-03-14T18:00:01.1Z","level":"INFO","message":"request lost at a backend server","request":"a1","digest":"0af7","path":"/roster/7","team":"red","service":"s","backend":"b-1","started_ms":1,"sends":1,"ran_ms":90,"has_ended":true}
+{"timestamp":"2026-03-14T18:00:01.2Z","level":"INFO","message":"request lost at a backend server","request":"a1","digest":"0af7","path":"/roster/7","team":"red","service":"s","backend":"b-2","started_ms":1,"sends":2,"ran_ms":80,"has_ended":true}
+{"timestamp":"2026-03-14T18:00:01.2Z","level":"INFO","message":"request lost at a backend server","request":"a2","digest":"11aa","path":"/other/1","service":"s","backend":"b-2","started_ms":1,"sends":1,"ran_ms":10,"has_ended":true}
+{"timestamp":"2026-03-14T18:00:01.4Z","level":"WARN","message":"suspect of crashes","kind":"request","suspect":"0af7","crashes":3,"source":"g-2"}
+{"timestamp":"2026-03-14T18:00:05.1Z","level":"INFO","message":"request ended","request":"a9","service":"s","backend":"","runs":0,"status":503,"outcome":"given up","reason":"request 0af7 crashed 3 backend servers"}
+"#;
+
+#[gtest]
+fn a_rejection_of_a_request_that_crashes_servers_names_its_crashes() {
+    let [first, _] = logs("a_rejection_of_a_request_that_crashes_servers_names_its_crashes");
+    let crashed = format!("{}/crashed.log", first.rsplit_once('/').unwrap().0);
+    std::fs::write(&crashed, CRASHED).unwrap();
+    let said = command::run(&["explain", "a9", &crashed]);
+    for part in
+        ["crashed 3 backend servers", "backend=\"b-1\"", "backend=\"b-2\"", "source=\"g-2\""]
+    {
+        expect_that!(said.out, contains_substring(part));
+    }
+    expect_that!(said.out, not(contains_substring("/other/1")));
+}
+
 /// Log of a gateway whose requests were late or lost for several reasons.
 const LATE: &str = r#"
 {"timestamp":"2026-03-14T18:00:05.1Z","level":"INFO","message":"request ended","service":"s","backend":"b-1","runs":1,"status":200,"outcome":"complete","reason":"","first_ms":80,"target_ms":100,"pause_ms":20,"max_pause_ms":50}
--- a/crates/gateway/src/decision/quarantine/crash.rs
+++ b/crates/gateway/src/decision/quarantine/crash.rs
@@ -1,4 +1,4 @@
-//! The end of a backend server in the beginning of an answer.
+//! The end of a backend server while it ran a request.
 
 use std::time::Duration;
 
@@ -6,28 +6,62 @@
 use serde::Serialize;
 use serde_with::serde_as;
 
-/// Losses of one backend server within this time are one crash: gateways notice it at different
-/// times, and their clocks differ. It is shorter than the restart of an engine.
+/// Losses of one backend server within this time are one crash, if the start of its run isn't known:
+/// gateways notice it at different times, and their clocks differ.
 const SAME_CRASH: Duration = Duration::from_millis(1_500);
 
+/// Crashes closer together than this have a common cause, unless the request was sent to the second
+/// backend server only after the first one had ended.
+const COMMON_CAUSE: Duration = Duration::from_millis(250);
+
 /// Time of day, since 1970; the same at all gateways but for the error of their clocks.
 pub(super) type TimeOfDay = Duration;
 
-/// The end of a run of a backend server before the first event of a request.
+/// The end of a run of a backend server before a request was answered.
 #[serde_as]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Crash {
     /// Hash of the backend server's id.
     pub backend_hash: u32,
-    /// When it was noticed.
+    /// Start of its run, in milliseconds since 1970; zero if a gateway of an earlier version tells.
+    pub started_ms: u64,
+    /// When the request was sent; zero if a gateway of an earlier version tells.
+    #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
+    pub sent_at: TimeOfDay,
+    /// When the end was noticed.
     #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
     pub at: TimeOfDay,
 }
 
 impl Crash {
-    /// Whether it is the same crash, noticed by another request.
+    /// Whether it is the same crash, noticed by another request. A run ends once.
     pub(super) fn is_same(&self, other: &Self) -> bool {
-        self.backend_hash == other.backend_hash && self.at.abs_diff(other.at) < SAME_CRASH
+        let are_known = self.started_ms != 0 && other.started_ms != 0;
+        self.backend_hash == other.backend_hash
+            && if are_known {
+                self.started_ms == other.started_ms
+            } else {
+                self.at.abs_diff(other.at) < SAME_CRASH
+            }
+    }
+
+    /// Whether the crash can't have the same cause as one at `earlier`, such as a power loss.
+    fn is_apart(&self, earlier: TimeOfDay) -> bool {
+        let is_sequel = !self.sent_at.is_zero() && self.sent_at >= earlier;
+        is_sequel || self.at.saturating_sub(earlier) >= COMMON_CAUSE
+    }
+}
+
+/// Number of causes that crashes have at least, if those at about the same moment have one.
+pub(super) fn count_causes(crashes: &mut [Crash]) -> usize {
+    crashes.sort_unstable_by_key(|crash| crash.at);
+    let (mut counted, mut count): (Option<TimeOfDay>, usize) = (None, 0);
+    for crash in crashes {
+        if counted.is_none_or(|counted| crash.is_apart(counted)) {
+            counted = Some(crash.at);
+            count += 1;
+        }
     }
+    count
 }
--- a/crates/gateway/src/decision/quarantine/record.rs
+++ b/crates/gateway/src/decision/quarantine/record.rs
@@ -1,4 +1,4 @@
-//! What a gateway knows about a prompt segment that was part of a crash.
+//! What a gateway knows about a suspect that was part of a crash.
 
 use std::time::Duration;
 
@@ -6,22 +6,27 @@
 
 use super::crash;
 use super::suspect;
-use crate::codec;
 
-/// Maximum number of crashes that are remembered for each segment; the newest ones are kept.
+/// Maximum number of crashes that are remembered for each suspect; the newest ones are kept.
 pub const MAX_CRASHES: usize = 16;
 
 /// Time after which a crash is forgotten.
-pub(super) const FORGET: Duration = Duration::from_secs(3_600);
+const FORGET: Duration = Duration::from_secs(3_600);
 
-/// What is known about a segment that was part of a crash.
+/// Time after which a crash of a request is forgotten that has crashed several backend servers.
+const FORGET_REQUEST: Duration = Duration::from_secs(24 * 3_600);
+
+/// Number of crashes from which on those of a request are remembered for [`FORGET_REQUEST`].
+const MANY_CRASHES: usize = 3;
+
+/// What is known about a suspect that was part of a crash.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Record {
     /// Crashes since the last answer.
     pub(super) crashes: SmallVec<[crash::Crash; 4]>,
     pub(super) answered_at: crash::TimeOfDay,
     pub(super) changed_at: crash::TimeOfDay,
-    /// When the last single request after the hold was sent.
+    /// When the last trial was sent here.
     pub(super) trial_at: crash::TimeOfDay,
     /// Whether a request of this gateway was part of one of the crashes.
     pub(super) is_own: bool,
@@ -30,15 +35,21 @@
     pub(super) is_saved: bool,
 }
 
+/// Time after which a suspect's crashes are forgotten, if there are `crashes` of them.
+pub(super) fn forget_after(id: &suspect::SuspectId, crashes: usize) -> Duration {
+    if id.is_request() && crashes >= MANY_CRASHES { FORGET_REQUEST } else { FORGET }
+}
+
 impl Record {
-    /// Adds a crash; returns whether it is news.
-    pub(super) fn add(&mut self, crash: crash::Crash) -> bool {
+    /// Adds a crash; returns whether it is news. Older crashes than `forget` are dropped.
+    pub(super) fn add(&mut self, crash: crash::Crash, forget: Duration) -> bool {
         let is_known = self.crashes.iter().any(|known| known.is_same(&crash));
         if is_known || crash.at <= self.answered_at {
             return false;
         }
-        self.crashes.retain(|known| crash.at.saturating_sub(known.at) < FORGET);
+        self.crashes.retain(|known| crash.at.saturating_sub(known.at) < forget);
         self.crashes.push(crash);
+        self.is_saved = false;
         if self.crashes.len() > MAX_CRASHES {
             self.crashes.sort_unstable_by_key(|crash| crash.at);
             self.crashes.remove(0);
@@ -57,8 +68,8 @@
         count != self.crashes.len()
     }
 
-    pub(super) fn suspect(&self, segment: codec::SegmentId) -> suspect::Suspect {
-        suspect::Suspect { segment, crashes: self.crashes.clone(), answered_at: self.answered_at }
+    pub(super) fn suspect(&self, id: suspect::SuspectId) -> suspect::Suspect {
+        suspect::Suspect { id, crashes: self.crashes.clone(), answered_at: self.answered_at }
     }
 
     pub(super) fn last_crash(&self) -> crash::TimeOfDay {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,3 +35,4 @@
 pub mod settings;
 pub mod state;
 pub mod store;
+mod suspects;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -40,6 +40,10 @@
     pub connections: core::GenericCounter<core::AtomicU64>,
     /// Requests that lost their backend server before the first event.
     pub lost_prompts: core::GenericCounter<core::AtomicU64>,
+    /// Crashes that made a request or prompt segment suspect, or more suspect.
+    pub suspects_found: core::GenericCounter<core::AtomicU64>,
+    /// Requests sent to see whether they still crash backend servers.
+    pub crash_trials: core::GenericCounter<core::AtomicU64>,
     /// Requests that were rejected since their prompt crashes backend servers.
     pub quarantine_rejections: core::GenericCounter<core::AtomicU64>,
     limited_backends: core::GenericGauge<core::AtomicI64>,
@@ -104,11 +108,19 @@
             ),
             lost_prompts: plain_counter(
                 "azuregap_lost_prompts_total",
-                "Requests whose backend server ended in the beginning of their answer",
+                "Requests whose backend server ended before their answer did",
+            ),
+            suspects_found: plain_counter(
+                "azuregap_crash_suspects_total",
+                "Crashes that made a request or prompt segment suspect, or more suspect",
+            ),
+            crash_trials: plain_counter(
+                "azuregap_crash_trials_total",
+                "Requests sent to see whether they still crash backend servers",
             ),
             quarantine_rejections: plain_counter(
                 "azuregap_quarantine_rejections_total",
-                "Requests rejected since their prompt crashes backend servers",
+                "Requests rejected since they crash backend servers, or their prompt does",
             ),
             limited_backends: core::GenericGauge::new(
                 "azuregap_limited_backends",
@@ -151,12 +163,14 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn core::Collector>; 16] = [
+        let collectors: [Box<dyn core::Collector>; 18] = [
             Box::new(self.requests.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.store_calls.clone()),
             Box::new(self.connections.clone()),
             Box::new(self.lost_prompts.clone()),
+            Box::new(self.suspects_found.clone()),
+            Box::new(self.crash_trials.clone()),
             Box::new(self.quarantine_rejections.clone()),
             Box::new(self.limited_backends.clone()),
             Box::new(self.backend_limit.clone()),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -37,6 +37,10 @@
 /// A gateway that has been silent for this long is not counted as alive.
 const LIVENESS_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// A gateway that has heard no other one for this long is cut off. It is several intervals between
+/// messages.
+const CUT_OFF: Duration = Duration::from_secs(2);
+
 /// A gateway that was not listed and sent no message for this long receives no more messages.
 pub const PEER_EXPIRY: Duration = Duration::from_secs(120);
 
@@ -207,6 +211,12 @@
         self.peers.len()
     }
 
+    /// Whether there are other gateways and none of them has been heard lately.
+    #[must_use]
+    pub fn is_cut_off(&self, now: time::Instant) -> bool {
+        !self.peers.is_empty() && !self.peers.values().any(|peer| peer.was_heard(CUT_OFF, now))
+    }
+
     /// Address of a gateway.
     #[must_use]
     pub fn address_of(&self, node: &str) -> Option<net::SocketAddr> {
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -131,13 +131,17 @@
     /// it.
     #[serde(skip)]
     pub is_introduction: bool,
+    /// What may have crashed backend servers; `None` from a gateway of an earlier version, which tells
+    /// of segments only.
+    #[serde(skip)]
+    pub suspects: Option<Vec<quarantine::Suspect>>,
 }
 
 impl GossipMessage {
     /// Encodes the message as a datagram.
     ///
-    /// The notice, the cached segments, the news, the limits and whether it is an introduction follow
-    /// the fields that every version knows; gateways of earlier versions ignore bytes after those that they know.
+    /// The fields from the notice on follow those that every version knows; gateways of earlier
+    /// versions ignore bytes after those that they know.
     ///
     /// # Panics
     ///
@@ -151,6 +155,9 @@
             bytes = postcard::to_extend(&self.news, bytes).expect("news can be encoded");
             let rest = (&self.limits, self.is_introduction);
             bytes = postcard::to_extend(&rest, bytes).expect("limits can be encoded");
+            if let Some(suspects) = &self.suspects {
+                bytes = postcard::to_extend(suspects, bytes).expect("suspects can be encoded");
+            }
         }
         bytes
     }
@@ -165,6 +172,13 @@
         }
     }
 
+    /// What the sender tells of suspects, whatever its version is.
+    #[must_use]
+    pub fn told_suspects(&self) -> Vec<quarantine::Suspect> {
+        let segments = || self.news.segments.iter().cloned().map(quarantine::Suspect::from);
+        self.suspects.clone().unwrap_or_else(|| segments().collect())
+    }
+
     /// Whether all figures are possible, so that sums of them don't overflow.
     fn is_plausible(&self) -> bool {
         let is_count = |count: &UsageCount| count.window.max(count.requests) <= MAX_NUMBER;
@@ -180,19 +194,31 @@
             let mut relayed = notice.relayed.iter().flat_map(|relayed| &relayed.counts);
             totals.all(|(window, total)| *window.max(total) <= MAX_NUMBER) && relayed.all(is_count)
         };
+        let is_crash = |crash: &quarantine::Crash| {
+            crash.at.max(crash.sent_at) <= MAX_WALL_TIME
+                && Duration::from_millis(crash.started_ms) <= MAX_WALL_TIME
+        };
         let is_suspect = |suspect: &quarantine::Suspect| {
             suspect.crashes.len() <= quarantine::MAX_CRASHES
                 && suspect.answered_at <= MAX_WALL_TIME
-                && suspect.crashes.iter().all(|crash| crash.at <= MAX_WALL_TIME)
+                && suspect.crashes.iter().all(is_crash)
+        };
+        let is_segment = |told: &quarantine::SegmentSuspect| {
+            told.crashes.len() <= quarantine::MAX_CRASHES
+                && told.answered_at <= MAX_WALL_TIME
+                && told.crashes.iter().all(|crash| crash.at <= MAX_WALL_TIME)
         };
+        let mut suspects = self.suspects.iter().flatten();
+        let told = self.suspects.as_ref().map_or(0, Vec::len).max(self.news.segments.len());
         let is_limit = |told: &backend_limit::ToldLimit| {
             Duration::from_millis(told.started_ms) <= MAX_WALL_TIME
                 && told.sent_age.max(told.heard_age) <= MAX_WALL_TIME
         };
         self.wall_time <= MAX_WALL_TIME
             && self.limits.iter().all(is_limit)
-            && self.news.suspects.len() <= quarantine::MAX_TOLD
-            && self.news.suspects.iter().all(is_suspect)
+            && told <= quarantine::MAX_TOLD
+            && suspects.all(is_suspect)
+            && self.news.segments.iter().all(is_segment)
             && self.loads.iter().all(is_load)
             && self.counts.iter().all(is_count)
             && self.notice.as_ref().is_none_or(is_notice)
@@ -215,7 +241,11 @@
                     let (news, rest) = postcard::take_from_bytes(rest)?;
                     message.news = news;
                     if !rest.is_empty() {
-                        (message.limits, message.is_introduction) = postcard::from_bytes(rest)?;
+                        let (limits, rest) = postcard::take_from_bytes(rest)?;
+                        (message.limits, message.is_introduction) = limits;
+                        if !rest.is_empty() {
+                            message.suspects = Some(postcard::from_bytes(rest)?);
+                        }
                     }
                 }
             }
--- a/crates/gateway/src/peers/news.rs
+++ b/crates/gateway/src/peers/news.rs
@@ -20,8 +20,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct News {
-    /// Prompt segments that were part of crashes of backend servers.
-    pub suspects: Vec<quarantine::Suspect>,
+    /// Prompt segments that were part of crashes of backend servers, for gateways of earlier versions.
+    pub segments: Vec<quarantine::SegmentSuspect>,
     /// Backend servers that began to leave in the last seconds.
     pub leaving: Vec<LeavingBackend>,
     /// Version of the configuration that is in force at the sender.
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -67,7 +67,7 @@
     pub(super) sent_at: Duration,
     /// Digest of the request, once it is needed; shared by all clones.
     pub(super) digest: rc::Rc<cell::OnceCell<request_digest::RequestDigest>>,
-    /// How the prompt was admitted at the last send.
+    /// How the request was admitted at the last send.
     pub(super) admission: quarantine::Admission,
     /// Whether it was recorded that the prompt is sound.
     pub(super) is_recorded: bool,
@@ -141,7 +141,7 @@
         self.admitted.route.kind.may_retry()
             && self.executions < self.admitted.route.max_attempts
             && self.time_left() > MIN_TIME_LEFT
-            && self.state.quarantine.borrow().may_retry(self.shared_segments())
+            && self.state.quarantine.borrow().may_retry(&self.known_suspects())
     }
 
     /// Records the outcome of the request at a backend server.
@@ -217,6 +217,7 @@
                 continue;
             }
             let load_guard = self.load_guard(&target);
+            self.begin_trial();
             self.sends += 1;
             self.sent_at = self.state.time_of_day();
             self.tried.push(target.id.clone());
--- a/crates/gateway/src/proxy/own_response.rs
+++ b/crates/gateway/src/proxy/own_response.rs
@@ -86,7 +86,7 @@
     let text = match failure.kind {
         failure::Failure::NotExecuted => "6407: the request was not run; come back later",
         failure::Failure::Quarantined => {
-            "6411: the request was not run; part of its prompt crashes backend servers"
+            "6411: the request was not run; it or part of its prompt crashes backend servers"
         }
         failure::Failure::OutcomeUnknown => "6408: the request may have run; its answer is lost",
         failure::Failure::TimedOut => "6409: the request was not answered in time",
--- a/crates/gateway/src/proxy/relay.rs
+++ b/crates/gateway/src/proxy/relay.rs
@@ -85,9 +85,7 @@
                 return request.record_end(200, &backend, "out of time", "");
             }
             StreamEnd::Disconnected(reason) => {
-                if !request.is_proven() {
-                    request.record_loss(&stream.target).await;
-                }
+                request.record_loss(&stream.target).await;
                 reason
             }
             StreamEnd::Failed(reason) => reason,
@@ -173,7 +171,7 @@
         }
         if let Some(complete) = complete {
             if request.is_proven() {
-                request.record_answer();
+                request.record_proof();
             }
             let now = time::Instant::now();
             let gap = now.saturating_duration_since(*last_sent);
--- a/crates/gateway/src/proxy/screening.rs
+++ b/crates/gateway/src/proxy/screening.rs
@@ -1,5 +1,5 @@
-//! Keeps a request whose prompt crashes backend servers from them, and records what its attempts show
-//! about the prompt; see [`crate::decision::quarantine`].
+//! Keeps a request that crashes backend servers from them, and records what its attempts show about it
+//! and its prompt; see [`crate::decision::quarantine`].
 
 use std::future;
 use std::io;
@@ -14,9 +14,11 @@
 use crate::codec;
 use crate::decision::failure;
 use crate::decision::quarantine;
+use crate::decision::quarantine::turn;
 use crate::directory;
 use crate::request_digest;
 use crate::state;
+use crate::suspects;
 
 /// Time for a connection to show whether a backend server has ended: its VM refuses it at once.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
@@ -55,20 +57,44 @@
         codec::shared_segments(&self.admitted.headers.segments)
     }
 
-    /// Records that the request lost its connection in the beginning of its answer, if the backend
+    /// Suspects that the request has part in if it crashes backend servers.
+    fn suspects(&self) -> quarantine::Suspects {
+        let segments = self.shared_segments().iter();
+        let segments = segments.map(|segment| quarantine::SuspectId::Segment(segment.id));
+        segments.chain([quarantine::SuspectId::Request(self.digest())]).collect()
+    }
+
+    /// Those of its suspects that may have been part of crashes: without the request itself if no
+    /// request is suspected, so that no digest is computed.
+    pub(super) fn known_suspects(&self) -> quarantine::Suspects {
+        if self.state.quarantine.borrow().suspects_requests() {
+            return self.suspects();
+        }
+        let segments = self.shared_segments().iter();
+        segments.map(|segment| quarantine::SuspectId::Segment(segment.id)).collect()
+    }
+
+    /// Records that the request lost its connection before the end of its answer, if the backend
     /// server has ended. One that is alive may lose connections too.
     pub(super) async fn record_loss(&self, target: &attempt::Target) {
-        let (state, segments) = (&self.state, self.shared_segments());
+        let state = &self.state;
         let has_ended = has_ended(state, target.address).await;
         self.log_loss(target, has_ended);
-        if segments.is_empty() || !has_ended {
+        if !has_ended {
             return;
         }
         state.metrics.lost_prompts.inc();
-        let (hash, now) = (directory::id_hash(&target.id), state.time_of_day());
-        if state.quarantine.borrow_mut().record_crash(segments, hash, now) {
-            state.announce_news();
+        let crash = quarantine::Crash {
+            backend_hash: directory::id_hash(&target.id),
+            started_ms: target.started_ms,
+            sent_at: self.sent_at,
+            at: state.time_of_day(),
+        };
+        let mut suspects = self.suspects();
+        if self.is_proven() {
+            suspects.retain(|id| id.is_request());
         }
+        suspects::record_crash(state, &suspects, crash);
     }
 
     /// Whether the answer has gone on for so long that its prompt is sound.
@@ -78,66 +104,93 @@
     }
 
     /// Records that the answer shows that its prompt is sound, once.
-    pub(super) fn record_answer(&mut self) {
+    pub(super) fn record_proof(&mut self) {
         if std::mem::replace(&mut self.is_recorded, true) {
             return;
         }
-        let (state, segments) = (&self.state, self.shared_segments());
-        let now = state.time_of_day();
-        if state.quarantine.borrow_mut().record_answer(segments, self.began_at, now) {
-            state.announce_news();
-        }
+        let mut suspects = self.known_suspects();
+        suspects.retain(|id| !id.is_request());
+        suspects::record_answer(&self.state, &suspects, self.began_at);
+    }
+
+    /// Records that the answer is complete.
+    pub(super) fn record_answer(&mut self) {
+        self.is_recorded = true;
+        suspects::record_answer(&self.state, &self.known_suspects(), self.began_at);
     }
 
     /// Decides whether the request may be sent.
     ///
     /// # Errors
     ///
-    /// If its prompt crashes backend servers.
+    /// If it crashes backend servers, or its prompt does.
     pub(super) fn screen(&self) -> Result<quarantine::Admission, dispatch::RequestFailure> {
-        let (segments, now) = (self.shared_segments(), self.state.time_of_day());
-        let rejection = self.state.quarantine.borrow().find_rejection(segments, now);
-        let is_trial = |rejection: &quarantine::Rejection| rejection.time_left.is_zero();
-        if let Some(rejection) = rejection.filter(is_trial)
-            && !self.state.may_try(rejection.segment)
-        {
-            let time_left = quarantine::TRIAL_INTERVAL;
-            return Err(self.reject(&quarantine::Rejection { time_left, ..rejection }));
+        let now = self.state.time_of_day();
+        let suspects = self.known_suspects();
+        let rejection = self.state.quarantine.borrow().find_rejection(&suspects, now);
+        let Some(rejection) = rejection else { return Ok(quarantine::Admission::Normal) };
+        if !rejection.time_left.is_zero() {
+            return Err(self.reject(&rejection));
+        }
+        if self.state.may_try(&rejection.suspect) {
+            return Ok(quarantine::Admission::Trial);
         }
-        let admitted = self.state.quarantine.borrow_mut().admit(segments, now);
-        admitted.map_err(|rejection| self.reject(&rejection))
+        let time_left = turn::time_left(now);
+        Err(self.reject(&quarantine::Rejection { time_left, ..rejection }))
     }
 
-    /// Waits until the prompt is quarantined while the request waits for its first event. A request
-    /// that is sent to see whether the prompt still crashes backend servers waits for ever.
+    /// Records that the request is sent as a trial, if it is one.
+    pub(super) fn begin_trial(&self) {
+        if self.admission == quarantine::Admission::Normal {
+            return;
+        }
+        let (suspects, now) = (self.known_suspects(), self.state.time_of_day());
+        let admitted = self.state.quarantine.borrow_mut().admit(&suspects, now);
+        self.state.metrics.crash_trials.inc();
+        let digest = self.digest().to_string();
+        let request = &self.admitted.headers.id;
+        tracing::info!(request, digest, ?admitted, "trial of a suspect of crashes");
+    }
+
+    /// Waits until the request or its prompt is known to crash backend servers, while it waits for
+    /// its first event. A trial waits for ever.
     pub(super) async fn wait_for_rejection(&self) -> quarantine::Rejection {
-        let segments = self.shared_segments();
+        if self.admission == quarantine::Admission::Trial {
+            return future::pending().await;
+        }
         let mut changes = self.state.news.subscribe();
-        while self.admission == quarantine::Admission::Normal && !segments.is_empty() {
+        loop {
             let now = self.state.time_of_day();
-            let rejection = self.state.quarantine.borrow().find_rejection(segments, now);
-            if let Some(rejection) = rejection {
+            let suspects = self.known_suspects();
+            let rejection = self.state.quarantine.borrow().find_rejection(&suspects, now);
+            if let Some(rejection) = rejection.filter(|rejection| rejection.is_guilty) {
                 return rejection;
             }
-            if changes.changed().await.is_err() {
-                break;
-            }
+            // The sender is part of the state, so the channel stays open.
+            let _ = changes.changed().await;
         }
-        future::pending().await
     }
 
-    /// Ends a request whose prompt is quarantined.
+    /// Ends a request that is kept from backend servers.
     pub(super) fn reject(&self, rejection: &quarantine::Rejection) -> dispatch::RequestFailure {
-        let segment = format!("{:x}", rejection.segment);
+        let (kind, suspect) = (rejection.suspect.kind(), rejection.suspect.to_string());
         if rejection.is_first {
-            let hold_ms = rejection.time_left.as_millis() as u64;
-            let crashes = rejection.crashes;
-            tracing::warn!(segment, crashes, hold_ms, "prompt segment quarantined");
-            self.state.quarantine.borrow_mut().mark_rejected(rejection.segment);
+            tracing::warn!(
+                kind,
+                suspect,
+                crashes = rejection.crashes,
+                is_guilty = rejection.is_guilty,
+                path = self.head.uri.path(),
+                team = self.admitted.team,
+                service = self.admitted.service,
+                hold_ms = rejection.time_left.as_millis() as u64,
+                "suspect of crashes is kept from backend servers"
+            );
+            self.state.quarantine.borrow_mut().mark_rejected(&rejection.suspect);
             self.state.announce_news();
         }
         self.state.metrics.quarantine_rejections.inc();
-        let reason = format!("segment {segment} crashed {} backend servers", rejection.crashes);
+        let reason = format!("{kind} {suspect} crashed {} backend servers", rejection.crashes);
         let failure = self.failure(rejection.time_left, reason);
         match failure.kind {
             failure::Failure::NotExecuted => {
--- a/crates/gateway/src/service/gateway_list.rs
+++ b/crates/gateway/src/service/gateway_list.rs
@@ -118,7 +118,7 @@
     let now = state.clock.now();
     let mut others = Vec::new();
     for row in rows.rows.iter().filter(|row| row.key != *node) {
-        if quarantine_rows::is_segment(row) {
+        if quarantine_rows::is_suspect(row) {
             quarantine_rows::load(state, row);
             continue;
         }
@@ -177,7 +177,7 @@
     }
     // New content of a row that changes, `None` if it is removed.
     let change_of = |row: &store::Row| -> Option<Option<Vec<u8>>> {
-        if quarantine_rows::is_segment(row) {
+        if quarantine_rows::is_suspect(row) {
             return quarantine_rows::load(state, row).then_some(None);
         }
         if limit_rows::is_limit(row) {
--- a/crates/gateway/src/service/gossip.rs
+++ b/crates/gateway/src/service/gossip.rs
@@ -13,11 +13,13 @@
 use super::quarantine_rows;
 use crate::backend_limits;
 use crate::decision::gossip_timing;
+use crate::decision::quarantine;
 use crate::decision::usage_counts;
 use crate::directory;
 use crate::peers;
 use crate::state;
 use crate::store;
+use crate::suspects;
 
 /// Delay after a failed receive.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -254,6 +256,7 @@
         peers::BackendLoad::from((server.hash, &server.own_load))
     };
     let busy = |server: &&directory::BackendState| server.own_load != directory::Load::default();
+    let suspects = state.quarantine.borrow_mut().tell(state.time_of_day());
     peers::GossipMessage {
         node: state.settings.node.clone(),
         incarnation,
@@ -262,12 +265,13 @@
         counts: Vec::new(),
         cached: state.read_segments.borrow().iter().copied().take(MAX_SEGMENTS).collect(),
         news: peers::News {
-            suspects: state.quarantine.borrow().told(state.time_of_day()),
+            segments: suspects.iter().filter_map(quarantine::Suspect::as_segment).collect(),
             leaving: state.directory.borrow().recently_leaving(time::Instant::now()),
             configuration: state.configuration().map(|configuration| configuration.version),
         },
         limits: state.backend_limits.borrow_mut().tell(state.clock.now()),
         is_introduction: false,
+        suspects: Some(suspects),
         notice: Some(peers::UsageNotice {
             can_report: state.freshness.borrow().is_store_answering() && !state.is_stopping(),
             is_leaving: state.is_stopping(),
@@ -293,7 +297,7 @@
 /// Takes over what another gateway tells, and passes it on if it is new.
 fn receive_news(state: &state::State, message: &peers::GossipMessage) {
     let news = &message.news;
-    let mut is_new = state.quarantine.borrow_mut().merge(&news.suspects, state.time_of_day());
+    let mut is_new = suspects::record_told(state, &message.told_suspects(), &message.node);
     for leaving in &news.leaving {
         let now = time::Instant::now();
         is_new |= state.directory.borrow_mut().record_told_leaving(leaving, now);
--- a/crates/gateway/src/service/quarantine_rows.rs
+++ b/crates/gateway/src/service/quarantine_rows.rs
@@ -1,4 +1,4 @@
-//! Quarantined prompt segments in the store, for a fleet whose processes all end at once.
+//! Suspects of crashes in the store, for a fleet whose processes all end at once.
 //!
 //! They stand in the list of gateways, which each gateway reads when it starts and now and then
 //! after it, so they take no further reads. Gateways that run tell each other directly.
@@ -11,9 +11,16 @@
 use crate::decision::quarantine;
 use crate::state;
 use crate::store;
+use crate::suspects;
 
-/// Prefix of the keys; the names of gateways have no slash.
-const KEY_PREFIX: &str = "quarantine/";
+/// Prefix of the keys of segments; the names of gateways have no slash.
+const SEGMENT_PREFIX: &str = "quarantine/";
+
+/// Prefix of the keys of requests, which gateways of earlier versions don't know.
+const REQUEST_PREFIX: &str = "quarantine-request/";
+
+/// Source of what the store has, in logs.
+const SOURCE: &str = "store";
 
 /// Delay after a failed write.
 const RETRY_DELAY: Duration = Duration::from_secs(2);
@@ -22,30 +29,46 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Whether a row of the list of gateways is one of these.
-pub(super) fn is_segment(row: &store::Row) -> bool {
-    row.key.starts_with(KEY_PREFIX)
+pub(super) fn is_suspect(row: &store::Row) -> bool {
+    [SEGMENT_PREFIX, REQUEST_PREFIX].iter().any(|prefix| row.key.starts_with(prefix))
+}
+
+fn decode(row: &store::Row) -> Result<quarantine::Suspect, serde_json::Error> {
+    let data = row.data.as_deref().unwrap_or_default();
+    if row.key.starts_with(REQUEST_PREFIX) {
+        return serde_json::from_slice(data);
+    }
+    serde_json::from_slice::<quarantine::SegmentSuspect>(data).map(quarantine::Suspect::from)
 }
 
-/// Adds the segment in a row to the quarantine; returns whether the row can be removed.
+/// Key and content of the row of a suspect.
+fn encode(suspect: &quarantine::Suspect) -> (String, Vec<u8>) {
+    let (prefix, data) = match suspect.as_segment() {
+        Some(segment) => (SEGMENT_PREFIX, serde_json::to_vec(&segment)),
+        None => (REQUEST_PREFIX, serde_json::to_vec(suspect)),
+    };
+    (format!("{prefix}{}", suspect.id), data.expect("a suspect can be encoded as JSON"))
+}
+
+/// Adds the suspect in a row to the quarantine; returns whether the row can be removed.
 pub(super) fn load(state: &state::State, row: &store::Row) -> bool {
-    let saved = serde_json::from_slice(row.data.as_deref().unwrap_or_default());
-    let saved: quarantine::Suspect = match saved {
+    let saved = match decode(row) {
         Ok(saved) => saved,
         Err(error) => {
             let reason = error.to_string();
-            tracing::warn!(key = row.key, reason, "invalid quarantined segment");
+            tracing::warn!(key = row.key, reason, "invalid suspect of crashes");
             return true;
         }
     };
     let now = state.time_of_day();
     let is_obsolete = state.quarantine.borrow().is_obsolete(&saved, now);
-    if !is_obsolete && state.quarantine.borrow_mut().merge(&[saved], now) {
+    if !is_obsolete && suspects::record_told(state, &[saved], SOURCE) {
         state.announce_news();
     }
     is_obsolete
 }
 
-/// Saves the segments that requests of this gateway have shown to crash backend servers.
+/// Saves the suspects that requests of this gateway have shown to crash backend servers.
 pub(super) async fn save(state: rc::Rc<state::State>, store: rc::Rc<store::Store>) {
     let mut changes = state.news.subscribe();
     // The sender is part of the state, so the channel stays open.
@@ -64,19 +87,14 @@
     }
 }
 
-/// Saves a segment; returns whether the store has confirmed it.
+/// Saves a suspect; returns whether the store has confirmed it.
 async fn save_one(
     state: &state::State,
     store: &store::Store,
     suspect: &quarantine::Suspect,
 ) -> bool {
-    let data = serde_json::to_vec(suspect).expect("a suspect can be encoded as JSON");
-    let segment = format!("{:x}", suspect.segment);
-    let write = store::Write {
-        key: format!("{KEY_PREFIX}{segment}"),
-        data: Some(data),
-        expected_version: None,
-    };
+    let (key, data) = encode(suspect);
+    let write = store::Write { key, data: Some(data), expected_version: None };
     let commit = store::Commit {
         table: store::Table::Gateways,
         writes: vec![write],
@@ -86,12 +104,13 @@
     let reason = match result {
         Ok(Ok(receipt)) => {
             state.observe_era(receipt.era);
-            state.quarantine.borrow_mut().mark_saved(suspect.segment);
+            state.quarantine.borrow_mut().mark_saved(suspect);
             return true;
         }
         Ok(Err(error)) => error.to_string(),
         Err(_) => "no response in time".to_owned(),
     };
-    tracing::info!(segment, reason, "failed to save a quarantined segment");
+    let suspect = suspect.id.to_string();
+    tracing::info!(suspect, reason, "failed to save a suspect of crashes");
     false
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -22,7 +22,7 @@
 use crate::decision::membership;
 use crate::decision::prefill_speed;
 use crate::decision::quarantine;
-use crate::decision::rendezvous;
+use crate::decision::quarantine::turn;
 use crate::decision::retry_budget;
 use crate::decision::told_version;
 use crate::decision::usage_counts;
@@ -34,9 +34,6 @@
 use crate::proxy::pool;
 use crate::settings;
 
-/// Gateways that send requests with a quarantined prompt segment after its hold.
-const TRIAL_GATEWAYS: usize = 3;
-
 /// Time for which all others must have counted a gateway before it does: its messages have told them
 /// what an earlier process of its VM found.
 const TRIAL_WINDOW: Duration = Duration::from_secs(10);
@@ -97,7 +94,7 @@
     /// Shared prompt segments that backend servers have read for this gateway since it last told
     /// the others.
     pub read_segments: cell::RefCell<collections::BTreeSet<peers::CachedSegment>>,
-    /// Prompt segments that crash backend servers.
+    /// Prompt segments and requests that crash backend servers.
     pub quarantine: cell::RefCell<quarantine::Quarantine>,
     /// Number of changes that are news for the other gateways or the store.
     pub news: sync::watch::Sender<u64>,
@@ -248,14 +245,16 @@
         retry_budget::Fleet { gateways: self.peers.borrow().known_count() + 1, standing }
     }
 
-    /// Whether this gateway may send a request that shows whether a prompt segment still crashes
-    /// backend servers. Few gateways do, which all know each other, however large the fleet is.
+    /// Whether this gateway may send a request that shows whether a suspect still crashes backend
+    /// servers: it is its turn, the others know it, and what they find reaches it.
     #[must_use]
-    pub fn may_try(&self, segment: codec::SegmentId) -> bool {
-        let standing = self.membership.borrow().standing(TRIAL_WINDOW, self.clock.now());
+    pub fn may_try(&self, suspect: &quarantine::SuspectId) -> bool {
+        let now = self.clock.now();
+        let standing = self.membership.borrow().standing(TRIAL_WINDOW, now);
         let (node, peers) = (&self.settings.node, self.peers.borrow());
         standing == membership::Standing::Counted
-            && rendezvous::is_among_first(segment, node, peers.names(), TRIAL_GATEWAYS)
+            && !peers.is_cut_off(now)
+            && turn::is_turn(suspect, node, peers.names(), self.time_of_day())
     }
 
     /// Share of the limit of a backend server that this gateway uses.
--- /dev/null
+++ b/crates/gateway/src/suspects.rs
@@ -0,0 +1,81 @@
+//! Records what crashes and answers show about suspects, logs it and passes it on; see
+//! [`crate::decision::quarantine`].
+
+use crate::decision::quarantine;
+use crate::state;
+
+/// Source of what a gateway has found itself, in logs.
+const OWN: &str = "own";
+
+/// Records that the backend server of a request with these suspects has ended.
+pub(crate) fn record_crash(
+    state: &state::State,
+    suspects: &[quarantine::SuspectId],
+    crash: quarantine::Crash,
+) {
+    let before = counts(state, suspects);
+    let is_news = state.quarantine.borrow_mut().record_crash(suspects, crash);
+    log_changes(state, suspects, &before, OWN);
+    if is_news {
+        state.announce_news();
+    }
+}
+
+/// Records an answer that clears suspects; it began at the time of day `began_at`.
+pub(crate) fn record_answer(
+    state: &state::State,
+    suspects: &[quarantine::SuspectId],
+    began_at: std::time::Duration,
+) {
+    let before = counts(state, suspects);
+    let now = state.time_of_day();
+    let is_news = state.quarantine.borrow_mut().record_answer(suspects, began_at, now);
+    if is_news {
+        log_changes(state, suspects, &before, OWN);
+        state.announce_news();
+    }
+}
+
+/// Records what another gateway tells; returns whether it is news.
+pub(crate) fn record_told(
+    state: &state::State,
+    told: &[quarantine::Suspect],
+    source: &str,
+) -> bool {
+    let ids: quarantine::Suspects = told.iter().map(|suspect| suspect.id).collect();
+    let before = counts(state, &ids);
+    let now = state.time_of_day();
+    let is_news = state.quarantine.borrow_mut().merge(told, now);
+    if is_news {
+        log_changes(state, &ids, &before, source);
+    }
+    is_news
+}
+
+type Counts = smallvec::SmallVec<[usize; 4]>;
+
+/// Number of crashes of each suspect since its last answer.
+fn counts(state: &state::State, suspects: &[quarantine::SuspectId]) -> Counts {
+    let quarantine = state.quarantine.borrow();
+    suspects.iter().map(|id| quarantine.crashes(id)).collect()
+}
+
+/// Logs which suspects have now crashed so many backend servers that they are kept from them, and which
+/// of those an answer has cleared.
+fn log_changes(
+    state: &state::State,
+    suspects: &[quarantine::SuspectId],
+    before: &Counts,
+    source: &str,
+) {
+    for (id, before) in suspects.iter().zip(before) {
+        let crashes = state.quarantine.borrow().crashes(id);
+        let (kind, suspect) = (id.kind(), id.to_string());
+        if crashes > *before && crashes >= quarantine::REJECT_CRASHES {
+            state.metrics.suspects_found.inc();
+            tracing::warn!(kind, suspect, crashes, source, "suspect of crashes");
+        } else if crashes == 0 && *before >= quarantine::REJECT_CRASHES {
+            tracing::info!(kind, suspect, source, "suspect of crashes was answered");
+        }
+    }
+}
--- a/crates/gateway/tests/cache_fetch.rs
+++ b/crates/gateway/tests/cache_fetch.rs
@@ -55,6 +55,7 @@
         news: peers::News::default(),
         limits: Vec::new(),
         is_introduction: false,
+        suspects: None,
     };
     let bytes = message.encode();
     expect_that!(peers::GossipMessage::decode(&bytes), ok(eq(&message)));
--- a/crates/gateway/tests/crashing_prompts.rs
+++ b/crates/gateway/tests/crashing_prompts.rs
@@ -5,7 +5,7 @@
 use std::rc;
 use std::time::Duration;
 
-use azuregap_gateway::codec;
+use azuregap_gateway::decision::quarantine;
 use googletest::prelude::*;
 use support::fragile;
 use support::loopback::*;
@@ -19,6 +19,11 @@
 /// Crashes in which a cause may be recognised, and requests with it that may follow.
 const MAX_DELIVERIES: usize = 5 + 3;
 
+/// A crash of a backend server while it ran a request that it had just got.
+fn crash(backend_hash: u32, at: Duration) -> quarantine::Crash {
+    quarantine::Crash { backend_hash, started_ms: 1, sent_at: at, at }
+}
+
 /// A backend server whose streams take 90 ms for each event.
 async fn slow_backend(events: Vec<String>) -> Backend {
     let listener = tokio_net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
@@ -92,12 +97,12 @@
         run(async {
             let backend = backend(replies).await;
             let (state, address) = gateway(&[&backend]).await;
-            let guilty = codec::Segment { id: 66, tokens: 500 };
+            let guilty = quarantine::SuspectId::Segment(66);
             let crash = async {
                 time::sleep(Duration::from_millis(200)).await;
                 for n in 1..=3 {
                     let at = state.time_of_day() - Duration::from_secs(n);
-                    state.quarantine.borrow_mut().record_crash(&[guilty], n as u32, at);
+                    state.quarantine.borrow_mut().record_crash(&[guilty], crash(n as u32, at));
                 }
                 state.announce_news();
             };
@@ -121,7 +126,7 @@
         let events: Vec<_> = (0..20).map(|id| chunk(&format!("id: {id}\ndata: a\n\n"))).collect();
         let slow = slow_backend(events).await;
         let (state, address) = gateway(&[&slow]).await;
-        let common = codec::Segment { id: 1, tokens: 50 };
+        let common = quarantine::SuspectId::Segment(1);
         let headers = "connection: close\r\nx-tokens: 800\r\nx-segments: 1:50,9:9\r\n";
         let calls = (0..15_u64).map(|n| async move {
             time::sleep(Duration::from_millis(100 * n)).await;
@@ -131,7 +136,7 @@
             for n in 0..4 {
                 time::sleep(Duration::from_millis(400)).await;
                 let now = state.time_of_day();
-                state.quarantine.borrow_mut().record_crash(&[common], n, now);
+                state.quarantine.borrow_mut().record_crash(&[common], crash(n, now));
                 state.announce_news();
             }
         };
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -42,6 +42,7 @@
         news: peers::News::default(),
         limits: Vec::new(),
         is_introduction: false,
+        suspects: None,
         loads: vec![load],
         counts: Vec::new(),
         notice: None,
--- a/crates/gateway/tests/limit_gossip.rs
+++ b/crates/gateway/tests/limit_gossip.rs
@@ -108,6 +108,7 @@
         news: peers::News::default(),
         limits: vec![told, backend_limit::ToldLimit { limit: None, ..told }],
         is_introduction: true,
+        suspects: Some(Vec::new()),
     };
     expect_that!(peers::GossipMessage::decode(&message.encode()), ok(eq(&message)));
 }
--- a/crates/gateway/tests/malformed_messages.rs
+++ b/crates/gateway/tests/malformed_messages.rs
@@ -6,12 +6,12 @@
 use std::panic;
 use std::time::Duration;
 
-use azuregap_gateway::codec;
 use azuregap_gateway::decision::backend_limit;
 use azuregap_gateway::decision::median_clock;
 use azuregap_gateway::decision::quarantine;
 use azuregap_gateway::decision::usage_counts;
 use azuregap_gateway::peers;
+use azuregap_gateway::request_digest;
 use googletest::prelude::*;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
@@ -25,14 +25,23 @@
 
 const START: Duration = support::START_TIME;
 
-fn suspect(at: Duration) -> quarantine::Suspect {
-    let crash = quarantine::Crash { backend_hash: 7, at };
-    quarantine::Suspect { segment: 9, crashes: [crash].into_iter().collect(), answered_at: START }
+/// A suspect with one crash at a time of day, of a request that was sent then.
+fn suspect(id: quarantine::SuspectId, at: Duration, started_ms: u64) -> quarantine::Suspect {
+    let crash = quarantine::Crash { backend_hash: 7, started_ms, sent_at: at, at };
+    quarantine::Suspect { id, crashes: [crash].into_iter().collect(), answered_at: START }
+}
+
+/// A segment and a request that are suspected of a crash.
+fn suspects(at: Duration, started_ms: u64) -> Option<Vec<quarantine::Suspect>> {
+    let digest = request_digest::RequestDigest(u128::MAX);
+    let ids = [quarantine::SuspectId::Segment(9), quarantine::SuspectId::Request(digest)];
+    Some(ids.map(|id| suspect(id, at, started_ms)).to_vec())
 }
 
 fn news(at: Duration) -> peers::News {
+    let segment = suspect(quarantine::SuspectId::Segment(9), at, 1).as_segment();
     peers::News {
-        suspects: vec![suspect(at)],
+        segments: segment.into_iter().collect(),
         leaving: vec![peers::LeavingBackend { backend_hash: 7, started_ms: 1 }],
         configuration: Some(3),
     }
@@ -63,6 +72,7 @@
         news: news(START),
         limits: vec![limit(0, 1)],
         is_introduction: false,
+        suspects: suspects(START, 1),
     }
 }
 
@@ -85,8 +95,11 @@
     }
     limits.tell(now);
     let mut quarantine = quarantine::Quarantine::new(0.0);
-    quarantine.merge(&message.news.suspects, START);
-    let _ = quarantine.admit(&[codec::Segment { id: 9, tokens: 1 }], START);
+    quarantine.merge(&message.told_suspects(), START);
+    let digest = request_digest::RequestDigest(u128::MAX);
+    let ids = [quarantine::SuspectId::Segment(9), quarantine::SuspectId::Request(digest)];
+    let _ = quarantine.admit(&ids, START);
+    let _ = quarantine.tell(START);
     peers.handle_message(message, from, now);
     let _ = peers.load(7, now);
     clock.adjust(now, support::START_TIME, peers.clock_estimates(now));
@@ -125,6 +138,22 @@
         ),
         ("age", peers::GossipMessage { limits: vec![limit(u64::MAX, 1)], ..base.clone() }),
         ("run", peers::GossipMessage { limits: vec![limit(0, u64::MAX)], ..base.clone() }),
+        (
+            "run that crashed",
+            peers::GossipMessage {
+                suspects: suspects(START, u64::MAX),
+                loads: entry(1, 1),
+                ..base.clone()
+            },
+        ),
+        (
+            "crash of a suspect",
+            peers::GossipMessage {
+                suspects: suspects(Duration::from_millis(u64::MAX), 1),
+                loads: entry(1, 1),
+                ..base.clone()
+            },
+        ),
         (
             "crash",
             peers::GossipMessage {
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -27,8 +27,15 @@
 /// The segment that crashes engines.
 const GUILTY: codec::SegmentId = 66;
 
-fn prompt(ids: &[codec::SegmentId]) -> Vec<codec::Segment> {
-    ids.iter().map(|id| codec::Segment { id: *id, tokens: 500 }).collect()
+fn prompt(ids: &[codec::SegmentId]) -> Vec<quarantine::SuspectId> {
+    ids.iter().map(|id| quarantine::SuspectId::Segment(*id)).collect()
+}
+
+/// A crash of a backend server, which runs for at most four seconds, while it ran a request that it
+/// had got just before.
+fn crash(backend_hash: u32, at: Duration) -> quarantine::Crash {
+    let started_ms = at.as_millis() as u64 / 4_000;
+    quarantine::Crash { backend_hash, started_ms, sent_at: at - Duration::from_millis(500), at }
 }
 
 fn at(millis: u64) -> Duration {
@@ -46,7 +53,7 @@
     for event in events {
         match event {
             Event::Crash(millis, backend, ids) => {
-                quarantine.record_crash(&prompt(ids), *backend, at(*millis));
+                quarantine.record_crash(&prompt(ids), crash(*backend, at(*millis)));
             }
             Event::Answer(millis, ids) => {
                 quarantine.record_answer(&prompt(ids), at(*millis), at(millis + 400));
@@ -147,7 +154,7 @@
     expect_that!(rejection.time_left, eq(Duration::from_secs(300)));
     expect_that!(quarantine.admit(&guilty, seconds(604)), ok(eq(quarantine::Admission::Trial)));
     expect_that!(quarantine.admit(&guilty, seconds(605)).is_err(), is_true());
-    quarantine.record_crash(&guilty, 9, seconds(606));
+    quarantine.record_crash(&guilty, crash(9, seconds(606)));
     expect_that!(quarantine.admit(&guilty, seconds(1_200)).is_err(), is_true());
     expect_that!(quarantine.admit(&guilty, seconds(1_207)), ok(eq(quarantine::Admission::Trial)));
     quarantine.record_answer(&guilty, seconds(1_208), seconds(1_209));
@@ -163,14 +170,14 @@
     let mut frozen = play(&crashes);
     let mut other = play(&crashes);
     other.record_answer(&prompt(&[COMMON]), at(5_000), at(6_000));
-    expect_that!(other.told(now), is_empty());
-    other.merge(&frozen.told(now), now);
+    expect_that!(other.tell(now), is_empty());
+    other.merge(&frozen.tell(now), now);
     expect_that!(other.admit(&prompt(&[COMMON]), now), ok(eq(quarantine::Admission::Normal)));
-    frozen.merge(&other.told(now), now);
+    frozen.merge(&other.tell(now), now);
     expect_that!(frozen.admit(&prompt(&[COMMON]), now), ok(eq(quarantine::Admission::Normal)));
     let guilty: Vec<_> = (1..=3).map(|n| Event::Crash(n * 1_000, n as u32, vec![GUILTY])).collect();
     let mut restarted = quarantine::Quarantine::new(0.0);
-    restarted.merge(&play(&guilty).told(now), now);
+    restarted.merge(&play(&guilty).tell(now), now);
     expect_that!(restarted.admit(&prompt(&[GUILTY]), now).is_err(), is_true());
 }
 
@@ -179,12 +186,12 @@
     let mut quarantine = quarantine::Quarantine::new(0.0);
     for n in 0..5_000 {
         let millis = n * 20;
-        quarantine.record_crash(&prompt(&[1_000 + n]), n as u32, at(millis));
+        quarantine.record_crash(&prompt(&[1_000 + n]), crash(n as u32, at(millis)));
         if n < 3 {
-            quarantine.record_crash(&prompt(&[GUILTY]), n as u32, at(n * 300));
+            quarantine.record_crash(&prompt(&[GUILTY]), crash(n as u32, at(n * 300)));
         }
     }
-    expect_that!(quarantine.told(at(100_000)).len(), eq(quarantine::MAX_TOLD));
+    expect_that!(quarantine.tell(at(100_000)).len(), eq(quarantine::MAX_TOLD));
     expect_that!(quarantine.admit(&prompt(&[GUILTY]), at(100_000)).is_err(), is_true());
 }
 
@@ -192,8 +199,8 @@
 fn segments_of_few_crashes_are_told_for_a_short_time() {
     let crash = |second: u64| Event::Crash(second * 1_000, second as u32, vec![GUILTY]);
     for (crashes, told_at, told) in [(1, 5, 1), (2, 5, 1), (1, 60, 0), (2, 60, 0), (3, 60, 1)] {
-        let quarantine = play(&(1..=crashes).map(crash).collect::<Vec<_>>());
-        let count = quarantine.told(at(told_at * 1_000)).len();
+        let mut quarantine = play(&(1..=crashes).map(crash).collect::<Vec<_>>());
+        let count = quarantine.tell(at(told_at * 1_000)).len();
         expect_that!(count, eq(told), "{crashes} crashes, {told_at} s");
     }
 }
@@ -208,7 +215,8 @@
 /// A gateway of the version before tells no suspects.
 #[gtest]
 fn suspects_are_told_after_what_the_version_before_knows() {
-    let suspects = play(&[Event::Crash(1_000, 1, vec![GUILTY])]).told(at(1_000));
+    let suspects = play(&[Event::Crash(1_000, 1, vec![GUILTY])]).tell(at(1_000));
+    let segments = suspects.iter().filter_map(quarantine::Suspect::as_segment).collect();
     let message = peers::GossipMessage {
         node: "g-1".to_owned(),
         incarnation: 1,
@@ -217,9 +225,10 @@
         counts: Vec::new(),
         notice: Some(peers::UsageNotice::default()),
         cached: vec![peers::CachedSegment { backend_hash: 7, segment: 9 }],
-        news: peers::News { suspects, ..peers::News::default() },
+        news: peers::News { segments, ..peers::News::default() },
         limits: Vec::new(),
         is_introduction: false,
+        suspects: None,
     };
     let bytes = message.encode();
     expect_that!(peers::GossipMessage::decode(&bytes), ok(eq(&message)));
@@ -241,7 +250,7 @@
     for n in 1..=3 {
         let at = state.time_of_day() - Duration::from_secs(4 - n);
         let mut quarantine = state.quarantine.borrow_mut();
-        quarantine.record_crash(&prompt(&[GUILTY]), n as u32, at);
+        quarantine.record_crash(&prompt(&[GUILTY]), crash(n as u32, at));
     }
     state.announce_news();
 }
--- a/crates/gateway/tests/quarantine_trials.rs
+++ b/crates/gateway/tests/quarantine_trials.rs
@@ -8,7 +8,8 @@
 
 use azuregap_gateway::codec;
 use azuregap_gateway::decision::backend_limit;
-use azuregap_gateway::decision::rendezvous;
+use azuregap_gateway::decision::quarantine;
+use azuregap_gateway::decision::quarantine::turn;
 use azuregap_gateway::directory;
 use azuregap_gateway::state;
 use googletest::prelude::*;
@@ -16,12 +17,16 @@
 
 const GUILTY: codec::SegmentId = 42;
 
+const SUSPECT: quarantine::SuspectId = quarantine::SuspectId::Segment(GUILTY);
+
 /// Lets a segment have crashed three backend servers before the hold began.
 fn crash_long_ago(state: &rc::Rc<state::State>) {
-    let segments = [codec::Segment { id: GUILTY, tokens: 900 }];
+    let suspects = [SUSPECT];
     for n in 0..3 {
         let at = state.time_of_day() - Duration::from_secs(1_500 - n);
-        state.quarantine.borrow_mut().record_crash(&segments, n as u32, at);
+        let (backend_hash, started_ms) = (n as u32, 1);
+        let crash = quarantine::Crash { backend_hash, started_ms, sent_at: at, at };
+        state.quarantine.borrow_mut().record_crash(&suspects, crash);
     }
 }
 
@@ -44,15 +49,20 @@
     }
 }
 
+/// Asked every 250 ms for ten turns.
 #[gtest]
-fn few_gateways_of_a_fleet_send_trials() {
+fn at_most_one_gateway_of_a_fleet_sends_a_trial_in_each_turn() {
     for gateways in [1, 3, 4, 34, 301, 3_100] {
         let nodes: Vec<_> = (0..gateways).map(|n| format!("g-{n}")).collect();
-        let may_try = |node: &&String| {
-            let others = nodes.iter().filter(|other| other != node).map(String::as_str);
-            rendezvous::is_among_first(GUILTY, node, others, 3)
-        };
-        expect_that!(nodes.iter().filter(may_try).count(), eq(gateways.min(3)));
+        for number in 0..10 {
+            let begin = support::START_TIME + turn::TURN * number;
+            let moments = (0..16).map(|step| begin + turn::TURN / 16 * step);
+            let may_try = |node: &&String| {
+                let others = || nodes.iter().filter(|other| other != node).map(String::as_str);
+                moments.clone().any(|now| turn::is_turn(&SUSPECT, node, others(), now))
+            };
+            expect_that!(nodes.iter().filter(may_try).count(), eq(1), "{gateways}, {number}");
+        }
     }
 }
 
@@ -64,7 +74,7 @@
         crash_long_ago(&state);
         let (now, nowhere) = (state.clock.now(), net::SocketAddr::from(([127, 0, 0, 1], 9)));
         let mut number = 0;
-        while state.may_try(GUILTY) {
+        while state.may_try(&SUSPECT) {
             state.peers.borrow_mut().add_listed(format!("other-{number}"), nowhere, now);
             number += 1;
         }
--- a/crates/gateway/tests/support/messages.rs
+++ b/crates/gateway/tests/support/messages.rs
@@ -16,6 +16,7 @@
         news: peers::News::default(),
         limits: Vec::new(),
         is_introduction: false,
+        suspects: None,
         notice: Some(peers::UsageNotice::default()),
     }
 }
--- a/crates/gateway/tests/usage.rs
+++ b/crates/gateway/tests/usage.rs
@@ -226,6 +226,7 @@
             news: peers::News::default(),
             limits: Vec::new(),
             is_introduction: false,
+            suspects: None,
             loads: Vec::new(),
             counts: vec![peers::UsageCount { window: first_window(), team, requests: 30 }],
             notice: None,
