fix(gateway): a segment isn't blamed for servers that a request crashed after it was given up

Cause: a request that was known to crash servers was given up at two servers, which went on with it and crashed. Its own record has no loss there, those of the segment that all requests of the kind share have: six crashes came within 0.55 s, before any new answer could clear the segment, and the segment was lost more often than the request. Change: where a request was given up is remembered for three seconds, and a crash of that run counts for it too. A suspect that was answered before its crashes is tried in turns instead of after the hold, up to five crashes: what crashes servers is seldom answered first, and much is lost if a segment that many share is kept from servers by mistake. Why it works: the crashes that the segment and the request share explain each other again. Tests: requests_with_a_segment_of_one_that_was_given_up_are_not_rejected_for_its_crashes has the row without the record, which is rejected. The table of prompts asks whether a request is sent as any other, where it asked whether it is sent at all: the row with an answer before the crashes is sent as a trial now, which the new a_segment_that_was_answered_before_its_crashes_is_tried_in_turns_until_it_crashes_on checks.

--- a/crates/gateway/src/decision/quarantine.rs
+++ b/crates/gateway/src/decision/quarantine.rs
@@ -23,7 +23,7 @@
 //!
 //! - With [`REJECT_CRASHES`] crashes that count it is rejected. With as many that don't all count,
 //!   since others were lost as often or servers ended at the same moment, it is only sent in
-//!   trials, and rejected after [`MAX_CRASHES_OF_REQUEST`] whatever else was lost. So two trials may be
+//!   trials, and rejected after [`MAX_TRIED_CRASHES`] whatever else was lost. So two trials may be
 //!   sent before it is rejected, and none after it beyond that number.
 //! - One gateway of all may send a trial in a turn, one send long, and each knows of the crash before
 //!   the next turn ([`turn`]). It isn't sent by a gateway that others may not know.
@@ -33,6 +33,9 @@
 //! What the bound leaves out: trials that a server doesn't run, gateways that reach no other one, and
 //! crashes that were noticed only by processes which ended before they told of them.
 //!
+//! A suspect that was answered before is tried in turns too, although it seems guilty: what crashes
+//! servers is seldom answered first, and what many requests share would be missed for long.
+//!
 //! This handles requests that crash servers one after the other, at any rate and at any gateway, while
 //! requests that share all but the guilty part with them go on.
 //!
@@ -86,8 +89,9 @@
 /// retried.
 const RETRY_CRASHES: usize = 2;
 
-/// Crashes of a request without an answer since from which on no trial of it is sent any more.
-pub const MAX_CRASHES_OF_REQUEST: usize = 5;
+/// Crashes without an answer since from which on a request is rejected whatever else was lost, and a
+/// suspect gets no trial before its hold ends.
+pub const MAX_TRIED_CRASHES: usize = 5;
 
 /// Crashes of a request from which on it is saved in the store.
 pub const SAVE_CRASHES: usize = 2;
@@ -100,6 +104,12 @@
 /// since the backend servers may have been mended.
 const HOLD: Duration = Duration::from_secs(600);
 
+/// Time for which a backend server may go on with a request that was given up.
+const LINGER: Duration = Duration::from_secs(3);
+
+/// Maximum number of requests that were given up and may still crash their backend servers.
+const MAX_WITHDRAWALS: usize = 256;
+
 /// Interval between two trials of a gateway after the hold.
 pub const TRIAL_INTERVAL: Duration = Duration::from_secs(60);
 
@@ -124,6 +134,8 @@
     records: collections::HashMap<SuspectId, record::Record>,
     /// Beginning of the last answer of segments that were answered here.
     answers: collections::HashMap<SuspectId, crash::TimeOfDay>,
+    /// Where requests were given up that may still crash their backend servers.
+    withdrawals: Vec<(SuspectId, Crash)>,
     hold: Duration,
     /// Number of messages that were built.
     messages: usize,
@@ -162,6 +174,34 @@
                 is_news = true;
             }
         }
+        is_news | self.add_withdrawn(&crash)
+    }
+
+    /// Records that a request with a suspect was given up at a backend server; the server may go on
+    /// with it and crash. The time of the crash is when the request was given up.
+    pub fn record_withdrawal(&mut self, id: SuspectId, at: Crash) {
+        self.withdrawals.retain(|(_, earlier)| at.at.saturating_sub(earlier.at) < LINGER);
+        if self.withdrawals.len() < MAX_WITHDRAWALS {
+            self.withdrawals.push((id, at));
+        }
+    }
+
+    /// Adds a crash to the suspects whose requests were given up at the same backend server just
+    /// before; returns whether this is news. Without it those that were lost there would seem to
+    /// have crashed more servers than the cause.
+    fn add_withdrawn(&mut self, crash: &Crash) -> bool {
+        let mut is_news = false;
+        for (id, given_up) in &self.withdrawals {
+            if !given_up.is_same_run(crash) || crash.at.saturating_sub(given_up.at) >= LINGER {
+                continue;
+            }
+            let Some(record) = self.records.get_mut(id) else { continue };
+            let crash = Crash { sent_at: given_up.sent_at, ..*crash };
+            if record.add(crash, record::forget_after(id, record.crashes.len())) {
+                record.changed_at = crash.at;
+                is_news = true;
+            }
+        }
         is_news
     }
 
@@ -211,6 +251,11 @@
                 record.changed_at = now;
             }
             is_news |= is_changed;
+            if is_changed {
+                for crash in &suspect.crashes {
+                    is_news |= self.add_withdrawn(&Crash { at: crash.at.min(now), ..*crash });
+                }
+            }
         }
         is_news
     }
@@ -328,23 +373,26 @@
     ) -> Option<Rejection> {
         if let Some(suspect) = self.guilty_suspect(suspects, REJECT_CRASHES) {
             let record = self.records.get(&suspect)?;
-            let trial_at = (record.last_crash() + self.hold).max(record.trial_at + TRIAL_INTERVAL);
+            let is_tried =
+                !record.answered_at.is_zero() && record.crashes.len() < MAX_TRIED_CRASHES;
+            let trial_at = if is_tried {
+                next_turn(record, now)
+            } else {
+                (record.last_crash() + self.hold).max(record.trial_at + TRIAL_INTERVAL)
+            };
             return Some(rejection(suspect, record, true, trial_at, now));
         }
         let is_doubtful = |id: &SuspectId| {
             let record = id.is_request().then(|| self.records.get(id)).flatten();
             let record = record.filter(|record| record.crashes.len() >= REJECT_CRASHES)?;
-            let is_new_turn = turn::number(record.trial_at) != turn::number(now);
-            let trial_at = if is_new_turn { now } else { now + turn::time_left(now) };
-            Some(rejection(*id, record, false, trial_at, now))
+            Some(rejection(*id, record, false, next_turn(record, now), now))
         };
         suspects.iter().find_map(is_doubtful)
     }
 
     /// The suspect that is taken for the cause of at least `min` crashes.
     fn guilty_suspect(&self, suspects: &[SuspectId], min: usize) -> Option<SuspectId> {
-        let is_spent =
-            |id: &SuspectId| id.is_request() && self.crashes(id) >= MAX_CRASHES_OF_REQUEST;
+        let is_spent = |id: &SuspectId| id.is_request() && self.crashes(id) >= MAX_TRIED_CRASHES;
         if let Some(spent) = suspects.iter().copied().find(is_spent) {
             return Some(spent);
         }
@@ -410,6 +458,12 @@
     }
 }
 
+/// When this gateway may send the next of the trials that are sent in turn.
+fn next_turn(record: &record::Record, now: crash::TimeOfDay) -> crash::TimeOfDay {
+    let is_new = turn::number(record.trial_at) != turn::number(now);
+    if is_new { now } else { now + turn::time_left(now) }
+}
+
 fn rejection(
     suspect: SuspectId,
     record: &record::Record,
@@ -419,7 +473,7 @@
 ) -> Rejection {
     let crashes = record.crashes.len();
     let forgotten_at = record.last_crash() + record::forget_after(&suspect, crashes);
-    let is_final = suspect.is_request() && crashes >= MAX_CRASHES_OF_REQUEST;
+    let is_final = suspect.is_request() && crashes >= MAX_TRIED_CRASHES;
     let until = if is_final { forgotten_at } else { trial_at };
     let time_left = until.saturating_sub(now);
     Rejection { suspect, crashes, is_guilty, time_left, is_first: !record.has_rejected }
--- a/crates/gateway/src/decision/quarantine/crash.rs
+++ b/crates/gateway/src/decision/quarantine/crash.rs
@@ -38,12 +38,15 @@
     /// Whether it is the same crash, noticed by another request. A run ends once.
     pub(super) fn is_same(&self, other: &Self) -> bool {
         let are_known = self.started_ms != 0 && other.started_ms != 0;
-        self.backend_hash == other.backend_hash
-            && if are_known {
-                self.started_ms == other.started_ms
-            } else {
-                self.at.abs_diff(other.at) < SAME_CRASH
-            }
+        if are_known {
+            return self.is_same_run(other);
+        }
+        self.backend_hash == other.backend_hash && self.at.abs_diff(other.at) < SAME_CRASH
+    }
+
+    /// Whether it is of the same run of a backend server.
+    pub(super) fn is_same_run(&self, other: &Self) -> bool {
+        (self.backend_hash, self.started_ms) == (other.backend_hash, other.started_ms)
     }
 
     /// Whether the crash can't have the same cause as one at `earlier`, such as a power loss.
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -226,7 +226,7 @@
                 outcome = self.send(&target) => outcome,
                 rejection = self.wait_for_rejection() => {
                     self.executions += 1;
-                    return Err(self.reject(&rejection));
+                    return Err(self.withdraw(&rejection, &target));
                 }
             };
             drop(retry_guard);
--- a/crates/gateway/src/proxy/handler.rs
+++ b/crates/gateway/src/proxy/handler.rs
@@ -230,7 +230,7 @@
         let frame = tokio::select! {
             frame = time::timeout_at(request.deadline, response.body.frame()) => frame,
             rejection = request.wait_for_rejection() => {
-                return Err(request.reject(&rejection).reason);
+                return Err(request.withdraw(&rejection, &target).reason);
             }
         };
         let frame = match frame {
--- a/crates/gateway/src/proxy/screening.rs
+++ b/crates/gateway/src/proxy/screening.rs
@@ -84,12 +84,7 @@
             return;
         }
         state.metrics.lost_prompts.inc();
-        let crash = quarantine::Crash {
-            backend_hash: directory::id_hash(&target.id),
-            started_ms: target.started_ms,
-            sent_at: self.sent_at,
-            at: state.time_of_day(),
-        };
+        let crash = self.crash_at(target);
         let mut suspects = self.suspects();
         if self.is_proven() {
             suspects.retain(|id| id.is_request());
@@ -97,6 +92,27 @@
         suspects::record_crash(state, &suspects, crash);
     }
 
+    /// A crash of a backend server now, while it has the request.
+    fn crash_at(&self, target: &attempt::Target) -> quarantine::Crash {
+        quarantine::Crash {
+            backend_hash: directory::id_hash(&target.id),
+            started_ms: target.started_ms,
+            sent_at: self.sent_at,
+            at: self.state.time_of_day(),
+        }
+    }
+
+    /// Ends a request that a backend server has, which may go on with it.
+    pub(super) fn withdraw(
+        &self,
+        rejection: &quarantine::Rejection,
+        target: &attempt::Target,
+    ) -> dispatch::RequestFailure {
+        let crash = self.crash_at(target);
+        self.state.quarantine.borrow_mut().record_withdrawal(rejection.suspect, crash);
+        self.reject(rejection)
+    }
+
     /// Whether the answer has gone on for so long that its prompt is sound.
     pub(super) fn is_proven(&self) -> bool {
         let age = self.first_byte.map(|first| self.started.elapsed().saturating_sub(first));
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -9,6 +9,7 @@
 use azuregap_gateway::decision::gossip_timing;
 use azuregap_gateway::decision::quarantine;
 use azuregap_gateway::peers;
+use azuregap_gateway::request_digest;
 use azuregap_gateway::state;
 use azuregap_gateway::store;
 use googletest::prelude::*;
@@ -125,7 +126,8 @@
     ];
     for (name, events, ids, admitted) in table {
         let verdict = play(&events).admit(&prompt(&ids), at(8_000));
-        expect_that!(verdict.is_ok(), eq(admitted), "{name}: {verdict:?}");
+        let is_admitted = verdict == Ok(quarantine::Admission::Normal);
+        expect_that!(is_admitted, eq(admitted), "{name}: {verdict:?}");
     }
 }
 
@@ -358,3 +360,99 @@
         }
     }
 }
+
+/// A whole request.
+fn whole(number: u128) -> quarantine::SuspectId {
+    quarantine::SuspectId::Request(request_digest::RequestDigest(number))
+}
+
+/// Crashes of one backend server after the other under a request that is sent on, some of which are
+/// noticed only by others, since the request was given up there before.
+fn crash_in_turn(known: u32, withdrawn: u32, is_recorded: bool) -> quarantine::Quarantine {
+    let mut quarantine = quarantine::Quarantine::new(0.0);
+    let (segment, guilty) = (quarantine::SuspectId::Segment(COMMON), whole(1));
+    for n in 0..known + withdrawn {
+        let (sent_at, at) = (at(u64::from(n) * 400), at(u64::from(n) * 400 + 100));
+        let crash = quarantine::Crash { backend_hash: n, started_ms: 1, sent_at, at };
+        let companion = whole(u128::from(n) + 10);
+        if n < known {
+            quarantine.record_crash(&[segment, guilty], crash);
+        } else if is_recorded {
+            quarantine.record_withdrawal(guilty, crash);
+        }
+        quarantine.record_crash(&[segment, companion], crash);
+    }
+    quarantine
+}
+
+#[gtest]
+fn requests_with_a_segment_of_one_that_was_given_up_are_not_rejected_for_its_crashes() {
+    let request = [quarantine::SuspectId::Segment(COMMON), whole(99)];
+    for (known, withdrawn, is_recorded, admitted) in
+        [(3, 0, true, true), (3, 2, true, true), (3, 2, false, false), (2, 1, true, true)]
+    {
+        let quarantine = crash_in_turn(known, withdrawn, is_recorded);
+        let rejection = quarantine.find_rejection(&request, at(4_000));
+        let case = format!("{known} known, {withdrawn} withdrawn, recorded: {is_recorded}");
+        expect_that!(rejection.is_none(), eq(admitted), "{case}: {rejection:?}");
+        let guilty = [quarantine::SuspectId::Segment(COMMON), whole(1)];
+        expect_that!(quarantine.find_rejection(&guilty, at(4_000)).is_some(), is_true(), "{case}");
+    }
+}
+
+/// Its requests may have been lost faster than any of them could be answered.
+#[gtest]
+fn a_segment_that_was_answered_before_its_crashes_is_tried_in_turns_until_it_crashes_on() {
+    let segment = prompt(&[COMMON]);
+    for (crashes, answered_at, is_tried) in
+        [(3, 900, true), (4, 900, true), (5, 900, false), (3, 0, false)]
+    {
+        let mut quarantine = quarantine::Quarantine::new(0.0);
+        if answered_at > 0 {
+            quarantine.record_answer(&segment, at(answered_at), at(answered_at));
+        }
+        for n in 1..=crashes {
+            quarantine.record_crash(&segment, crash(n as u32, at(n * 1_000)));
+        }
+        let case = format!("{crashes} crashes, answered at {answered_at}");
+        let first = quarantine.admit(&segment, at(8_500));
+        expect_that!(first == Ok(quarantine::Admission::Trial), eq(is_tried), "{case}");
+        expect_that!(quarantine.admit(&segment, at(9_000)).is_err(), is_true(), "{case}");
+        let next = quarantine.admit(&segment, at(12_500));
+        expect_that!(next == Ok(quarantine::Admission::Trial), eq(is_tried), "{case}");
+    }
+}
+
+#[gtest]
+fn whole_requests_are_rejected_by_what_is_known_of_their_crashes() {
+    /// Servers, when the request was sent to each, and when each ended, in milliseconds.
+    type Crashes = Vec<(u32, u64, u64)>;
+    let one_after_the_other: Crashes = vec![(1, 0, 90), (2, 95, 180), (3, 190, 280)];
+    let at_one_moment: Crashes = vec![(1, 0, 90), (2, 10, 95), (3, 20, 100)];
+    let five_at_one_moment: Crashes =
+        (1..=5).map(|n| (n, u64::from(n), 90 + u64::from(n))).collect();
+    let table: [(&str, Crashes, bool, Option<bool>); 6] = [
+        ("two crashes", one_after_the_other[..2].to_vec(), false, None),
+        ("sent on after each crash", one_after_the_other.clone(), false, Some(true)),
+        ("at one moment", at_one_moment, false, Some(false)),
+        ("five at one moment", five_at_one_moment, false, Some(true)),
+        ("another was lost as often", one_after_the_other.clone(), true, Some(false)),
+        ("one run, noticed three times", vec![(1, 0, 90), (1, 0, 300), (1, 0, 700)], false, None),
+    ];
+    for (name, crashes, has_rival, expected) in table {
+        let mut quarantine = quarantine::Quarantine::new(0.0);
+        for (backend_hash, sent_at, ended_at) in crashes {
+            let (sent_at, at) = (at(sent_at), at(ended_at));
+            let crash = quarantine::Crash { backend_hash, started_ms: 1, sent_at, at };
+            quarantine.record_crash(&[whole(1)], crash);
+            if has_rival {
+                quarantine.record_crash(&[whole(2)], crash);
+            }
+        }
+        let rejection = quarantine.find_rejection(&[whole(1)], at(2_000));
+        let is_guilty = rejection.map(|rejection| rejection.is_guilty);
+        expect_that!(is_guilty, eq(expected), "{name}");
+        quarantine.record_answer(&[whole(1)], at(1_000), at(1_100));
+        expect_that!(quarantine.find_rejection(&[whole(1)], at(2_000)), none(), "{name}, answered");
+    }
+}
