test(gateway): fleets whose requests crash servers, in histories of disruptions

Cause: the bound of the quarantine is over all gateways and their restarts. Change: simulated fleets of 1 to 11 gateways before servers that requests crash, with sound requests beside them, that end, freeze, are cut off, lose the store or are added; the simulated network is generic in what the store keeps and sends news at once. Not noticed by these tests, but by the table of whole requests: no trials while in doubt, and sequels that count as one crash.

--- a/crates/gateway/tests/support/limit_fleet.rs
+++ b/crates/gateway/tests/support/limit_fleet.rs
@@ -4,6 +4,7 @@
 //! The decisions are those of the gateway; the callers and the backend server are simulated, and the
 //! network and the store as in [`network`].
 
+use std::collections;
 use std::ops;
 use std::time::Duration;
 
@@ -36,6 +37,9 @@
 const BACKEND: u32 = 7;
 const RUN: u64 = 1;
 
+/// Limits that the store keeps, by the hash of the backend server's id.
+type Saved = collections::BTreeMap<u32, backend_limit::SavedLimit>;
+
 /// A request until its response begins.
 struct Sent {
     sent_at: Duration,
@@ -52,7 +56,7 @@
 
 /// The fleet, its callers and the backend server.
 pub struct Fleet {
-    network: network::Network<Load>,
+    network: network::Network<Load, Saved>,
     rng: ChaCha8Rng,
     /// Limits that the backend server names, each until the time at which the next one begins.
     limits: Vec<(Duration, Option<f64>)>,
@@ -72,7 +76,7 @@
 /// Reads and saves limits as the gateway does.
 fn save(
     gateway: &mut network::Gateway<Load>,
-    saved: &mut network::Saved,
+    saved: &mut Saved,
     is_read: bool,
     now: time::Instant,
 ) {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, unreachable_pub)]
 
 pub mod addresses;
+pub mod crash_fleet;
 pub mod fleet;
 pub mod fragile;
 pub mod gossiping;
--- a/crates/gateway/tests/support/network.rs
+++ b/crates/gateway/tests/support/network.rs
@@ -6,7 +6,6 @@
 use std::ops;
 use std::time::Duration;
 
-use azuregap_gateway::decision::backend_limit;
 use azuregap_gateway::decision::gossip_timing;
 use azuregap_gateway::decision::membership;
 use azuregap_gateway::peers;
@@ -124,6 +123,11 @@
         !self.is_removed && now >= self.down_until && now >= self.frozen_until
     }
 
+    /// Whether it reaches the store and the other gateways.
+    pub fn is_connected(&self, now: Duration) -> bool {
+        now >= self.isolated_until && now >= self.detached_until
+    }
+
     /// Whether it serves requests: its process runs and has read the configuration from the store.
     pub fn serves(&self, now: Duration) -> bool {
         self.runs(now) && self.registered
@@ -138,41 +142,38 @@
     }
 }
 
-/// Limits that the store keeps, by the hash of the backend server's id.
-pub type Saved = collections::BTreeMap<u32, backend_limit::SavedLimit>;
-
-/// What a fleet does with the state of its gateways.
-pub struct Hooks<T> {
+/// What a fleet does with the state of its gateways, and with what the store keeps for them, `S`.
+pub struct Hooks<T, S> {
     /// State of a process that has just started.
     pub start: Box<dyn Fn() -> T>,
     /// Adds to a message what the gateway tells.
     pub tell: fn(&mut T, &mut peers::GossipMessage, time::Instant),
     /// Reads what the store keeps beside the list of gateways, if that is being read, and saves to it.
-    pub save: fn(&mut Gateway<T>, &mut Saved, bool, time::Instant),
+    pub save: fn(&mut Gateway<T>, &mut S, bool, time::Instant),
     /// Takes over what another gateway tells.
     pub receive: fn(&mut T, &peers::GossipMessage, time::Instant),
 }
 
 /// Gateways, the network between them and the store's list of gateways.
-pub struct Network<T> {
+pub struct Network<T, S> {
     pub gateways: Vec<Gateway<T>>,
     /// Time since the start.
     pub now: Duration,
     listed: collections::BTreeMap<String, net::SocketAddr>,
-    saved: Saved,
+    saved: S,
     origin: time::Instant,
-    hooks: Hooks<T>,
+    hooks: Hooks<T, S>,
 }
 
-impl<T> Network<T> {
+impl<T, S: Default> Network<T, S> {
     /// Starts gateways; no caller sends requests yet.
-    pub fn new(gateways: usize, hooks: Hooks<T>) -> Self {
+    pub fn new(gateways: usize, hooks: Hooks<T, S>) -> Self {
         let start = |index| Gateway::new(index, (hooks.start)(), Duration::ZERO);
         Self {
             gateways: (0..gateways).map(start).collect(),
             now: Duration::ZERO,
             listed: collections::BTreeMap::new(),
-            saved: Saved::new(),
+            saved: S::default(),
             origin: time::Instant::now(),
             hooks,
         }
@@ -286,6 +287,7 @@
         }
     }
 
+    /// Sends the neighbours of a gateway a message at its intervals.
     fn send_messages(&mut self, index: usize) {
         let (now, at) = (self.now, self.instant());
         let sender = &mut self.gateways[index];
@@ -295,6 +297,18 @@
         sender.peers.remove_expired(at);
         let addresses = sender.peers.neighbours(&sender.name, at);
         sender.next_message = now + gossip_timing::load_interval(addresses.len());
+        self.send(index, addresses);
+    }
+
+    /// Sends a message of a gateway to some others at once, as a gateway does that has news.
+    pub fn send_news(&mut self, index: usize, draw: u32) {
+        let addresses = self.gateways[index].peers.news_recipients(draw);
+        self.send(index, addresses);
+    }
+
+    fn send(&mut self, index: usize, addresses: impl IntoIterator<Item = net::SocketAddr>) {
+        let (now, at) = (self.now, self.instant());
+        let sender = &mut self.gateways[index];
         if now < sender.isolated_until {
             return;
         }
--- a/crates/gateway/tests/support/retry_fleet.rs
+++ b/crates/gateway/tests/support/retry_fleet.rs
@@ -47,7 +47,7 @@
 
 /// The fleet, its callers and its backend servers.
 pub struct Fleet {
-    network: network::Network<Retries>,
+    network: network::Network<Retries, ()>,
     slack: f64,
     rng: ChaCha8Rng,
     failure_share: f64,
