feat(gateway): a request that lost its server leaves the last server of the service to others

Cause: the requests of a service were refused for three seconds each time one request had ended all of its servers, two by a retry and the third by the caller's next attempt. Change: a request that has crashed a server since its last answer isn't sent while only one run of the service is left that isn't known to have ended, unless the service has one server only; it is refused as not run, or as unknown if it has run. The backend servers of the loopback test register anew when they are back.

--- a/crates/gateway/src/decision/quarantine.rs
+++ b/crates/gateway/src/decision/quarantine.rs
@@ -161,6 +161,23 @@
         self.records.get(id).map_or(0, |record| record.crashes.len())
     }
 
+    /// Whether a run of a backend server is known to have ended, by a crash with a suspect.
+    #[must_use]
+    pub fn has_ended(&self, backend_hash: u32, started_ms: u64) -> bool {
+        let is_run =
+            |crash: &Crash| (crash.backend_hash, crash.started_ms) == (backend_hash, started_ms);
+        self.records.values().any(|record| record.crashes.iter().any(is_run))
+    }
+
+    /// Whether a request with these suspects may be sent to a service that has `known` backend
+    /// servers, `living` of which are not known to have ended. One that has lost a server isn't
+    /// sent to the last one of them, which the others need.
+    #[must_use]
+    pub fn may_risk(&self, suspects: &[SuspectId], living: usize, known: usize) -> bool {
+        let is_lost = |id: &SuspectId| id.is_request() && self.crashes(id) > 0;
+        living > 1 || known <= 1 || !suspects.iter().any(is_lost)
+    }
+
     /// Records that the backend server of a request with these suspects ended before the request was
     /// answered; returns whether this is news for the other gateways.
     pub fn record_crash(&mut self, suspects: &[SuspectId], crash: Crash) -> bool {
--- a/crates/gateway/src/proxy/screening.rs
+++ b/crates/gateway/src/proxy/screening.rs
@@ -23,6 +23,9 @@
 /// Time for a connection to show whether a backend server has ended: its VM refuses it at once.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// `Retry-After` base for a request that isn't sent to the last backend server.
+const LAST_SERVER_RETRY: Duration = Duration::from_secs(1);
+
 /// Whether the process of a backend server has ended. A connection that it accepts is kept for the
 /// next request.
 async fn has_ended(state: &state::State, address: net::SocketAddr) -> bool {
@@ -143,6 +146,10 @@
     pub(super) fn screen(&self) -> Result<quarantine::Admission, dispatch::RequestFailure> {
         let now = self.state.time_of_day();
         let suspects = self.known_suspects();
+        if self.is_too_risky(&suspects) {
+            let reason = "it lost a backend server and only one is left".to_owned();
+            return Err(self.failure(LAST_SERVER_RETRY, reason));
+        }
         let rejection = self.state.quarantine.borrow().find_rejection(&suspects, now);
         let Some(rejection) = rejection else { return Ok(quarantine::Admission::Normal) };
         if !rejection.time_left.is_zero() {
@@ -155,6 +162,22 @@
         Err(self.reject(&quarantine::Rejection { time_left, ..rejection }))
     }
 
+    /// Whether the request might crash the last backend server of its service.
+    fn is_too_risky(&self, suspects: &[quarantine::SuspectId]) -> bool {
+        let quarantine = self.state.quarantine.borrow();
+        if !quarantine.suspects_requests() {
+            return false;
+        }
+        let directory = self.state.directory.borrow();
+        let (mut known, mut living) = (0, 0);
+        for server in directory.of_service(&self.admitted.service) {
+            known += 1;
+            let has_ended = quarantine.has_ended(server.hash, server.backend.started_ms);
+            living += usize::from(!has_ended);
+        }
+        !quarantine.may_risk(suspects, living, known)
+    }
+
     /// Records that the request is sent as a trial, if it is one.
     pub(super) fn begin_trial(&self) {
         if self.admission == quarantine::Admission::Normal {
--- a/crates/gateway/tests/crashing_requests.rs
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -24,17 +24,24 @@
     last_sound: String,
 }
 
-/// Sends the deadly request again each time the backend servers are back.
-async fn send_again(path: &str, headers: &str) -> Outcome {
-    let deadly = fragile::Deadly::new("/deadly");
+async fn fragile_backends(deadly: &fragile::Deadly) -> Vec<Backend> {
     let mut backends = Vec::new();
     for _ in 0..3 {
-        backends.push(fragile::backend(fragile::OnDeadly::Crash, &deadly).await);
+        backends.push(fragile::backend(fragile::OnDeadly::Crash, deadly).await);
     }
+    backends
+}
+
+/// Sends the deadly request again each time the backend servers are back.
+async fn send_again(path: &str, headers: &str) -> Outcome {
+    let deadly = fragile::Deadly::new("/deadly");
+    let backends = fragile_backends(&deadly).await;
+    let backends: Vec<_> = backends.iter().collect();
     let headers = &format!("connection: close\r\n{headers}");
-    let (state, address) = gateway(&backends.iter().collect::<Vec<_>>()).await;
+    let (state, address) = gateway(&backends).await;
     let mut refusals = 0;
-    for _ in 0..ROUNDS {
+    for round in 0..ROUNDS {
+        register(&state, &backends, 1 + round as u64);
         state.freshness.borrow_mut().record_confirmation(state.clock.now());
         for _ in 0..2 {
             let response = call(address, &format!("{path}deadly"), headers).await;
@@ -64,3 +71,23 @@
         });
     }
 }
+
+#[gtest]
+fn a_request_that_has_crashed_backend_servers_leaves_the_last_one_of_the_service_to_others() {
+    for (path, crashes) in [("/again/", 2), ("/once/", 2)] {
+        run(async {
+            let deadly = fragile::Deadly::new("/deadly");
+            let backends = fragile_backends(&deadly).await;
+            let (_, address) = gateway(&backends.iter().collect::<Vec<_>>()).await;
+            let headers = "connection: close\r\n";
+            let mut last = String::new();
+            for _ in 0..3 {
+                last = call(address, &format!("{path}deadly"), headers).await;
+            }
+            expect_that!(status(&last), eq("503"), "{path}");
+            expect_that!(deadly.count.get(), eq(crashes), "{path}");
+            let sound = call(address, &format!("{path}sound"), headers).await;
+            expect_that!(status(&sound), eq("200"), "{path}");
+        });
+    }
+}
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -456,3 +456,24 @@
         expect_that!(quarantine.find_rejection(&[whole(1)], at(2_000)), none(), "{name}, answered");
     }
 }
+
+#[gtest]
+fn only_requests_that_lost_a_server_are_kept_from_the_last_one() {
+    let mut quarantine = quarantine::Quarantine::new(0.0);
+    let (lost, other) = ([quarantine::SuspectId::Segment(COMMON), whole(1)], [whole(2)]);
+    let run = crash(7, at(1_000));
+    quarantine.record_crash(&lost, run);
+    expect_that!(quarantine.has_ended(7, run.started_ms), is_true());
+    expect_that!(quarantine.has_ended(7, run.started_ms + 1), is_false());
+    for (name, suspects, living, known, expected) in [
+        ("two are left", &lost[..], 2, 3, true),
+        ("one is left", &lost[..], 1, 3, false),
+        ("none is known to live", &lost[..], 0, 3, false),
+        ("the service has one", &lost[..], 1, 1, true),
+        ("the service has one, which has ended", &lost[..], 0, 1, true),
+        ("another request", &other[..], 1, 3, true),
+        ("another request with the segment", &lost[..1], 1, 3, true),
+    ] {
+        expect_that!(quarantine.may_risk(suspects, living, known), eq(expected), "{name}");
+    }
+}
--- a/crates/gateway/tests/support/crash_fleet.rs
+++ b/crates/gateway/tests/support/crash_fleet.rs
@@ -69,6 +69,8 @@
     pub answers: usize,
     /// Rejections while a server was there.
     pub rejections: usize,
+    /// Requests that were not sent to the last server.
+    pub spared: usize,
 }
 
 impl Tally {
@@ -340,6 +342,13 @@
             return;
         }
         let (load, suspects) = (&mut gateway.load, self.kinds[kind].suspects(kind));
+        let known = self.servers.len();
+        let is_living = |server: &&Server| server.up_at <= now;
+        let living = self.servers.iter().filter(is_living).count();
+        if !load.quarantine.may_risk(&suspects, living, known) {
+            self.tallies[kind].spared += 1;
+            return;
+        }
         let rejection = load.quarantine.find_rejection(&suspects, load.now);
         let mut admission = quarantine::Admission::Normal;
         if let Some(rejection) = rejection {
--- a/crates/gateway/tests/support/loopback.rs
+++ b/crates/gateway/tests/support/loopback.rs
@@ -105,6 +105,21 @@
     configuration::RouteKind::Stream { resumable, max_gap: Duration::from_millis(100) }
 }
 
+/// Lets a gateway know backend servers whose processes started at a time.
+pub fn register(state: &state::State, backends: &[&Backend], started_ms: u64) {
+    for (at, backend) in backends.iter().enumerate() {
+        state.directory.borrow_mut().update(directory::Backend {
+            id: format!("b-{at}"),
+            started_ms,
+            service: "s".to_owned(),
+            address: backend.address,
+            zone: "a".to_owned(),
+            slots: 4,
+            draining: false,
+        });
+    }
+}
+
 /// Starts a gateway that knows the backend servers; returns its state and its HTTP address.
 pub async fn gateway(backends: &[&Backend]) -> (rc::Rc<state::State>, net::SocketAddr) {
     let state = super::state("g-1");
@@ -124,17 +139,7 @@
         .with_team(configuration::Team { name: "t".to_owned(), tier: 0 }, ["secret".to_owned()]);
     *state.configuration.borrow_mut() = Some(rc::Rc::new(configuration));
     state.freshness.borrow_mut().record_confirmation(state.clock.now());
-    for (at, backend) in backends.iter().enumerate() {
-        state.directory.borrow_mut().update(directory::Backend {
-            id: format!("b-{at}"),
-            started_ms: 1,
-            service: "s".to_owned(),
-            address: backend.address,
-            zone: "a".to_owned(),
-            slots: 4,
-            draining: false,
-        });
-    }
+    register(&state, backends, 1);
     let listener = tokio_net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("an address");
     actix_rt::spawn(proxy::serve(state.clone(), listener));
