fix(gateway): a server whose connections end before its port is taken for crashed too

What callers saw (in the soak): requests that all callers send were refused as crashing servers until the end, while the one that did crash them went on. Cause: after a lost connection the gateway asks the server's port at once; a process that closes its connections some milliseconds before its port accepts that and seemed alive. The guilty request, whose connection ends first, was left out of the record; those beside it, which end a moment later, were not. Change: the connection that was accepted is looked at again after 50 ms; if it has ended and the next one is refused, the server has crashed, at the time of the loss. Why it works: a process that ends closes all it has within that time.

--- a/crates/gateway/src/proxy/screening.rs
+++ b/crates/gateway/src/proxy/screening.rs
@@ -11,6 +11,7 @@
 
 use super::attempt;
 use super::dispatch;
+use super::pool;
 use crate::codec;
 use crate::decision::failure;
 use crate::decision::quarantine;
@@ -23,36 +24,48 @@
 /// Time for a connection to show whether a backend server has ended: its VM refuses it at once.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Time within which a process that ends closes its connections and its port.
+const ENDING_TIME: Duration = Duration::from_millis(50);
+
 /// `Retry-After` base for a request that isn't sent to the last backend server.
 const LAST_SERVER_RETRY: Duration = Duration::from_secs(1);
 
-/// Whether the process of a backend server has ended. A connection that it accepts is kept for the
-/// next request.
-async fn has_ended(state: &state::State, address: net::SocketAddr) -> bool {
+/// What a new connection shows about a backend server.
+enum Probe {
+    /// Its process has ended: its VM refuses the connection.
+    Ended,
+    Accepted(pool::Connection),
+    Unknown,
+}
+
+async fn probe(state: &state::State, address: net::SocketAddr) -> Probe {
     match time::timeout(PROBE_TIMEOUT, state.pool.connect(address)).await {
         Ok(Ok(connection)) => {
             state.metrics.connections.inc();
-            state.pool.put(address, connection, None);
-            false
+            Probe::Accepted(connection)
         }
-        Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
-        Err(_) => false,
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => Probe::Ended,
+        Ok(Err(_)) | Err(_) => Probe::Unknown,
     }
 }
 
 impl dispatch::ProxyRequest {
     /// Digest by which the request is known if it comes again.
     pub(super) fn digest(&self) -> request_digest::RequestDigest {
+        *self.digest.get_or_init(|| self.identity().digest())
+    }
+
+    /// The identity of the request.
+    fn identity(&self) -> request_digest::Identity<'_> {
         let head = &self.head;
         let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
-        let identity = || request_digest::Identity {
+        request_digest::Identity {
             method: head.method.as_str(),
             host: host.or_else(|| head.uri.host()).unwrap_or_default(),
             target: head.uri.path_and_query().map_or("", |target| target.as_str()),
             team: self.admitted.team.as_deref(),
             body: &self.body,
-        };
-        *self.digest.get_or_init(|| identity().digest())
+        }
     }
 
     /// Segments of the prompt that other requests may share.
@@ -80,19 +93,59 @@
     /// Records that the request lost its connection before the end of its answer, if the backend
     /// server has ended. One that is alive may lose connections too.
     pub(super) async fn record_loss(&self, target: &attempt::Target) {
-        let state = &self.state;
-        let has_ended = has_ended(state, target.address).await;
-        self.log_loss(target, has_ended);
-        if !has_ended {
-            return;
-        }
-        state.metrics.lost_prompts.inc();
         let crash = self.crash_at(target);
         let mut suspects = self.suspects();
         if self.is_proven() {
             suspects.retain(|id| id.is_request());
         }
-        suspects::record_crash(state, &suspects, crash);
+        match probe(&self.state, target.address).await {
+            Probe::Ended => self.record_crash(target, &suspects, crash),
+            Probe::Accepted(connection) => {
+                let (request, target) = (self.clone(), target.clone());
+                let watch =
+                    async move { request.watch_end(&target, connection, &suspects, crash).await };
+                actix_rt::spawn(watch);
+            }
+            Probe::Unknown => self.log_loss(target, false),
+        }
+    }
+
+    /// Waits until a backend server has ended that accepted a connection after the request was lost, as
+    /// one does whose connections end before its port is closed.
+    async fn watch_end(
+        &self,
+        target: &attempt::Target,
+        connection: pool::Connection,
+        suspects: &[quarantine::SuspectId],
+        crash: quarantine::Crash,
+    ) {
+        time::sleep(ENDING_TIME).await;
+        let connection = if connection.sender.is_closed() {
+            match probe(&self.state, target.address).await {
+                Probe::Ended => return self.record_crash(target, suspects, crash),
+                Probe::Accepted(connection) => Some(connection),
+                Probe::Unknown => None,
+            }
+        } else {
+            Some(connection)
+        };
+        self.log_loss(target, false);
+        if let Some(connection) = connection {
+            self.state.pool.put(target.address, connection, None);
+        }
+    }
+
+    /// Records that the backend server has ended while it had the request.
+    fn record_crash(
+        &self,
+        target: &attempt::Target,
+        suspects: &[quarantine::SuspectId],
+        crash: quarantine::Crash,
+    ) {
+        let state = &self.state;
+        self.log_loss(target, true);
+        state.metrics.lost_prompts.inc();
+        suspects::record_crash(state, suspects, crash);
     }
 
     /// A crash of a backend server now, while it has the request.
--- a/crates/gateway/tests/crashing_requests.rs
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -24,18 +24,18 @@
     last_sound: String,
 }
 
-async fn fragile_backends(deadly: &fragile::Deadly) -> Vec<Backend> {
+async fn fragile_backends(on_deadly: fragile::OnDeadly, deadly: &fragile::Deadly) -> Vec<Backend> {
     let mut backends = Vec::new();
     for _ in 0..3 {
-        backends.push(fragile::backend(fragile::OnDeadly::Crash, deadly).await);
+        backends.push(fragile::backend(on_deadly, deadly).await);
     }
     backends
 }
 
 /// Sends the deadly request again each time the backend servers are back.
-async fn send_again(path: &str, headers: &str) -> Outcome {
+async fn send_again(path: &str, headers: &str, on_deadly: fragile::OnDeadly) -> Outcome {
     let deadly = fragile::Deadly::new("/deadly");
-    let backends = fragile_backends(&deadly).await;
+    let backends = fragile_backends(on_deadly, &deadly).await;
     let backends: Vec<_> = backends.iter().collect();
     let headers = &format!("connection: close\r\n{headers}");
     let (state, address) = gateway(&backends).await;
@@ -55,16 +55,18 @@
 
 #[gtest]
 fn a_request_that_has_crashed_three_backend_servers_is_not_sent_again_and_again() {
+    use fragile::OnDeadly;
     let table = [
-        ("once-only", "/once/", ""),
-        ("idempotent", "/again/", ""),
-        ("with a key", "/keyed/", "x-key: secret\r\n"),
-        ("stream without shared segments", "/stream/", "x-segments: 9:10\r\n"),
-        ("stream that may be resumed", "/resume/", "x-segments: 1:500,9:10\r\n"),
+        ("once-only", "/once/", "", OnDeadly::Crash),
+        ("idempotent", "/again/", "", OnDeadly::Crash),
+        ("with a key", "/keyed/", "x-key: secret\r\n", OnDeadly::Crash),
+        ("stream without shared segments", "/stream/", "x-segments: 9:10\r\n", OnDeadly::Crash),
+        ("stream that may be resumed", "/resume/", "x-segments: 1:500,9:10\r\n", OnDeadly::Crash),
+        ("connections end before the port", "/once/", "", OnDeadly::CrashLater),
     ];
-    for (name, path, headers) in table {
+    for (name, path, headers, on_deadly) in table {
         run(async {
-            let outcome = send_again(path, headers).await;
+            let outcome = send_again(path, headers, on_deadly).await;
             expect_that!(outcome.deliveries, le(MAX_DELIVERIES), "{name}");
             expect_that!(outcome.refusals, ge(2 * ROUNDS - MAX_DELIVERIES), "{name}");
             expect_that!(status(&outcome.last_sound), eq("200"), "{name}");
@@ -77,7 +79,7 @@
     for (path, crashes) in [("/again/", 2), ("/once/", 2)] {
         run(async {
             let deadly = fragile::Deadly::new("/deadly");
-            let backends = fragile_backends(&deadly).await;
+            let backends = fragile_backends(fragile::OnDeadly::Crash, &deadly).await;
             let (_, address) = gateway(&backends.iter().collect::<Vec<_>>()).await;
             let headers = "connection: close\r\n";
             let mut last = String::new();
--- a/crates/gateway/tests/support/fragile.rs
+++ b/crates/gateway/tests/support/fragile.rs
@@ -16,6 +16,8 @@
 pub enum OnDeadly {
     /// It ends, and refuses connections for a while.
     Crash,
+    /// It closes the connection, and ends a moment later.
+    CrashLater,
     /// It closes the connection.
     Close,
 }
@@ -69,11 +71,21 @@
         };
         let (crashed, deadly) = (crashed.clone(), deadly.clone());
         actix_rt::spawn(async move {
-            while let Some(head) = loopback::read_head(&mut stream).await {
+            loop {
+                let head = tokio::select! {
+                    head = loopback::read_head(&mut stream) => head,
+                    () = crashed.notified() => return,
+                };
+                let Some(head) = head else { return };
                 if head.contains(deadly.mark) {
                     deadly.count.set(deadly.count.get() + 1);
-                    if matches!(on_deadly, OnDeadly::Crash) {
-                        crashed.notify_one();
+                    if matches!(on_deadly, OnDeadly::CrashLater) {
+                        actix_rt::spawn(async move {
+                            time::sleep(Duration::from_millis(20)).await;
+                            crashed.notify_waiters();
+                        });
+                    } else if matches!(on_deadly, OnDeadly::Crash) {
+                        crashed.notify_waiters();
                         // The port is closed before the connection.
                         time::sleep(Duration::from_millis(5)).await;
                     }
