fix(gateway): what is answered all the time isn't taken for the cause of crashes beside it

Cause: a request lost at three servers was only sent in trials, whatever it was before. What comes often is lost at each crash, and nobody can answer it while the servers are down. And several guilty requests crash fewer servers each than a popular one is lost at, so none of them explained its losses. Change: gateways know when requests were last answered, by a cheap hash with a seed of the process. One that was answered within five seconds before its first crash is rejected only for crashes that count, and what was never answered and lost twice explains its crashes. Trials are sent by gateways that have been in the list for a turn, which the others have heard of, also if some that are listed are silent. Why it works: a request that crashes each server that runs it is never answered. Test: a_request_that_was_answered_until_its_crashes_is_rejected_only_for_those_that_count.

--- a/crates/gateway/src/decision.rs
+++ b/crates/gateway/src/decision.rs
@@ -1,5 +1,6 @@
 //! Decision logic of a gateway. It does no I/O and takes the current time as an argument.
 
+pub mod answered_requests;
 pub mod arrival_rate;
 pub mod backend_limit;
 pub mod cache_source;
--- a/crates/gateway/src/decision/membership.rs
+++ b/crates/gateway/src/decision/membership.rs
@@ -123,6 +123,15 @@
         }
     }
 
+    /// Whether it has been in the list for a span, and has read the list lately. Those of the others that
+    /// run and aren't cut off have heard of it since, also if others that are listed are silent.
+    #[must_use]
+    pub fn has_joined(&self, span: Duration, now: time::Instant) -> bool {
+        let age = |at: Option<time::Instant>| at.map(|at| now.saturating_duration_since(at));
+        age(self.registered_at).is_some_and(|age| age >= span)
+            && age(self.listed_at).is_some_and(|age| age < LIST_VALIDITY)
+    }
+
     fn update_known(&mut self, now: time::Instant) {
         let is_complete = self.awaited.as_ref().is_some_and(collections::HashSet::is_empty);
         if is_complete && self.known_at.is_none() {
--- a/crates/gateway/src/decision/quarantine.rs
+++ b/crates/gateway/src/decision/quarantine.rs
@@ -12,7 +12,8 @@
 //! - An answer that began after a crash clears all suspects of its request: segments as soon as it
 //!   has gone on for a while, the request itself when it is complete.
 //! - A crash that another suspect was part of, which was lost as often, doesn't count against one.
-//!   So a segment that always came with the guilty one is still answered without it.
+//!   So a segment that always came with the guilty one is still answered without it. Nor does one count
+//!   against what was answered all the time before, if what was never answered was part of it.
 //! - Crashes at about the same moment may have a common cause, such as a power loss, and count once.
 //!   A request that was sent after the crash before has no part in such a cause.
 //!
@@ -23,10 +24,11 @@
 //!
 //! - With [`REJECT_CRASHES`] crashes that count it is rejected. With as many that don't all count,
 //!   since others were lost as often or servers ended at the same moment, it is only sent in
-//!   trials, and rejected after [`MAX_TRIED_CRASHES`] whatever else was lost. So two trials may be
-//!   sent before it is rejected, and none after it beyond that number.
+//!   trials, and rejected after [`MAX_TRIED_CRASHES`] whatever else was lost. So two trials may be sent
+//!   before it is rejected, and none after it beyond that number. This leaves out what was answered all
+//!   the time until its first crash: that is rejected only for crashes that count.
 //! - One gateway of all may send a trial in a turn, one send long, and each knows of the crash before
-//!   the next turn ([`turn`]). It isn't sent by a gateway that others may not know.
+//!   the next turn ([`turn`]). It isn't sent by a gateway of which the others may not have heard.
 //! - What is known outlives the processes: gateways tell each other, and those that took part save a
 //!   request with [`SAVE_CRASHES`] crashes in the store.
 //!
@@ -171,10 +173,13 @@
 
     /// Whether a request with these suspects may be sent to a service that has `known` backend
     /// servers, `living` of which are not known to have ended. One that has lost a server isn't
-    /// sent to the last one of them, which the others need.
+    /// sent to the last one of them, which the others need, unless it is answered all the time.
     #[must_use]
     pub fn may_risk(&self, suspects: &[SuspectId], living: usize, known: usize) -> bool {
-        let is_lost = |id: &SuspectId| id.is_request() && self.crashes(id) > 0;
+        let is_lost = |id: &SuspectId| {
+            let record = id.is_request().then(|| self.records.get(id)).flatten();
+            record.is_some_and(|record| !record.crashes.is_empty() && !record.was_current())
+        };
         living > 1 || known <= 1 || !suspects.iter().any(is_lost)
     }
 
@@ -222,6 +227,13 @@
         is_news
     }
 
+    /// Remembers when a suspect was last answered, before its first crash is recorded.
+    pub fn remember_answer(&mut self, id: SuspectId, began_at: crash::TimeOfDay) {
+        if !self.records.contains_key(&id) {
+            self.answers.insert(id, began_at);
+        }
+    }
+
     /// Records that an answer to a request with these suspects, which began at `began_at`, cleared
     /// them; returns whether this is news for the other gateways.
     pub fn record_answer(
@@ -401,7 +413,10 @@
         }
         let is_doubtful = |id: &SuspectId| {
             let record = id.is_request().then(|| self.records.get(id)).flatten();
-            let record = record.filter(|record| record.crashes.len() >= REJECT_CRASHES)?;
+            let is_unknown = |record: &&record::Record| {
+                record.crashes.len() >= REJECT_CRASHES && !record.was_current()
+            };
+            let record = record.filter(is_unknown)?;
             Some(rejection(*id, record, false, next_turn(record, now), now))
         };
         suspects.iter().find_map(is_doubtful)
@@ -409,7 +424,12 @@
 
     /// The suspect that is taken for the cause of at least `min` crashes.
     fn guilty_suspect(&self, suspects: &[SuspectId], min: usize) -> Option<SuspectId> {
-        let is_spent = |id: &SuspectId| id.is_request() && self.crashes(id) >= MAX_TRIED_CRASHES;
+        let is_spent = |id: &SuspectId| {
+            let record = id.is_request().then(|| self.records.get(id)).flatten();
+            record.is_some_and(|record| {
+                record.crashes.len() >= MAX_TRIED_CRASHES && !record.was_current()
+            })
+        };
         if let Some(spent) = suspects.iter().copied().find(is_spent) {
             return Some(spent);
         }
@@ -419,16 +439,20 @@
         guilty.map(|(id, _)| id)
     }
 
-    /// Number of crashes of a suspect that no suspect outside the request explains which was lost as
-    /// often; those at about the same moment count once.
+    /// Number of crashes of a suspect that no suspect outside the request explains: one that was lost as
+    /// often, or more than once and never answered while this one is answered all the time. Those at
+    /// about the same moment count once.
     fn unexplained_crashes(&self, id: SuspectId, own: &[SuspectId]) -> usize {
         let Some(record) = self.records.get(&id) else { return 0 };
+        let is_current = record.was_current();
+        let is_rival = |rival: &record::Record| {
+            let is_unanswered = rival.answered_at.is_zero() && rival.crashes.len() >= RETRY_CRASHES;
+            rival.crashes.len() >= record.crashes.len() || (is_current && is_unanswered)
+        };
         let others: SmallVec<[&record::Record; 8]> = self
             .records
             .iter()
-            .filter(|(other, rival)| {
-                rival.crashes.len() >= record.crashes.len() && !own.contains(other)
-            })
+            .filter(|(other, rival)| is_rival(rival) && !own.contains(other))
             .map(|(_, rival)| rival)
             .collect();
         let is_explained = |crash: &Crash| {
--- a/crates/gateway/src/decision/quarantine/record.rs
+++ b/crates/gateway/src/decision/quarantine/record.rs
@@ -19,6 +19,9 @@
 /// Number of crashes from which on those of a request are remembered for [`FORGET_REQUEST`].
 const MANY_CRASHES: usize = 3;
 
+/// Time since the last answer of what comes often.
+const CURRENT: Duration = Duration::from_secs(5);
+
 /// What is known about a suspect that was part of a crash.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Record {
@@ -72,6 +75,13 @@
         suspect::Suspect { id, crashes: self.crashes.clone(), answered_at: self.answered_at }
     }
 
+    /// Whether it was answered shortly before the first of its crashes, as what comes often and is
+    /// sound is.
+    pub(super) fn was_current(&self) -> bool {
+        let first = self.crashes.iter().map(|crash| crash.at).min().unwrap_or_default();
+        !self.answered_at.is_zero() && first.saturating_sub(self.answered_at) < CURRENT
+    }
+
     pub(super) fn last_crash(&self) -> crash::TimeOfDay {
         self.crashes.iter().map(|crash| crash.at).max().unwrap_or_default()
     }
--- a/crates/gateway/src/proxy/screening.rs
+++ b/crates/gateway/src/proxy/screening.rs
@@ -145,6 +145,11 @@
         let state = &self.state;
         self.log_loss(target, true);
         state.metrics.lost_prompts.inc();
+        let answered_at = state.answered.borrow().last(self.identity().hash(state.hash_seed));
+        if let Some(at) = answered_at {
+            let id = quarantine::SuspectId::Request(self.digest());
+            state.quarantine.borrow_mut().remember_answer(id, at);
+        }
         suspects::record_crash(state, suspects, crash);
     }
 
@@ -188,6 +193,8 @@
     /// Records that the answer is complete.
     pub(super) fn record_answer(&mut self) {
         self.is_recorded = true;
+        let hash = self.identity().hash(self.state.hash_seed);
+        self.state.answered.borrow_mut().record(hash, self.began_at);
         suspects::record_answer(&self.state, &self.known_suspects(), self.began_at);
     }
 
--- a/crates/gateway/src/request_digest.rs
+++ b/crates/gateway/src/request_digest.rs
@@ -20,6 +20,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use sha2::Digest as _;
+use xxhash_rust::xxh3;
 
 /// What two requests have in common if they are the same.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,6 +57,20 @@
     }
 }
 
+impl Identity<'_> {
+    /// Hash of the request for use within one process, which is far cheaper than the digest.
+    #[must_use]
+    pub fn hash(&self, seed: u64) -> u64 {
+        let mut hasher = xxh3::Xxh3::with_seed(seed);
+        let parts = [self.method, self.host, self.target, self.team.unwrap_or_default()];
+        for part in parts.map(str::as_bytes).into_iter().chain([self.body]) {
+            hasher.update(&part.len().to_ne_bytes());
+            hasher.update(part);
+        }
+        hasher.digest()
+    }
+}
+
 /// First half of the SHA-256 digest of a request: callers can't make up another request that has it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,6 +13,7 @@
 use crate::clock;
 use crate::codec;
 use crate::configuration;
+use crate::decision::answered_requests;
 use crate::decision::arrival_rate;
 use crate::decision::backend_limit;
 use crate::decision::engine_partition;
@@ -34,10 +35,6 @@
 use crate::proxy::pool;
 use crate::settings;
 
-/// Time for which all others must have counted a gateway before it does: its messages have told them
-/// what an earlier process of its VM found.
-const TRIAL_WINDOW: Duration = Duration::from_secs(10);
-
 /// Which new requests a gateway admits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -96,6 +93,10 @@
     pub read_segments: cell::RefCell<collections::BTreeSet<peers::CachedSegment>>,
     /// Prompt segments and requests that crash backend servers.
     pub quarantine: cell::RefCell<quarantine::Quarantine>,
+    /// When requests were last answered.
+    pub answered: cell::RefCell<answered_requests::AnsweredRequests>,
+    /// Seed of the hashes of answered requests.
+    pub hash_seed: u64,
     /// Number of changes that are news for the other gateways or the store.
     pub news: sync::watch::Sender<u64>,
     /// Limits that backend servers name.
@@ -150,6 +151,8 @@
         let spread = f64::from(directory::id_hash(&settings.node)) / f64::from(u32::MAX);
         Self {
             quarantine: cell::RefCell::new(quarantine::Quarantine::new(spread)),
+            answered: cell::RefCell::default(),
+            hash_seed: rand::random(),
             news: sync::watch::Sender::new(0),
             backend_limits: cell::RefCell::default(),
             waiting_lines: cell::RefCell::default(),
@@ -246,13 +249,13 @@
     }
 
     /// Whether this gateway may send a request that shows whether a suspect still crashes backend
-    /// servers: it is its turn, the others know it, and what they find reaches it.
+    /// servers: it is its turn, the others that run have heard of it, and what they find reaches it.
     #[must_use]
     pub fn may_try(&self, suspect: &quarantine::SuspectId) -> bool {
         let now = self.clock.now();
-        let standing = self.membership.borrow().standing(TRIAL_WINDOW, now);
+        let has_joined = self.membership.borrow().has_joined(turn::TURN, now);
         let (node, peers) = (&self.settings.node, self.peers.borrow());
-        standing == membership::Standing::Counted
+        has_joined
             && !peers.is_cut_off(now)
             && turn::is_turn(suspect, node, peers.names(), self.time_of_day())
     }
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -477,3 +477,52 @@
         expect_that!(quarantine.may_risk(suspects, living, known), eq(expected), "{name}");
     }
 }
+
+/// Crashes of a sound request that comes all the time, some under a guilty one and some alone.
+#[gtest]
+fn a_request_that_was_answered_until_its_crashes_is_rejected_only_for_those_that_count() {
+    let (popular, guilty) = (whole(1), whole(2));
+    let spread = |n: u64| (at(n * 1_000), at(n * 1_000 + 90));
+    let at_once = |n: u64| (at(1_000), at(1_090 + n));
+    /// Whether the popular request was lost at a crash, and whether the guilty one was.
+    type Lost = [(bool, bool); 6];
+    let both: Lost = [(true, true); 6];
+    let more: Lost =
+        [(true, true), (true, true), (true, false), (true, false), (false, false), (false, false)];
+    let alone: Lost = [
+        (true, false),
+        (true, false),
+        (true, false),
+        (true, false),
+        (false, false),
+        (false, false),
+    ];
+    let table = [
+        ("with the guilty one, answered just before", both, Some(900), false, None),
+        ("with the guilty one, never answered", both, None, false, Some(true)),
+        ("with the guilty one, answered long before", both, Some(1), false, Some(true)),
+        ("more often than the guilty one", more, Some(900), false, None),
+        ("alone", alone, Some(900), false, Some(true)),
+        ("alone, at one moment", alone, Some(900), true, None),
+        ("alone, at one moment, never answered", alone, None, true, Some(false)),
+    ];
+    for (name, lost, answered_ms, is_at_once, expected) in table {
+        let mut quarantine = quarantine::Quarantine::new(0.0);
+        if let Some(millis) = answered_ms {
+            let began_at = if millis == 1 { at(0) - Duration::from_secs(10) } else { at(millis) };
+            quarantine.remember_answer(popular, began_at);
+        }
+        for (n, (has_popular, has_guilty)) in (1_u64..).zip(lost) {
+            let (sent_at, at) = if is_at_once { at_once(n) } else { spread(n) };
+            let crash = quarantine::Crash { backend_hash: n as u32, started_ms: 1, sent_at, at };
+            let suspects = [(has_guilty, guilty), (has_popular, popular)];
+            for (_, suspect) in suspects.iter().filter(|(is_lost, _)| *is_lost) {
+                quarantine.record_crash(&[*suspect], crash);
+            }
+        }
+        let rejection = quarantine.find_rejection(&[popular], at(9_000));
+        expect_that!(rejection.map(|rejection| rejection.is_guilty), eq(expected), "{name}");
+        let is_risky = !quarantine.may_risk(&[popular], 1, 3);
+        expect_that!(is_risky, eq(answered_ms != Some(900)), "{name}");
+    }
+}
