refactor(gateway): judgement and telling of suspects are files of their own

Change: code moves, nothing else: judgement, telling; the tests of whole requests; the load of the simulated fleet before servers that crash.

--- a/crates/gateway/src/decision/quarantine.rs
+++ b/crates/gateway/src/decision/quarantine.rs
@@ -63,17 +63,16 @@
 //! ```
 
 mod crash;
+mod judgement;
 mod record;
 mod rejection;
 mod suspect;
+mod telling;
 pub mod turn;
 
-use std::cmp;
 use std::collections;
 use std::time::Duration;
 
-use smallvec::SmallVec;
-
 pub use crash::Crash;
 pub use record::MAX_CRASHES;
 pub use rejection::Admission;
@@ -83,14 +82,11 @@
 pub use suspect::Suspect;
 pub use suspect::SuspectId;
 pub use suspect::Suspects;
+pub use telling::MAX_TOLD;
 
 /// Crashes without an answer since after which requests with a suspect are rejected.
 pub const REJECT_CRASHES: usize = 3;
 
-/// Crashes without an answer since after which a request that lost its backend server is not
-/// retried.
-const RETRY_CRASHES: usize = 2;
-
 /// Crashes without an answer since from which on a request is rejected whatever else was lost, and a
 /// suspect gets no trial before its hold ends.
 pub const MAX_TRIED_CRASHES: usize = 5;
@@ -112,21 +108,9 @@
 /// Maximum number of requests that were given up and may still crash their backend servers.
 const MAX_WITHDRAWALS: usize = 256;
 
-/// Interval between two trials of a gateway after the hold.
-pub const TRIAL_INTERVAL: Duration = Duration::from_secs(60);
-
-/// Time for which other gateways are told of a change of a suspect with few crashes.
-const TELL_CHANGES: Duration = Duration::from_secs(10);
-
 /// Maximum number of suspects that are remembered.
 const MAX_SUSPECTS: usize = 1_024;
 
-/// Maximum number of suspects that are told in one message.
-pub const MAX_TOLD: usize = 32;
-
-/// Suspects in a message that are chosen by their last change, in turn; the rest by their crashes.
-const TOLD_CHANGES: usize = 16;
-
 /// Maximum number of segments whose last answer is remembered.
 const MAX_ANSWERS: usize = 4_096;
 
@@ -171,18 +155,6 @@
         self.records.values().any(|record| record.crashes.iter().any(is_run))
     }
 
-    /// Whether a request with these suspects may be sent to a service that has `known` backend
-    /// servers, `living` of which are not known to have ended. One that has lost a server isn't
-    /// sent to the last one of them, which the others need, unless it is answered all the time.
-    #[must_use]
-    pub fn may_risk(&self, suspects: &[SuspectId], living: usize, known: usize) -> bool {
-        let is_lost = |id: &SuspectId| {
-            let record = id.is_request().then(|| self.records.get(id)).flatten();
-            record.is_some_and(|record| !record.crashes.is_empty() && !record.was_current())
-        };
-        living > 1 || known <= 1 || !suspects.iter().any(is_lost)
-    }
-
     /// Records that the backend server of a request with these suspects ended before the request was
     /// answered; returns whether this is news for the other gateways.
     pub fn record_crash(&mut self, suspects: &[SuspectId], crash: Crash) -> bool {
@@ -289,180 +261,6 @@
         is_news
     }
 
-    /// What the other gateways are told in the next message: recent changes, in turn if they are
-    /// many, and the suspects with the most crashes.
-    #[must_use]
-    pub fn tell(&mut self, now: crash::TimeOfDay) -> Vec<Suspect> {
-        let is_recent =
-            |record: &record::Record| now.saturating_sub(record.last_change()) < TELL_CHANGES;
-        let mut recent: Vec<_> =
-            self.records.iter().filter(|(_, record)| is_recent(record)).collect();
-        recent.sort_unstable_by_key(|(id, record)| (cmp::Reverse(record.last_change()), **id));
-        if recent.len() > TOLD_CHANGES {
-            let first = self.messages * TOLD_CHANGES % recent.len();
-            recent.rotate_left(first);
-        }
-        let rest = recent.split_off(recent.len().min(TOLD_CHANGES));
-        let known = self
-            .records
-            .iter()
-            .filter(|(_, record)| record.crashes.len() >= REJECT_CRASHES && !is_recent(record));
-        let mut known: Vec<_> = rest.into_iter().chain(known).collect();
-        known.sort_unstable_by_key(|(id, record)| (cmp::Reverse(record.crashes.len()), **id));
-        self.messages = self.messages.wrapping_add(1);
-        let told = recent.iter().chain(&known).take(MAX_TOLD);
-        told.map(|(id, record)| record.suspect(**id)).collect()
-    }
-
-    /// Suspects that this gateway has to save in the store, for a fleet whose processes all end at
-    /// once. Only gateways whose own requests were part of a crash save it.
-    #[must_use]
-    pub fn unsaved(&self) -> Vec<Suspect> {
-        let is_needed = |id: &SuspectId, record: &record::Record| {
-            record.has_rejected || (id.is_request() && record.crashes.len() >= SAVE_CRASHES)
-        };
-        let is_unsaved = |(id, record): &(&SuspectId, &record::Record)| {
-            record.is_own && !record.is_saved && is_needed(id, record)
-        };
-        let records = self.records.iter().filter(is_unsaved);
-        records.map(|(id, record)| record.suspect(*id)).collect()
-    }
-
-    /// Records that a request was rejected for a suspect.
-    pub fn mark_rejected(&mut self, id: &SuspectId) {
-        if let Some(record) = self.records.get_mut(id) {
-            record.has_rejected = true;
-        }
-    }
-
-    /// Records that the store has a suspect.
-    pub fn mark_saved(&mut self, saved: &Suspect) {
-        if let Some(record) = self.records.get_mut(&saved.id) {
-            record.is_saved = record.crashes == saved.crashes;
-        }
-    }
-
-    /// Records that the store may have lost what was saved.
-    pub fn forget_saved(&mut self) {
-        self.records.values_mut().for_each(|record| record.is_saved = false);
-    }
-
-    /// Whether what was saved about a suspect is of no use any more: it was answered since, or its
-    /// last crash is long ago.
-    #[must_use]
-    pub fn is_obsolete(&self, saved: &Suspect, now: crash::TimeOfDay) -> bool {
-        let answer = self.answers.get(&saved.id).copied().unwrap_or_default();
-        let record = self.records.get(&saved.id);
-        let answered_at = record.map_or(answer, |record| record.answered_at.max(answer));
-        let forget = record::forget_after(&saved.id, saved.crashes.len());
-        let is_open =
-            |crash: &Crash| crash.at > answered_at && now.saturating_sub(crash.at) < forget;
-        !saved.crashes.iter().any(is_open)
-    }
-
-    /// Whether a request that lost its backend server may be retried: not if one of its suspects was
-    /// lost before.
-    #[must_use]
-    pub fn may_retry(&self, suspects: &[SuspectId]) -> bool {
-        let is_lost = |id: &SuspectId| id.is_request() && self.crashes(id) >= RETRY_CRASHES;
-        !suspects.iter().any(is_lost) && self.guilty_suspect(suspects, RETRY_CRASHES).is_none()
-    }
-
-    /// Decides whether a request with these suspects may be sent, and records it if it is a trial.
-    ///
-    /// # Errors
-    ///
-    /// If one of the suspects is kept from backend servers.
-    pub fn admit(
-        &mut self,
-        suspects: &[SuspectId],
-        now: crash::TimeOfDay,
-    ) -> Result<Admission, Rejection> {
-        let Some(rejection) = self.find_rejection(suspects, now) else {
-            return Ok(Admission::Normal);
-        };
-        let Some(record) = self.records.get_mut(&rejection.suspect) else {
-            return Ok(Admission::Normal);
-        };
-        if rejection.time_left.is_zero() {
-            record.trial_at = now;
-            return Ok(Admission::Trial);
-        }
-        record.has_rejected = true;
-        Err(rejection)
-    }
-
-    /// Why a request with these suspects is rejected; the time left is zero if a trial may be sent.
-    /// `None` if none of them is kept from backend servers.
-    #[must_use]
-    pub fn find_rejection(
-        &self,
-        suspects: &[SuspectId],
-        now: crash::TimeOfDay,
-    ) -> Option<Rejection> {
-        if let Some(suspect) = self.guilty_suspect(suspects, REJECT_CRASHES) {
-            let record = self.records.get(&suspect)?;
-            let is_tried =
-                !record.answered_at.is_zero() && record.crashes.len() < MAX_TRIED_CRASHES;
-            let trial_at = if is_tried {
-                next_turn(record, now)
-            } else {
-                (record.last_crash() + self.hold).max(record.trial_at + TRIAL_INTERVAL)
-            };
-            return Some(rejection(suspect, record, true, trial_at, now));
-        }
-        let is_doubtful = |id: &SuspectId| {
-            let record = id.is_request().then(|| self.records.get(id)).flatten();
-            let is_unknown = |record: &&record::Record| {
-                record.crashes.len() >= REJECT_CRASHES && !record.was_current()
-            };
-            let record = record.filter(is_unknown)?;
-            Some(rejection(*id, record, false, next_turn(record, now), now))
-        };
-        suspects.iter().find_map(is_doubtful)
-    }
-
-    /// The suspect that is taken for the cause of at least `min` crashes.
-    fn guilty_suspect(&self, suspects: &[SuspectId], min: usize) -> Option<SuspectId> {
-        let is_spent = |id: &SuspectId| {
-            let record = id.is_request().then(|| self.records.get(id)).flatten();
-            record.is_some_and(|record| {
-                record.crashes.len() >= MAX_TRIED_CRASHES && !record.was_current()
-            })
-        };
-        if let Some(spent) = suspects.iter().copied().find(is_spent) {
-            return Some(spent);
-        }
-        let lost = suspects.iter().copied().filter(|id| self.crashes(id) >= min);
-        let counted = lost.map(|id| (id, self.unexplained_crashes(id, suspects)));
-        let guilty = counted.filter(|(_, count)| *count >= min).max_by_key(|(_, count)| *count);
-        guilty.map(|(id, _)| id)
-    }
-
-    /// Number of crashes of a suspect that no suspect outside the request explains: one that was lost as
-    /// often, or more than once and never answered while this one is answered all the time. Those at
-    /// about the same moment count once.
-    fn unexplained_crashes(&self, id: SuspectId, own: &[SuspectId]) -> usize {
-        let Some(record) = self.records.get(&id) else { return 0 };
-        let is_current = record.was_current();
-        let is_rival = |rival: &record::Record| {
-            let is_unanswered = rival.answered_at.is_zero() && rival.crashes.len() >= RETRY_CRASHES;
-            rival.crashes.len() >= record.crashes.len() || (is_current && is_unanswered)
-        };
-        let others: SmallVec<[&record::Record; 8]> = self
-            .records
-            .iter()
-            .filter(|(other, rival)| is_rival(rival) && !own.contains(other))
-            .map(|(_, rival)| rival)
-            .collect();
-        let is_explained = |crash: &Crash| {
-            others.iter().any(|rival| rival.crashes.iter().any(|other| other.is_same(crash)))
-        };
-        let unexplained = record.crashes.iter().filter(|crash| !is_explained(crash));
-        let mut unexplained: SmallVec<[Crash; 8]> = unexplained.copied().collect();
-        crash::count_causes(&mut unexplained)
-    }
-
     /// The record of a suspect, a new one if there is none; `None` if there is no room for it.
     fn record_mut(&mut self, id: SuspectId, now: crash::TimeOfDay) -> Option<&mut record::Record> {
         if !self.records.contains_key(&id) {
@@ -486,7 +284,11 @@
         self.records.retain(|id, record| {
             let age = now.saturating_sub(record.last_change());
             let crashes = record.crashes.len();
-            age < if crashes == 0 { TELL_CHANGES } else { record::forget_after(id, crashes) }
+            age < if crashes == 0 {
+                telling::TELL_CHANGES
+            } else {
+                record::forget_after(id, crashes)
+            }
         });
         if self.records.len() < MAX_SUSPECTS {
             return;
@@ -498,24 +300,3 @@
         }
     }
 }
-
-/// When this gateway may send the next of the trials that are sent in turn.
-fn next_turn(record: &record::Record, now: crash::TimeOfDay) -> crash::TimeOfDay {
-    let is_new = turn::number(record.trial_at) != turn::number(now);
-    if is_new { now } else { now + turn::time_left(now) }
-}
-
-fn rejection(
-    suspect: SuspectId,
-    record: &record::Record,
-    is_guilty: bool,
-    trial_at: crash::TimeOfDay,
-    now: crash::TimeOfDay,
-) -> Rejection {
-    let crashes = record.crashes.len();
-    let forgotten_at = record.last_crash() + record::forget_after(&suspect, crashes);
-    let is_final = suspect.is_request() && crashes >= MAX_TRIED_CRASHES;
-    let until = if is_final { forgotten_at } else { trial_at };
-    let time_left = until.saturating_sub(now);
-    Rejection { suspect, crashes, is_guilty, time_left, is_first: !record.has_rejected }
-}
--- /dev/null
+++ b/crates/gateway/src/decision/quarantine/judgement.rs
@@ -0,0 +1,162 @@
+//! Which requests are kept from backend servers, by what is known of their suspects.
+
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use super::Quarantine;
+use super::crash;
+use super::record;
+use super::rejection;
+use super::suspect;
+use super::turn;
+
+/// Crashes without an answer since after which a request that lost its backend server is not
+/// retried.
+const RETRY_CRASHES: usize = 2;
+
+/// Interval between two trials of a gateway after the hold.
+const TRIAL_INTERVAL: Duration = Duration::from_secs(60);
+
+impl Quarantine {
+    /// Whether a request with these suspects may be sent to a service that has `known` backend
+    /// servers, `living` of which are not known to have ended. One that has lost a server isn't
+    /// sent to the last one of them, which the others need, unless it is answered all the time.
+    #[must_use]
+    pub fn may_risk(&self, suspects: &[suspect::SuspectId], living: usize, known: usize) -> bool {
+        let is_lost = |id: &suspect::SuspectId| {
+            let record = id.is_request().then(|| self.records.get(id)).flatten();
+            record.is_some_and(|record| !record.crashes.is_empty() && !record.was_current())
+        };
+        living > 1 || known <= 1 || !suspects.iter().any(is_lost)
+    }
+
+    /// Whether a request that lost its backend server may be retried: not if one of its suspects was
+    /// lost before.
+    #[must_use]
+    pub fn may_retry(&self, suspects: &[suspect::SuspectId]) -> bool {
+        let is_lost =
+            |id: &suspect::SuspectId| id.is_request() && self.crashes(id) >= RETRY_CRASHES;
+        !suspects.iter().any(is_lost) && self.guilty_suspect(suspects, RETRY_CRASHES).is_none()
+    }
+
+    /// Decides whether a request with these suspects may be sent, and records it if it is a trial.
+    ///
+    /// # Errors
+    ///
+    /// If one of the suspects is kept from backend servers.
+    pub fn admit(
+        &mut self,
+        suspects: &[suspect::SuspectId],
+        now: crash::TimeOfDay,
+    ) -> Result<rejection::Admission, rejection::Rejection> {
+        let Some(rejection) = self.find_rejection(suspects, now) else {
+            return Ok(rejection::Admission::Normal);
+        };
+        let Some(record) = self.records.get_mut(&rejection.suspect) else {
+            return Ok(rejection::Admission::Normal);
+        };
+        if rejection.time_left.is_zero() {
+            record.trial_at = now;
+            return Ok(rejection::Admission::Trial);
+        }
+        record.has_rejected = true;
+        Err(rejection)
+    }
+
+    /// Why a request with these suspects is rejected; the time left is zero if a trial may be sent.
+    /// `None` if none of them is kept from backend servers.
+    #[must_use]
+    pub fn find_rejection(
+        &self,
+        suspects: &[suspect::SuspectId],
+        now: crash::TimeOfDay,
+    ) -> Option<rejection::Rejection> {
+        if let Some(suspect) = self.guilty_suspect(suspects, super::REJECT_CRASHES) {
+            let record = self.records.get(&suspect)?;
+            let is_tried =
+                !record.answered_at.is_zero() && record.crashes.len() < super::MAX_TRIED_CRASHES;
+            let trial_at = if is_tried {
+                next_turn(record, now)
+            } else {
+                (record.last_crash() + self.hold).max(record.trial_at + TRIAL_INTERVAL)
+            };
+            return Some(rejection(suspect, record, true, trial_at, now));
+        }
+        let is_doubtful = |id: &suspect::SuspectId| {
+            let record = id.is_request().then(|| self.records.get(id)).flatten();
+            let is_unknown = |record: &&record::Record| {
+                record.crashes.len() >= super::REJECT_CRASHES && !record.was_current()
+            };
+            let record = record.filter(is_unknown)?;
+            Some(rejection(*id, record, false, next_turn(record, now), now))
+        };
+        suspects.iter().find_map(is_doubtful)
+    }
+
+    /// The suspect that is taken for the cause of at least `min` crashes.
+    fn guilty_suspect(
+        &self,
+        suspects: &[suspect::SuspectId],
+        min: usize,
+    ) -> Option<suspect::SuspectId> {
+        let is_spent = |id: &suspect::SuspectId| {
+            let record = id.is_request().then(|| self.records.get(id)).flatten();
+            record.is_some_and(|record| {
+                record.crashes.len() >= super::MAX_TRIED_CRASHES && !record.was_current()
+            })
+        };
+        if let Some(spent) = suspects.iter().copied().find(is_spent) {
+            return Some(spent);
+        }
+        let lost = suspects.iter().copied().filter(|id| self.crashes(id) >= min);
+        let counted = lost.map(|id| (id, self.unexplained_crashes(id, suspects)));
+        let guilty = counted.filter(|(_, count)| *count >= min).max_by_key(|(_, count)| *count);
+        guilty.map(|(id, _)| id)
+    }
+
+    /// Number of crashes of a suspect that no suspect outside the request explains: one that was lost as
+    /// often, or more than once and never answered while this one is answered all the time. Those at
+    /// about the same moment count once.
+    fn unexplained_crashes(&self, id: suspect::SuspectId, own: &[suspect::SuspectId]) -> usize {
+        let Some(record) = self.records.get(&id) else { return 0 };
+        let is_current = record.was_current();
+        let is_rival = |rival: &record::Record| {
+            let is_unanswered = rival.answered_at.is_zero() && rival.crashes.len() >= RETRY_CRASHES;
+            rival.crashes.len() >= record.crashes.len() || (is_current && is_unanswered)
+        };
+        let others: SmallVec<[&record::Record; 8]> = self
+            .records
+            .iter()
+            .filter(|(other, rival)| is_rival(rival) && !own.contains(other))
+            .map(|(_, rival)| rival)
+            .collect();
+        let is_explained = |crash: &crash::Crash| {
+            others.iter().any(|rival| rival.crashes.iter().any(|other| other.is_same(crash)))
+        };
+        let unexplained = record.crashes.iter().filter(|crash| !is_explained(crash));
+        let mut unexplained: SmallVec<[crash::Crash; 8]> = unexplained.copied().collect();
+        crash::count_causes(&mut unexplained)
+    }
+}
+
+/// When this gateway may send the next of the trials that are sent in turn.
+fn next_turn(record: &record::Record, now: crash::TimeOfDay) -> crash::TimeOfDay {
+    let is_new = turn::number(record.trial_at) != turn::number(now);
+    if is_new { now } else { now + turn::time_left(now) }
+}
+
+fn rejection(
+    suspect: suspect::SuspectId,
+    record: &record::Record,
+    is_guilty: bool,
+    trial_at: crash::TimeOfDay,
+    now: crash::TimeOfDay,
+) -> rejection::Rejection {
+    let crashes = record.crashes.len();
+    let forgotten_at = record.last_crash() + record::forget_after(&suspect, crashes);
+    let is_final = suspect.is_request() && crashes >= super::MAX_TRIED_CRASHES;
+    let until = if is_final { forgotten_at } else { trial_at };
+    let time_left = until.saturating_sub(now);
+    rejection::Rejection { suspect, crashes, is_guilty, time_left, is_first: !record.has_rejected }
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod addresses;
 pub mod crash_fleet;
+pub mod crash_load;
 pub mod fleet;
 pub mod fragile;
 pub mod gossiping;
