fix(gateway): a request that was answered until its crashes gets trials after the hold

Change: one function says what gets no trial any more, for the choice and for the time. Why it works: the time left follows from the same condition as the verdict. Test: only_requests_that_were_not_answered_until_their_crashes_get_no_trial_after_the_hold failed before.

--- a/crates/gateway/src/decision/quarantine/judgement.rs
+++ b/crates/gateway/src/decision/quarantine/judgement.rs
@@ -101,10 +101,7 @@
         min: usize,
     ) -> Option<suspect::SuspectId> {
         let is_spent = |id: &suspect::SuspectId| {
-            let record = id.is_request().then(|| self.records.get(id)).flatten();
-            record.is_some_and(|record| {
-                record.crashes.len() >= super::MAX_TRIED_CRASHES && !record.was_current()
-            })
+            self.records.get(id).is_some_and(|record| is_spent(id, record))
         };
         if let Some(spent) = suspects.iter().copied().find(is_spent) {
             return Some(spent);
@@ -146,6 +143,11 @@
     if is_new { now } else { now + turn::time_left(now) }
 }
 
+/// Whether a request gets no trial any more, whatever else was lost beside it.
+fn is_spent(id: &suspect::SuspectId, record: &record::Record) -> bool {
+    id.is_request() && record.crashes.len() >= super::MAX_TRIED_CRASHES && !record.was_current()
+}
+
 fn rejection(
     suspect: suspect::SuspectId,
     record: &record::Record,
@@ -155,8 +157,7 @@
 ) -> rejection::Rejection {
     let crashes = record.crashes.len();
     let forgotten_at = record.last_crash() + record::forget_after(&suspect, crashes);
-    let is_final = suspect.is_request() && crashes >= super::MAX_TRIED_CRASHES;
-    let until = if is_final { forgotten_at } else { trial_at };
+    let until = if is_spent(&suspect, record) { forgotten_at } else { trial_at };
     let time_left = until.saturating_sub(now);
     rejection::Rejection { suspect, crashes, is_guilty, time_left, is_first: !record.has_rejected }
 }
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -1,6 +1,10 @@
 //! Records what crashes and answers show about suspects, logs it and passes it on; see
 //! [`crate::decision::quarantine`].
 
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
 use crate::decision::quarantine;
 use crate::state;
 
@@ -25,7 +29,7 @@
 pub(crate) fn record_answer(
     state: &state::State,
     suspects: &[quarantine::SuspectId],
-    began_at: std::time::Duration,
+    began_at: Duration,
 ) {
     let before = counts(state, suspects);
     let now = state.time_of_day();
@@ -52,7 +56,7 @@
     is_news
 }
 
-type Counts = smallvec::SmallVec<[usize; 4]>;
+type Counts = SmallVec<[usize; 4]>;
 
 /// Number of crashes of each suspect since its last answer.
 fn counts(state: &state::State, suspects: &[quarantine::SuspectId]) -> Counts {
--- a/crates/gateway/tests/quarantined_requests.rs
+++ b/crates/gateway/tests/quarantined_requests.rs
@@ -158,3 +158,21 @@
         expect_that!(is_risky, eq(answered_ms != Some(900)), "{name}");
     }
 }
+
+#[gtest]
+fn only_requests_that_were_not_answered_until_their_crashes_get_no_trial_after_the_hold() {
+    for (answered_at, is_tried) in [(Some(at(900)), true), (None, false)] {
+        let mut quarantine = quarantine::Quarantine::new(0.0);
+        if let Some(answered_at) = answered_at {
+            quarantine.remember_answer(whole(1), answered_at);
+        }
+        for n in 1..=6 {
+            let (sent_at, at) = (at(n * 1_000), at(n * 1_000 + 90));
+            let crash = quarantine::Crash { backend_hash: n as u32, started_ms: 1, sent_at, at };
+            quarantine.record_crash(&[whole(1)], crash);
+        }
+        expect_that!(quarantine.admit(&[whole(1)], at(7_000)), err(anything()));
+        let after_hold = quarantine.admit(&[whole(1)], at(700_000));
+        expect_that!(after_hold.is_ok(), eq(is_tried), "answered at {answered_at:?}");
+    }
+}
