review: a limit of 0 makes the handler of a connection panic (LOST)

The wait for a place at a server with a limit of 0 is the largest duration there is; dividing it by 0.75 panics, and the client's connection is closed without an answer.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,95 +1,100 @@
-"""A drill: the store is away for a moment and comes back from a copy some seconds old, in which a key is
-valid that was taken away since. One machine is restarted in a planned way meanwhile."""
+"""One of two replicas is in need and takes no requests: it names Server-Limit 0. The other one is sound
+and answers part of the lookups with its own 500, as it always does."""
 
 import asyncio
 import os
-import signal
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib"))
 import rig  # noqa: E402
 
-REVOKE_S = 5
-# The operator writes again as soon as the pages say that replicas have.
-OPERATOR_S = 2
+MACHINES = 4
+TIMEOUT_MS = 4000
+ROUNDS = 100
+# Each seventh lookup fails, as the site file's share of errors says.
+FAILS_EACH = 7
 
 
 async def case(record, work_folder, machines, trouble):
     store = rig.Store(record)
     await store.start()
-    routes = [rig.route("credit", "non_idempotent", "billing")]
+    routes = [rig.route("lookup", "idempotent", "billing", timeout_ms=TIMEOUT_MS, attempts=2)]
+    store.put("op", "config", rig.configuration(7, routes, ["billing"], {"startup-1": ["key-a"]}))
+    in_need = False
+    arrivals = 0
 
-    def write(version, keys):
-        tenants = {"startup-1": keys, "startup-2": ["key-c"]}
-        store.put("op", "config", rig.configuration(version, routes, ["billing"], tenants))
-        record.line(f"operator: version {version} with the keys {' '.join(keys)} is acknowledged")
-        return record.now()
+    async def behave(replica, request, writer):
+        nonlocal arrivals
+        limit = "Server-Limit: 0\r\n" if in_need and replica.name == "i-0" else ""
+        replica.begin(request)
+        await asyncio.sleep(0.01)
+        arrivals += replica.name == "i-1"
+        fails = replica.name == "i-1" and arrivals % FAILS_EACH == 0
+        status = "500 Internal Server Error" if fails else "200 OK"
+        body = b"failed" if fails else b"account"
+        writer.write((replica.head(request, status, limit)
+                      + f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
+        await writer.drain()
+        return True
 
-    write(7, ["key-a", "key-b"])
-    replicas = [rig.Replica(f"i-{n}", "billing", record, store) for n in range(3)]
+    replicas = [rig.Replica(f"i-{n}", "billing", record, store, behave) for n in range(2)]
     for replica in replicas:
         await replica.start()
-    for number in range(3):
+    for number in range(MACHINES):
         machine = rig.Machine(f"edge-{number}", store, record, work_folder)
         machines.append(machine)
         machine.start()
     for machine in machines:
         await machine.wait_ready()
-    await asyncio.sleep(3)
-    sent = []
+    await asyncio.sleep(15)
 
-    async def send(machine, key):
-        name, at = f"r{len(sent):05d}", record.now()
-        sent.append((name, key, at))
-        answer = await rig.request(machine.port, "POST", "/credit/lodge", {
-            "Request-Id": name, "Deadline-Ms": 4000, "Authorization": f"Token {key}"}, b"credit", 4)
-        record.line(f"client: {name} with {key} to {machine.name}: {answer.status or answer.error}")
-        return answer.status
+    lost, answered = [], []
 
-    for machine in machines:
-        if await send(machine, "key-a") != 200:
-            raise rig.CannotRun("the key did not work before it was taken away")
-    copy = store.copy()
-    revoked_at = write(8, ["key-b"])
-    await asyncio.sleep(2)
-    for machine in machines:
-        if await send(machine, "key-a") != 401 or await send(machine, "key-b") != 200:
-            raise rig.CannotRun("the new version was not in force")
+    async def client(machine):
+        connection = None
+        for number in range(ROUNDS):
+            kept = connection is not None
+            if not kept:
+                connection = await asyncio.open_connection("127.0.0.1", machine.port)
+            reader, writer = connection
+            name = f"{machine.name}-{number:03d}"
+            started = record.now()
+            writer.write(rig.encode_request("GET", "/lookup/x", {
+                "Request-Id": name, "Deadline-Ms": TIMEOUT_MS, "Authorization": "Token key-a"}))
+            try:
+                answer = await asyncio.wait_for(rig.read_answer(reader), TIMEOUT_MS / 1000)
+            except (OSError, asyncio.TimeoutError) as error:
+                answer = rig.Answer()
+                answer.error = f"no answer: {type(error).__name__}"
+            took = record.now() - started
+            record.line(f"client: {name} on a {'kept' if kept else 'new'} connection: "
+                        f"{answer.status or answer.error} after {took:.3f} s")
+            if answer.status is None:
+                if kept and answer.error.startswith("closed"):
+                    lost.append(name)
+                writer.close()
+                connection = None
+            else:
+                answered.append((name, answer.status))
+            await asyncio.sleep(0.15)
+        if connection:
+            connection[1].close()
 
-    restarted = machines[0]
-    restarted.signal(signal.SIGTERM)
-    while restarted.process.poll() is None:
-        await asyncio.sleep(0.02)
-    record.line(f"machine {restarted.name} exited with {restarted.process.poll()}")
-    again = None
+    in_need = trouble
     if trouble:
-        store.go_away()
-        record.line("the store is away")
-        await asyncio.sleep(0.7)
-        store.come_back(copy)
-        record.line(f"the store is back from a copy, era {store.era}")
-
-        async def write_again():
-            await asyncio.sleep(OPERATOR_S)
-            write(8, ["key-b"])
-
-        again = asyncio.create_task(write_again())
-    await asyncio.sleep(0.3)
-    restarted.start()
-    until = record.now() + 8
-    while record.now() < until:
-        if await restarted.is_ready():
-            await send(restarted, "key-a")
-        await asyncio.sleep(0.1)
-    if again:
-        await again
-
-    ran = {name for replica in replicas for name, *_ in replica.runs}
-    return [f"CONFIG: {name} was sent {at - revoked_at:.1f} s after the acknowledgement that took its "
-            "key away, and ran"
-            for name, key, at in sent
-            if key == "key-a" and name in ran and at - revoked_at > REVOKE_S]
+        record.line("replica i-0 is in need and takes no requests")
+    await asyncio.gather(*(client(machine) for machine in machines))
+    if not any(status == 200 for _, status in answered):
+        raise rig.CannotRun("nothing was served")
+    ran_at_sound = {name for name, *_ in replicas[1].runs}
+    broken = [name for name in lost if name in ran_at_sound]
+    record.line(f"{len(answered)} requests were answered; {len(lost)} kept connections were closed without "
+                f"an answer, {len(broken)} of them after the request had been passed on to i-1")
+    if len(broken) > 3:
+        return [f"LOST: {len(broken)} requests from kept connections were passed on to the sound replica, and "
+                f"their connections closed without an answer: {' '.join(broken)}"]
+    return []
 
 
 rig.run(FOLDER, case)
--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -354,15 +354,21 @@
             "Tenants": [{"Name": n, "ApiKeys": k, "Priority": 1} for n, k in tenants.items()]}
 
 
+GIVEN_PORTS = set()
+
+
 def free_ports(count):
-    """The first of `count` successive ports that are free."""
+    """The first of `count` successive ports that are free and that no other machine was given."""
     for _ in range(200):
         first = random.randrange(10240, 30000)
+        if GIVEN_PORTS.intersection(range(first, first + count)):
+            continue
         try:
             for port in range(first, first + count):
                 for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
                     with socket.socket(socket.AF_INET, kind) as probe:
                         probe.bind(("127.0.0.1", port))
+            GIVEN_PORTS.update(range(first, first + count))
             return first
         except OSError:
             continue
