fix(gateway): a request that is taken during a planned stop isn't cut at the end of it

Cause: requests were admitted until a fixed 1.2 s before the end, whatever they take, and the process then exited over whatever still ran, also over responses that weren't written yet. Evidence: the record of the case; each cut request was still running at its server when the process exited. Change: a request is admitted if it is likely to end in time, by the newest requests of its service and at most its deadline; at the end what still runs gets a complete 503 (not sent) or 502 (may have run), and the process exits when that is written. The same for requests that wait for a place or a retry and for bodies that are still being read; streams end visibly. Tests: gateway::shutdown. With the fixed margin requests of the stop end without a status (29 were sent on, fewer answered); without the last responses all four kinds of request do. shutdown_rejects_streams_first_and_then_all_requests_with_503 sets the time of the shutdown in place of the admission that it led to, with the same checks.

--- /dev/null
+++ b/crates/gateway/src/decision/shutdown.rs
@@ -0,0 +1,71 @@
+//! Decides which requests a gateway that is shutting down still admits.
+//!
+//! Callers keep coming while no other gateway of the zone is ready, so a request is admitted as long
+//! as it is likely to end before the process does. A request that isn't is rejected before it is
+//! sent, so that the caller knows that it has not run. This answers rolling restarts, and the stop of
+//! most gateways of a zone at once.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use azuregap_gateway::decision::shutdown;
+//! use tokio::time;
+//!
+//! let now = time::Instant::now();
+//! let shutdown = shutdown::Shutdown::new(now, Duration::from_secs(8));
+//! let late = now + Duration::from_secs(6);
+//! assert!(shutdown.admits(false, Duration::from_millis(300), late));
+//! assert!(!shutdown.admits(false, Duration::from_secs(2), late));
+//! ```
+
+use std::time::Duration;
+
+use tokio::time;
+
+/// Time after a stop request during which new clients still connect, until the load balancer has
+/// seen two failed readiness checks. Checks are 1 s apart; the rest is time for the responses.
+const BALANCER_LAG: Duration = Duration::from_millis(2_600);
+
+/// Part of the grace period that is kept for the process to write its last responses and to exit.
+const EXIT_MARGIN: Duration = Duration::from_millis(500);
+
+/// The last phase of a process, from the stop request on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shutdown {
+    requested_at: time::Instant,
+    ends_at: time::Instant,
+}
+
+impl Shutdown {
+    /// Starts a shutdown; the process is killed after the grace period.
+    #[must_use]
+    pub fn new(now: time::Instant, grace_period: Duration) -> Self {
+        Self { requested_at: now, ends_at: now + grace_period.saturating_sub(EXIT_MARGIN) }
+    }
+
+    /// Whether a request is admitted. `duration` is how long it is likely to take, and at most the
+    /// time until its deadline.
+    ///
+    /// Streams are admitted only as long as callers can't know that the process stops: how long
+    /// they take varies too much.
+    #[must_use]
+    pub fn admits(&self, is_stream: bool, duration: Duration, now: time::Instant) -> bool {
+        if !self.may_exit(now) {
+            return true;
+        }
+        !is_stream && now + duration < self.ends_at
+    }
+
+    /// Whether the load balancer has had the time to notice, so that the process may exit as soon as
+    /// it serves no request.
+    #[must_use]
+    pub fn may_exit(&self, now: time::Instant) -> bool {
+        now.saturating_duration_since(self.requested_at) > BALANCER_LAG || self.has_ended(now)
+    }
+
+    /// Whether requests that still run get their final response now.
+    #[must_use]
+    pub fn has_ended(&self, now: time::Instant) -> bool {
+        now >= self.ends_at
+    }
+}
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -10,22 +10,15 @@
 
 use crate::clock;
 use crate::codec;
+use crate::decision::shutdown;
 use crate::proxy;
 use crate::service;
 use crate::settings;
 use crate::state;
 use crate::store;
 
-/// Time after a stop request during which new clients still connect, until the load balancer has
-/// seen two failed readiness checks. Checks are 1 s apart; the rest is time for the responses.
-const BALANCER_LAG: Duration = Duration::from_millis(2_600);
-
-/// Part of the grace period that is kept for the process to exit.
-const EXIT_MARGIN: Duration = Duration::from_millis(500);
-
-/// Time before the end of the grace period from which on every new request is rejected. It is twice
-/// the longest processing time of the non-streaming services in the sample deployments.
-const LAST_REQUESTS: Duration = Duration::from_millis(1_200);
+/// Longest time for writing the last responses before the process exits.
+const FLUSH_TIME: Duration = Duration::from_millis(300);
 
 /// Interval at which the settings are reread, since they may change without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
@@ -33,6 +26,9 @@
 /// Interval at which the shutdown checks for active requests.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Interval at which the shutdown checks for responses that are being written.
+const FLUSH_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Signals that a gateway handles.
 #[derive(Debug)]
 pub struct Signals {
@@ -139,27 +135,26 @@
     }
 }
 
-/// Waits for active requests to finish, at most for the grace period.
-async fn shut_down(state: &state::State) {
-    let started = time::Instant::now();
+/// Shuts a gateway down: waits for active requests to finish, at most for the grace period. Those that
+/// still run then get a complete response that says so, and the function returns once the responses
+/// are written.
+pub async fn shut_down(state: &state::State) {
+    let shutdown = shutdown::Shutdown::new(state.clock.now(), state.settings.grace_period);
     tracing::info!(active = state.active_requests.get(), "stop");
+    state.shutdown.set(Some(shutdown));
     state.stopping.send_replace(true);
-    let grace_period = state.settings.grace_period.saturating_sub(EXIT_MARGIN);
-    while started.elapsed() < grace_period {
-        if started.elapsed() > BALANCER_LAG {
-            // Clients keep connecting if no other gateway is ready, so requests other than streams
-            // are admitted until shortly before the end.
-            let is_closing = started.elapsed() > grace_period.saturating_sub(LAST_REQUESTS);
-            state.admission.set(if is_closing {
-                state::Admission::Closed
-            } else {
-                state::Admission::NoStreams
-            });
-            if state.active_requests.get() == 0 {
-                break;
-            }
-        }
+    let is_idle = |now| shutdown.may_exit(now) && state.active_requests.get() == 0;
+    while !is_idle(state.clock.now()) && !shutdown.has_ended(state.clock.now()) {
         time::sleep(DRAIN_INTERVAL).await;
     }
-    tracing::info!(active = state.active_requests.get(), "stopped");
+    let unfinished = state.active_requests.get();
+    state.exiting.send_replace(true);
+    let is_flushed = async {
+        while state.used_connections.get() > 0 {
+            time::sleep(FLUSH_INTERVAL).await;
+        }
+    };
+    // Clients that don't read their responses don't delay the exit any longer.
+    let flushed = time::timeout(FLUSH_TIME, is_flushed).await.is_ok();
+    tracing::info!(active = unfinished, flushed, "stopped");
 }
--- a/crates/gateway/src/proxy/admission.rs
+++ b/crates/gateway/src/proxy/admission.rs
@@ -2,6 +2,7 @@
 //! enough to rely on.
 
 use std::rc;
+use std::time::Duration;
 
 use azuregap_core::ids;
 use http::request;
@@ -78,9 +79,6 @@
     let host = host.or_else(|| head.uri.host()).unwrap_or_default();
     let route =
         configuration.find_route(host, head.uri.path()).ok_or_else(|| deny(Denial::NoRoute))?;
-    if !state.admission.get().admits(route.kind.is_stream()) {
-        return Err(Denial::Stopping);
-    }
     let team = if configuration.requires_key(&route) {
         if !freshness.may_trust_keys(now) || is_outdated {
             return Err(Denial::StaleConfiguration);
@@ -92,6 +90,9 @@
     };
     let draw = xxhash_rust::xxh3::xxh3_64(headers.id.as_bytes());
     let service = route.pick_service(draw).ok_or(Denial::StaleConfiguration)?.clone();
+    if !ends_before_exit(state, &route, &service, headers.timeout) {
+        return Err(Denial::Stopping);
+    }
     let ranks = configuration.ranks(team.as_deref(), &route, &service);
     Ok(Admitted {
         service,
@@ -102,3 +103,16 @@
         route,
     })
 }
+
+/// Whether a request is likely to end before the process does, if that is shutting down.
+fn ends_before_exit(
+    state: &state::State,
+    route: &configuration::Route,
+    service: &str,
+    timeout: Option<Duration>,
+) -> bool {
+    let Some(shutdown) = state.shutdown.get() else { return true };
+    let longest = timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
+    let likely = state.likely_duration(service).unwrap_or(longest).min(longest);
+    !*state.exiting.borrow() && shutdown.admits(route.kind.is_stream(), likely, state.clock.now())
+}
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -51,6 +51,8 @@
     pub(super) deadline: time::Instant,
     /// Number of sends after which the request may have been executed.
     pub(super) executions: u32,
+    /// Whether a send is in progress, after which the request may have been executed.
+    pub(super) in_flight: bool,
     /// Id of the last event that was relayed.
     pub(super) last_event: Option<u64>,
     /// Time of day at which the answer began.
@@ -115,6 +117,7 @@
             body,
             started,
             executions: 0,
+            in_flight: false,
             began_at: Duration::ZERO,
             first_byte: None,
             longest_gap: Duration::ZERO,
@@ -222,6 +225,7 @@
             self.sent_at = self.state.time_of_day();
             self.tried.push(target.id.clone());
             (self.preference, self.uncached_tokens) = (target.preference, target.uncached_tokens);
+            self.in_flight = true;
             let outcome = tokio::select! {
                 outcome = self.send(&target) => outcome,
                 rejection = self.wait_for_rejection() => {
@@ -229,6 +233,7 @@
                     return Err(self.withdraw(&rejection, &target));
                 }
             };
+            self.in_flight = false;
             drop(retry_guard);
             match outcome {
                 attempt::Outcome::Response(response) => {
@@ -254,6 +259,9 @@
                 attempt::Outcome::Unknown { cause, is_disconnect } => {
                     self.deliveries += 1;
                     self.executions += 1;
+                    if self.time_left().is_zero() {
+                        self.record_duration();
+                    }
                     self.observe(&target, health::Outcome::Unreachable);
                     if is_disconnect {
                         self.record_loss(&target).await;
@@ -309,14 +317,22 @@
     }
 
     pub(super) fn failure(&self, retry_delay: Duration, reason: String) -> RequestFailure {
-        let kind = match (self.executions, self.time_left() < MIN_TIME_LEFT) {
-            (0, _) => failure::Failure::NotExecuted,
+        let is_unsent = self.executions == 0 && !self.in_flight;
+        let kind = match (is_unsent, self.time_left() < MIN_TIME_LEFT) {
+            (true, _) => failure::Failure::NotExecuted,
             (_, true) => failure::Failure::TimedOut,
             (_, false) => failure::Failure::OutcomeUnknown,
         };
         RequestFailure { kind, retry_delay, reason }
     }
 
+    /// Records how long the request has taken, unless it is a stream.
+    pub(super) fn record_duration(&self) {
+        if !self.admitted.route.kind.is_stream() {
+            self.state.record_duration(&self.admitted.service, self.started.elapsed());
+        }
+    }
+
     /// Records that the first byte or event has arrived.
     pub(super) fn record_first_byte(&mut self) {
         let elapsed = self.started.elapsed();
--- a/crates/gateway/src/proxy/guards.rs
+++ b/crates/gateway/src/proxy/guards.rs
@@ -1,5 +1,6 @@
 //! RAII guards that count requests while they are in progress.
 
+use std::cell;
 use std::rc;
 
 use azuregap_core::ids;
@@ -29,6 +30,34 @@
     }
 }
 
+/// Counts a client connection that has carried a request, until it is dropped.
+#[derive(Debug)]
+pub(super) struct UsedConnection {
+    state: rc::Rc<state::State>,
+    is_used: cell::Cell<bool>,
+}
+
+impl UsedConnection {
+    pub(super) fn new(state: &rc::Rc<state::State>) -> Self {
+        Self { state: state.clone(), is_used: cell::Cell::new(false) }
+    }
+
+    /// Records that the connection carries a request.
+    pub(super) fn record_request(&self) {
+        if !self.is_used.replace(true) {
+            self.state.used_connections.set(self.state.used_connections.get() + 1);
+        }
+    }
+}
+
+impl Drop for UsedConnection {
+    fn drop(&mut self) {
+        if self.is_used.get() {
+            self.state.used_connections.set(self.state.used_connections.get().saturating_sub(1));
+        }
+    }
+}
+
 /// Counts a request in the load of a backend server, until it is dropped.
 #[derive(Debug)]
 pub(super) struct LoadGuard {
--- a/crates/gateway/src/proxy/handler.rs
+++ b/crates/gateway/src/proxy/handler.rs
@@ -60,7 +60,13 @@
     let active = rc::Rc::new(guards::ActiveRequest::new(&state));
     let (mut head, incoming) = request.into_parts();
     let limits = state.configuration().map(|c| c.limits).unwrap_or_default();
-    let body = match Limited::new(incoming, limits.max_body_bytes).collect().await {
+    let body = tokio::select! {
+        body = Limited::new(incoming, limits.max_body_bytes).collect() => body,
+        () = state.wait_for_exit() => {
+            return own_response::denial_response(&state, &head, admission::Denial::Stopping);
+        }
+    };
+    let body = match body {
         Ok(body) => body.to_bytes(),
         Err(error) => return own_response::body_error_response(&state, error.as_ref()),
     };
@@ -70,10 +76,17 @@
         Err(denial) => return own_response::denial_response(&state, &head, denial),
     };
     state.retry_budget.borrow_mut().record_request(&admitted.service, state.clock.now());
-    let mut request = dispatch::ProxyRequest::new(state, admitted, head, body, started);
-    respond(&mut request, &active)
-        .await
-        .unwrap_or_else(|failure| own_response::failure_response(&request, &failure))
+    let mut request = dispatch::ProxyRequest::new(state.clone(), admitted, head, body, started);
+    let mut error_response = None;
+    let response = tokio::select! {
+        biased;
+        response = respond(&mut request, &active, &mut error_response) => response,
+        () = state.wait_for_exit() => {
+            let failure = request.failure(Duration::ZERO, "the process stopped".to_owned());
+            fall_back(&request, error_response, failure)
+        }
+    };
+    response.unwrap_or_else(|failure| own_response::failure_response(&request, &failure))
 }
 
 /// Decides whether a request may run. If a denial would be based on an old configuration, the
@@ -113,17 +126,18 @@
     head.headers.remove(header::EXPECT);
 }
 
-/// Sends the request to backend servers until there is a response for the client.
+/// Sends the request to backend servers until there is a response for the client. `error_response` is
+/// set to the newest error response of a backend server.
 async fn respond(
     request: &mut dispatch::ProxyRequest,
     active: &rc::Rc<guards::ActiveRequest>,
+    error_response: &mut Option<Response>,
 ) -> Result<Response, dispatch::RequestFailure> {
-    let mut error_response: Option<Response> = None;
     loop {
         let backend_response = match request.send_until_response().await {
             Ok(backend_response) => backend_response,
             // A backend server's earlier error response is better than the gateway's own error.
-            Err(failure) => return fall_back(request, error_response, failure),
+            Err(failure) => return fall_back(request, error_response.take(), failure),
         };
         let is_stream = request.admitted.route.kind.is_stream()
             && backend_response.response.head.status.is_success();
@@ -136,7 +150,7 @@
             match read_response(request, backend_response).await {
                 Ok((response, true)) => return Ok(response),
                 Ok((response, false)) => {
-                    error_response = Some(response);
+                    *error_response = Some(response);
                     "the backend server responded with an error".to_owned()
                 }
                 Err(reason) => reason,
@@ -149,7 +163,7 @@
                 failure::Failure::OutcomeUnknown
             };
             let failure = dispatch::RequestFailure { kind, retry_delay: Duration::ZERO, reason };
-            return fall_back(request, error_response, failure);
+            return fall_back(request, error_response.take(), failure);
         }
     }
 }
@@ -196,6 +210,7 @@
         Err(_) => return Err("the response did not end in time".to_owned()),
     };
     drop(load_guard);
+    request.record_duration();
     let is_reusable = response.framing == attempt::Framing::Delimited;
     if is_reusable && !response.decoded.closes_connection {
         let idle_timeout = response.decoded.idle_timeout;
--- a/crates/gateway/src/proxy/listener.rs
+++ b/crates/gateway/src/proxy/listener.rs
@@ -10,6 +10,7 @@
 use tokio::net;
 use tokio::time;
 
+use super::guards;
 use super::handler;
 use super::pool;
 use crate::state;
@@ -46,8 +47,9 @@
     if let Err(error) = pool::set_socket_options(&stream, USER_TIMEOUT) {
         tracing::debug!(reason = error.to_string(), "failed to set a socket option");
     }
-    let shared = state.clone();
+    let (shared, used) = (state.clone(), guards::UsedConnection::new(&state));
     let service = service::service_fn(move |request| {
+        used.record_request();
         let state = shared.clone();
         async move { Ok::<_, convert::Infallible>(handler::handle(state, request).await) }
     });
--- a/crates/gateway/src/proxy/relay.rs
+++ b/crates/gateway/src/proxy/relay.rs
@@ -41,6 +41,8 @@
     Complete,
     ClientDisconnected,
     DeadlineExceeded,
+    /// This process exits.
+    Stopped,
     /// The backend server ended or closed the connection.
     Disconnected(String),
     /// The backend server's stream failed, while its connection may go on.
@@ -84,6 +86,10 @@
                 truncate(&events).await;
                 return request.record_end(200, &backend, "out of time", "");
             }
+            StreamEnd::Stopped => {
+                truncate(&events).await;
+                return request.record_end(200, &backend, "cut", "the process stopped");
+            }
             StreamEnd::Disconnected(reason) => {
                 request.record_loss(&stream.target).await;
                 reason
@@ -141,11 +147,14 @@
     splitter: &mut sse::EventSplitter,
     events: &EventSender,
 ) -> StreamEnd {
+    let state = request.state.clone();
+    let mut exit = std::pin::pin!(state.wait_for_exit());
     loop {
         let frame = tokio::select! {
             frame = stream.body.frame() => frame,
             () = events.closed() => return StreamEnd::ClientDisconnected,
             () = time::sleep_until(request.deadline) => return StreamEnd::DeadlineExceeded,
+            () = exit.as_mut() => return StreamEnd::Stopped,
         };
         let complete = match frame {
             Some(Ok(frame)) => frame.into_data().ok().and_then(|data| splitter.push(&data)),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -24,7 +24,9 @@
 use crate::decision::prefill_speed;
 use crate::decision::quarantine;
 use crate::decision::quarantine::turn;
+use crate::decision::recent_durations;
 use crate::decision::retry_budget;
+use crate::decision::shutdown;
 use crate::decision::told_version;
 use crate::decision::usage_counts;
 use crate::decision::waiting_line;
@@ -35,29 +37,6 @@
 use crate::proxy::pool;
 use crate::settings;
 
-/// Which new requests a gateway admits.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Admission {
-    /// All requests.
-    Open,
-    /// All requests except streams, which the end of the process could truncate.
-    NoStreams,
-    /// No requests.
-    Closed,
-}
-
-impl Admission {
-    /// Whether a new request is admitted.
-    #[must_use]
-    pub const fn admits(self, is_stream: bool) -> bool {
-        match self {
-            Self::Open => true,
-            Self::NoStreams => !is_stream,
-            Self::Closed => false,
-        }
-    }
-}
-
 /// State that the tasks of a gateway share; all of them run on one thread.
 #[derive(Debug)]
 pub struct State {
@@ -135,8 +114,15 @@
     pub reporting: sync::watch::Sender<Option<ids::Fence>>,
     /// Newest known era of the store.
     pub store_era: sync::watch::Sender<lease_ids::Era>,
-    /// Which new requests are admitted.
-    pub admission: cell::Cell<Admission>,
+    /// The shutdown of this process, once it has been requested.
+    pub shutdown: cell::Cell<Option<shutdown::Shutdown>>,
+    /// Whether requests that still run get their final response because the process exits.
+    pub exiting: sync::watch::Sender<bool>,
+    /// Number of client connections that have carried a request.
+    pub used_connections: cell::Cell<u32>,
+    /// Durations of the requests of each service that aren't streams.
+    pub durations:
+        cell::RefCell<collections::HashMap<ids::PoolId, recent_durations::RecentDurations>>,
     /// Number of requests that are being served.
     pub active_requests: cell::Cell<u32>,
     /// Length of all response bodies that are being read, in bytes.
@@ -182,7 +168,10 @@
             registered: cell::Cell::new(false),
             reporting: sync::watch::Sender::new(None),
             store_era: sync::watch::Sender::new(0),
-            admission: cell::Cell::new(Admission::Open),
+            shutdown: cell::Cell::new(None),
+            exiting: sync::watch::Sender::new(false),
+            used_connections: cell::Cell::new(0),
+            durations: cell::RefCell::default(),
             active_requests: cell::Cell::new(0),
             collected_bytes: cell::Cell::new(0),
             settings,
@@ -224,6 +213,25 @@
         *self.stopping.borrow()
     }
 
+    /// Waits until the requests that still run get their final response because the process exits.
+    pub async fn wait_for_exit(&self) {
+        // The sender is part of this state, so it isn't dropped while this waits.
+        let _ = self.exiting.subscribe().wait_for(|is_exiting| *is_exiting).await;
+    }
+
+    /// How long a request to a service that isn't a stream is likely to take, if any has ended lately.
+    #[must_use]
+    pub fn likely_duration(&self, service: &str) -> Option<Duration> {
+        self.durations.borrow().get(service)?.likely(self.clock.now())
+    }
+
+    /// Records how long a request to a service took.
+    pub fn record_duration(&self, service: &str, duration: Duration) {
+        let mut durations = self.durations.borrow_mut();
+        let durations = durations.entry(service.to_owned()).or_default();
+        durations.observe(duration, self.clock.now());
+    }
+
     /// Whether the load balancer should send new clients here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- /dev/null
+++ b/crates/gateway/tests/shutdown.rs
@@ -0,0 +1,133 @@
+//! Planned stops of a gateway while callers keep sending requests.
+
+mod support;
+
+use std::time::Duration;
+
+use azuregap_gateway::decision::recent_durations;
+use azuregap_gateway::decision::shutdown;
+use azuregap_gateway::process;
+use futures::future;
+use googletest::prelude::*;
+use support::loopback::*;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net as tokio_net;
+use tokio::time;
+
+const GRACE_PERIOD: Duration = Duration::from_secs(8);
+
+#[gtest]
+fn requests_are_admitted_as_long_as_they_are_likely_to_end_before_the_process() {
+    let start = time::Instant::now();
+    let shutdown = shutdown::Shutdown::new(start, GRACE_PERIOD);
+    for (name, at_ms, is_stream, duration_ms, is_admitted) in [
+        ("a stream while callers can't know", 2_000, true, 15_000, true),
+        ("a stream later", 2_700, true, 100, false),
+        ("a long request while callers can't know", 2_000, false, 15_000, true),
+        ("a long request later", 2_700, false, 5_000, false),
+        ("a request that ends in time", 5_900, false, 1_500, true),
+        ("a request that doesn't", 6_100, false, 1_500, false),
+        ("a short request near the end", 7_400, false, 50, true),
+        ("a short request after the end", 7_500, false, 0, false),
+    ] {
+        let now = start + Duration::from_millis(at_ms);
+        let duration = Duration::from_millis(duration_ms);
+        expect_that!(shutdown.admits(is_stream, duration, now), eq(is_admitted), "{name}");
+    }
+    let short = shutdown::Shutdown::new(start, Duration::from_secs(1));
+    expect_that!(short.has_ended(start + Duration::from_millis(500)), is_true());
+    expect_that!(short.admits(false, Duration::ZERO, start + Duration::from_secs(1)), is_false());
+}
+
+#[gtest]
+fn likely_duration_leaves_out_one_in_a_hundred_and_what_is_old() {
+    let start = time::Instant::now();
+    let millis = Duration::from_millis;
+    for (name, count, slow, at_s, likely_ms) in [
+        ("the longest of a few", 9, 1, 1, Some(2_000)),
+        ("one in a hundred exceeds it", 99, 1, 1, Some(100)),
+        ("two in a hundred don't", 98, 2, 1, Some(2_000)),
+        ("old ones don't count", 98, 2, 61, None),
+    ] {
+        let mut durations = recent_durations::RecentDurations::default();
+        for _ in 0..slow {
+            durations.observe(millis(2_000), start);
+        }
+        for _ in 0..count {
+            durations.observe(millis(100), start);
+        }
+        let likely = durations.likely(start + Duration::from_secs(at_s));
+        expect_that!(likely, eq(likely_ms.map(millis)), "{name}");
+    }
+}
+
+/// A request that a process had taken when it exited was cut without a response.
+#[gtest]
+fn no_request_that_is_taken_during_a_planned_stop_ends_without_a_response() {
+    run(async {
+        let slow = Reply { delay: Duration::from_millis(1_500), ..keep_open(RESPONSE) };
+        let backend = backend(vec![slow]).await;
+        let (state, address) = gateway_with(&[&backend], |settings| {
+            settings.grace_period = Duration::from_millis(4_500);
+        })
+        .await;
+        // A request that ends before the stop shows how long they take.
+        let call = || call_patiently(address, "/once/a", "", Duration::from_millis(2_500));
+        expect_that!(status(&call().await), eq("200"));
+        let stopping = actix_rt::spawn(async move { process::shut_down(&state).await });
+        let calls = (0..38).map(async |turn| {
+            time::sleep(Duration::from_millis(100) * turn).await;
+            call().await
+        });
+        let responses = future::join_all(calls).await;
+        stopping.await.expect("the shutdown ends");
+        let statuses: Vec<_> = responses.iter().map(|response| status(response)).collect();
+        expect_that!(statuses, each(any![eq(&"200"), eq(&"503")]));
+        let count = |wanted| statuses.iter().filter(|status| **status == wanted).count();
+        // Whatever was refused has not run, and requests are served as long as they end in time.
+        expect_that!(backend.requests.borrow().len(), eq(count("200") + 1));
+        expect_that!(count("200"), ge(20));
+    });
+}
+
+/// What was taken before the stop, and what turns out to take longer than it was likely to.
+#[gtest]
+fn requests_that_outlive_a_planned_stop_get_a_response_that_promises_nothing() {
+    run(async {
+        let slow = Reply { delay: Duration::from_secs(20), ..keep_open(RESPONSE) };
+        let backend = backend(vec![slow]).await;
+        let (state, address) = gateway_with(&[&backend], |settings| {
+            settings.grace_period = Duration::from_millis(1_000);
+        })
+        .await;
+        let calls = ["/once/a", "/again/a", "/stream/a"].map(|path| call(address, path, ""));
+        let unread = send_half(address, "POST /once/a HTTP/1.1\r\nhost: h\r\nx-id: 1\r\n");
+        let stopping = async {
+            time::sleep(Duration::from_millis(200)).await;
+            process::shut_down(&state).await;
+        };
+        let (responses, unread, ()) =
+            future::join3(future::join_all(calls), unread, stopping).await;
+        for response in responses {
+            expect_that!(status(&response), eq("502"));
+            expect_that!(response, contains_substring("connection: close"));
+            expect_that!(response, ends_with("<closed>"));
+        }
+        // A request that wasn't read to its end has not run.
+        expect_that!(status(&unread), eq("503"));
+        expect_that!(state.active_requests.get(), eq(0));
+        expect_that!(state.used_connections.get(), eq(0));
+    });
+}
+
+/// Sends a request of which the last byte of the body is missing, and reads the response.
+async fn send_half(address: std::net::SocketAddr, head: &str) -> String {
+    let mut stream = tokio_net::TcpStream::connect(address).await.expect("a connection");
+    let request = format!("{head}content-length: 2\r\n\r\na");
+    stream.write_all(request.as_bytes()).await.expect("a request");
+    let mut bytes = vec![0; 1_024];
+    let read = time::timeout(Duration::from_secs(2), stream.read(&mut bytes)).await;
+    bytes.truncate(read.map_or(0, std::result::Result::unwrap_or_default));
+    String::from_utf8(bytes).expect("text")
+}
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -6,8 +6,8 @@
 use std::rc;
 use std::time::Duration;
 
+use azuregap_gateway::decision::shutdown;
 use azuregap_gateway::directory;
-use azuregap_gateway::state;
 use googletest::prelude::*;
 use support::loopback::*;
 use tokio::io::AsyncWriteExt as _;
@@ -142,14 +142,19 @@
     run(async {
         let backend = backend(vec![keep_open(RESPONSE)]).await;
         let (state, address) = gateway(&[&backend]).await;
+        let begin = |since: Duration| {
+            let started = state.clock.now() - since;
+            state.shutdown.set(Some(shutdown::Shutdown::new(started, Duration::from_secs(8))));
+        };
         state.stopping.send_replace(true);
+        begin(Duration::ZERO);
         let response = call(address, "/once/a", "").await;
         expect_that!(status(&response), eq("200"));
         expect_that!(response, contains_substring("connection: close\r\n"));
-        state.admission.set(state::Admission::NoStreams);
+        begin(Duration::from_secs(3));
         expect_that!(status(&call(address, "/once/a", "").await), eq("200"));
         expect_that!(status(&call(address, "/stream/a", "").await), eq("503"));
-        state.admission.set(state::Admission::Closed);
+        begin(Duration::from_millis(7_500));
         let response = call(address, "/once/a", "").await;
         expect_that!(status(&response), eq("503"));
         expect_that!(response, contains_substring("retry-after: "));
--- a/crates/gateway/tests/support/loopback.rs
+++ b/crates/gateway/tests/support/loopback.rs
@@ -3,6 +3,7 @@
 use azuregap_gateway::configuration;
 use azuregap_gateway::directory;
 use azuregap_gateway::proxy;
+use azuregap_gateway::settings;
 use azuregap_gateway::state;
 use std::cell;
 use std::net;
@@ -122,7 +123,17 @@
 
 /// Starts a gateway that knows the backend servers; returns its state and its HTTP address.
 pub async fn gateway(backends: &[&Backend]) -> (rc::Rc<state::State>, net::SocketAddr) {
-    let state = super::state("g-1");
+    gateway_with(backends, |_| {}).await
+}
+
+/// Starts a gateway with changed settings.
+pub async fn gateway_with(
+    backends: &[&Backend],
+    change: impl FnOnce(&mut settings::Settings),
+) -> (rc::Rc<state::State>, net::SocketAddr) {
+    let mut settings = super::settings("g-1");
+    change(&mut settings);
+    let state = super::state_with(settings, time::Instant::now());
     let configuration = configuration::Configuration::new(1)
         .with_route(route("/once/", configuration::RouteKind::NonIdempotent, 2))
         .with_route(route("/again/", configuration::RouteKind::Idempotent, 2))
@@ -148,14 +159,22 @@
 
 /// Sends a request and reads until the gateway closes the connection or stays silent for 900 ms.
 pub async fn call(address: net::SocketAddr, path: &str, headers: &str) -> String {
+    call_patiently(address, path, headers, Duration::from_millis(900)).await
+}
+
+/// Sends a request and reads until the gateway closes the connection or stays silent for so long.
+pub async fn call_patiently(
+    address: net::SocketAddr,
+    path: &str,
+    headers: &str,
+    silence: Duration,
+) -> String {
     let mut stream = tokio_net::TcpStream::connect(address).await.expect("a connection");
     let head = format!("GET {path} HTTP/1.1\r\nhost: h\r\nx-id: 1\r\n{headers}\r\n");
     stream.write_all(head.as_bytes()).await.expect("a request");
     let mut response = Vec::new();
     let mut bytes = [0; 4096];
-    while let Ok(Ok(count)) =
-        time::timeout(Duration::from_millis(900), stream.read(&mut bytes)).await
-    {
+    while let Ok(Ok(count)) = time::timeout(silence, stream.read(&mut bytes)).await {
         if count == 0 {
             response.extend_from_slice(b"<closed>");
             break;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -353,8 +353,13 @@
 
 /// State of a gateway whose clock showed [`START_TIME`] at `start`.
 pub fn state_since(node: &str, start: time::Instant) -> rc::Rc<state::State> {
+    state_with(settings(node), start)
+}
+
+/// State of a gateway with settings of its own.
+pub fn state_with(settings: settings::Settings, start: time::Instant) -> rc::Rc<state::State> {
     let clock = clock::Clock::new(time::Instant::now, move || START_TIME + start.elapsed());
-    let state = rc::Rc::new(state::State::new(settings(node), CODEC, clock));
+    let state = rc::Rc::new(state::State::new(settings, CODEC, clock));
     list_for_long(&state);
     state
 }
