fix(gateway): a large configuration arrives over a small link

Cause: a call to the store had a fixed time, whatever the size of its response; and a request that needed a fresh configuration ended a call whose response was arriving. Either way it was begun again from the start. Evidence: the log of the case has the first failure with the first version that takes so long. Change: a response is awaited as long as it makes progress and is faster than 32 KiB a second; a refresh doesn't end one that is arriving; one is given up for a newer one that would miss the operator's bound, for at most twice that bound; the store waits less for a change while changes take long. Freshness still dates from the start of the call.

--- a/crates/gateway/src/decision.rs
+++ b/crates/gateway/src/decision.rs
@@ -25,5 +25,6 @@
 pub mod retry_budget;
 pub mod shutdown;
 pub mod told_version;
+pub mod transfer;
 pub mod usage_counts;
 pub mod waiting_line;
--- a/crates/gateway/src/decision/freshness.rs
+++ b/crates/gateway/src/decision/freshness.rs
@@ -81,6 +81,14 @@
         self.confirmed_at.map(|at| now.saturating_duration_since(at))
     }
 
+    /// How long the store may wait for a change, at most `longest`, if the change then takes `transfer`
+    /// to arrive: until it is there, the age of what is known is twice the wait and the transfer.
+    #[must_use]
+    pub fn watch_wait(&self, longest: Duration, transfer: Duration) -> Duration {
+        let spare = self.bound.saturating_sub(DISPATCH_MARGIN + transfer);
+        (spare / 2).min(longest)
+    }
+
     /// Whether a known key may be accepted as valid.
     #[must_use]
     pub fn may_trust_keys(&self, now: time::Instant) -> bool {
--- a/crates/gateway/src/service/backends.rs
+++ b/crates/gateway/src/service/backends.rs
@@ -42,6 +42,8 @@
         table: store::Table::Backends,
         refresh: &never_refreshed,
         is_follower: true,
+        wait: &|_| watcher::WATCH_WAIT,
+        bound: state.settings.configuration_bound,
     };
     watcher::watch(state, store, options, handle_event).await;
 }
--- a/crates/gateway/src/service/configuration.rs
+++ b/crates/gateway/src/service/configuration.rs
@@ -28,10 +28,15 @@
         shared.refresh_finished.notify_waiters();
     };
     let notifier = state.clone();
+    let bounds = state.clone();
+    // All of a large configuration arrives before keys can't be trusted any more.
+    let wait = |transfer| bounds.freshness.borrow().watch_wait(watcher::WATCH_WAIT, transfer);
     let options = watcher::Options {
         table: store::Table::Configuration,
         refresh: &notifier.refresh_requested,
         is_follower: false,
+        wait: &wait,
+        bound: state.settings.configuration_bound,
     };
     watcher::watch(state, store, options, handle_event).await;
 }
--- a/crates/gateway/src/service/gateway_list.rs
+++ b/crates/gateway/src/service/gateway_list.rs
@@ -13,6 +13,7 @@
 
 use super::limit_rows;
 use super::quarantine_rows;
+use super::transfer;
 use crate::decision::membership;
 use crate::peers;
 use crate::state;
@@ -111,7 +112,7 @@
         tracing::info!(address = %entry.address, "registered in the list of gateways");
     }
     let read_at = state.clock.now();
-    let rows = (store.read)(table).await?;
+    let rows = transfer::read(store, table).await?.rows;
     state.observe_era(rows.era);
     let own = rows.rows.iter().find(|row| row.key == *node);
     state.registered.set(own.is_some_and(|row| row.data.as_ref() == Some(&data)));
--- a/crates/gateway/src/service/usage.rs
+++ b/crates/gateway/src/service/usage.rs
@@ -154,7 +154,8 @@
     }
 
     async fn read_lease(&mut self) -> lease::Event {
-        let read = (self.store.read)(store::Table::Usage);
+        let progress = store::start_progress(CALL_TIMEOUT);
+        let read = (self.store.read)(store::Table::Usage, progress);
         match time::timeout(CALL_TIMEOUT, read).await {
             Ok(Ok(rows)) if self.observe_era(rows.era) => lease::Event::ReadFailed,
             Ok(Ok(rows)) => {
--- a/crates/gateway/src/service/watcher.rs
+++ b/crates/gateway/src/service/watcher.rs
@@ -7,24 +7,19 @@
 use tokio::sync;
 use tokio::time;
 
+use super::transfer;
 use crate::state;
 use crate::store;
 
 /// Longest time that the store waits for a change before it responds. Each response confirms that
 /// the known rows are current; this is less than half the time for which keys are trusted without
 /// a confirmation.
-const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+pub(super) const WATCH_WAIT: Duration = Duration::from_millis(2_000);
 
 /// Minimum time between the starts of two calls, so that several changes arrive in one response. It
 /// is a third of the shortest time within which a draining backend server must get no new request.
 const MIN_INTERVAL: Duration = Duration::from_millis(600);
 
-/// Time for a response beyond the wait; a connection that is silent for longer is abandoned.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
-
-/// Timeout for a read of the whole table.
-const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// Base of the delay after a failed call; doubles with each failure up to [`MAX_RETRY_DELAY`].
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 
@@ -42,6 +37,10 @@
     pub(super) refresh: &'a sync::Notify,
     /// Whether another watcher finds out when the store is available again.
     pub(super) is_follower: bool,
+    /// How long the store waits for a change, if the last changes arrived for so long.
+    pub(super) wait: &'a dyn Fn(Duration) -> Duration,
+    /// Time within which changes are to be known.
+    pub(super) bound: Duration,
 }
 
 /// Rows that the store returned.
@@ -73,12 +72,13 @@
     options: Options<'_>,
     mut handle_event: impl FnMut(Event),
 ) {
-    let Options { table, refresh, is_follower } = options;
+    let Options { table, refresh, is_follower, wait: wait_after, bound } = options;
     let mut version: Option<ids::RowVersion> = None;
     let mut era: Option<ids::Era> = None;
     let mut failures = 0_u32;
     let mut last_response = state.clock.now();
     let mut refresh_pending = false;
+    let mut last_duration = Duration::ZERO;
     loop {
         let requested_at = state.clock.now();
         let call = async {
@@ -86,26 +86,22 @@
                 Some(version) => {
                     // After a failure, first find out whether the store is back.
                     let without_wait = failures > 0 || refresh_pending;
-                    let wait = if without_wait { Duration::ZERO } else { WATCH_WAIT };
-                    let watch = (store.watch)(table, version, wait);
-                    time::timeout(wait + RESPONSE_TIMEOUT, watch).await
+                    let longest = wait_after(last_duration);
+                    let wait = if without_wait { Duration::ZERO } else { longest };
+                    transfer::watch(&store, table, version, wait, bound, refresh).await
                 }
-                None => time::timeout(READ_TIMEOUT, (store.read)(table)).await,
+                None => transfer::read(&store, table).await.map(Some),
             }
         };
-        let is_waiting = version.is_some() && failures == 0 && !refresh_pending;
-        let result = tokio::select! {
-            biased;
-            result = call => result,
-            () = refresh.notified(), if is_waiting => {
-                refresh_pending = true;
-                continue;
+        let result = call.await.transpose();
+        refresh_pending = result.is_none();
+        let Some(result) = result else { continue };
+        let result = result.map(|response| {
+            if !response.rows.rows.is_empty() {
+                last_duration = response.duration;
             }
-        };
-        let result = result.unwrap_or_else(|_| {
-            Err(store::StoreError::OutcomeUnknown("no response in time".to_owned()))
+            response.rows
         });
-        refresh_pending = false;
         match result {
             Ok(rows) if state.observe_era(rows.era) => {
                 tracing::info!(table = ?table, era = rows.era, "ignored a response of an older era");
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -24,6 +24,8 @@
     pub gossip_address: net::SocketAddr,
     /// Time within which a revoked key must stop working.
     pub revocation_bound: Duration,
+    /// Time within which a new configuration must be in force.
+    pub configuration_bound: Duration,
     /// Limits of the retry budget that all gateways share.
     pub retry_budget: retry_budget::Limits,
     /// Duration of the lease for usage reporting.
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,13 +1,19 @@
 //! Client interface of the durable store.
 //!
-//! A [`Store`] consists of three closures, so that tests can replace it by an in-memory map.
+//! A [`Store`] consists of closures, so that tests can replace it by an in-memory map. Calls that
+//! return rows don't end by themselves if the response stalls; `service::transfer` sees to that.
 
 use std::fmt;
+use std::rc;
 use std::time::Duration;
 
 use azuregap_coordination::ids;
 use futures::future;
 use quick_error::quick_error;
+use tokio::sync;
+use tokio::time;
+
+use crate::decision::transfer;
 
 quick_error! {
     /// Why a call to the store failed.
@@ -102,8 +108,19 @@
 /// Future result of a call to the store.
 pub type StoreFuture<T> = future::LocalBoxFuture<'static, Result<T, StoreError>>;
 
-type ReadFn = Box<dyn Fn(Table) -> StoreFuture<Rows>>;
-type WatchFn = Box<dyn Fn(Table, ids::RowVersion, Duration) -> StoreFuture<Rows>>;
+/// How far the response of a call has arrived, which the call records.
+pub type Progress = rc::Rc<sync::watch::Sender<transfer::Transfer>>;
+
+/// Starts to record how far a response arrives whose head is due after `head_timeout`.
+#[must_use]
+pub fn start_progress(head_timeout: Duration) -> Progress {
+    let transfer = transfer::Transfer::new(time::Instant::now(), head_timeout);
+    rc::Rc::new(sync::watch::Sender::new(transfer))
+}
+
+type ReadFn = Box<dyn Fn(Table, Progress) -> StoreFuture<Rows>>;
+type WatchFn = Box<dyn Fn(Table, ids::RowVersion, Duration, Progress) -> StoreFuture<Rows>>;
+type VersionFn = Box<dyn Fn() -> StoreFuture<ids::RowVersion>>;
 type CommitFn = Box<dyn Fn(Commit) -> StoreFuture<Receipt>>;
 
 /// Client of the store.
@@ -112,6 +129,8 @@
     pub read: ReadFn,
     /// Returns the rows changed since a version; waits up to the given time for the first change.
     pub watch: WatchFn,
+    /// Returns the newest version of the store.
+    pub version: VersionFn,
     /// Applies a transaction.
     pub commit: CommitFn,
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -54,8 +54,15 @@
     pub delay: Duration,
     /// Number of calls.
     pub calls: u64,
+    /// Length of the responses with rows.
+    pub response_bytes: u64,
+    /// Bytes a second that arrive.
+    pub link_rate: f64,
 }
 
+/// Interval at which a part of a response arrives.
+const PART_INTERVAL: Duration = Duration::from_millis(10);
+
 type Rows = collections::HashMap<store::Table, collections::BTreeMap<String, store::Row>>;
 
 /// A copy of the store's rows.
@@ -104,6 +111,22 @@
         }
     }
 
+    /// Sends a response of the configured length over the link of the gateway, in parts.
+    async fn send(&self, progress: &store::Progress) {
+        let length = self.tables.borrow().response_bytes;
+        progress.send_modify(|transfer| transfer.record_head(Some(length), time::Instant::now()));
+        let mut sent = 0;
+        while sent < length {
+            let rate = self.tables.borrow().link_rate;
+            time::sleep(PART_INTERVAL).await;
+            let part = (rate * PART_INTERVAL.as_secs_f64()) as u64;
+            sent += part;
+            progress.send_modify(|transfer| {
+                transfer.record_bytes(part as usize, time::Instant::now());
+            });
+        }
+    }
+
     fn read(&self, table: store::Table) -> Result<store::Rows, store::StoreError> {
         self.check_available()?;
         let tables = self.tables.borrow();
@@ -117,6 +140,7 @@
         table: store::Table,
         since: u64,
         wait: Duration,
+        progress: &store::Progress,
     ) -> Result<store::Rows, store::StoreError> {
         self.start_call().await;
         let until = time::Instant::now() + wait;
@@ -125,21 +149,28 @@
                 time::sleep(Duration::from_secs(3_600)).await;
             }
             self.check_available()?;
-            {
-                let tables = self.tables.borrow();
-                if since < tables.compacted || since > tables.version {
-                    return Err(store::StoreError::Compacted);
-                }
-                let rows = tables.rows.get(&table).into_iter().flat_map(|rows| rows.values());
-                let rows: Vec<_> = rows.filter(|row| row.version > since).cloned().collect();
-                if !rows.is_empty() || time::Instant::now() >= until {
-                    return Ok(store::Rows { rows, version: tables.version, era: tables.era });
-                }
+            let rows = self.changes(table, since)?;
+            if !rows.rows.is_empty() {
+                self.send(progress).await;
+                return Ok(rows);
+            }
+            if time::Instant::now() >= until {
+                return Ok(rows);
             }
             time::sleep(Duration::from_millis(10)).await;
         }
     }
 
+    fn changes(&self, table: store::Table, since: u64) -> Result<store::Rows, store::StoreError> {
+        let tables = self.tables.borrow();
+        if since < tables.compacted || since > tables.version {
+            return Err(store::StoreError::Compacted);
+        }
+        let rows = tables.rows.get(&table).into_iter().flat_map(|rows| rows.values());
+        let rows = rows.filter(|row| row.version > since).cloned().collect();
+        Ok(store::Rows { rows, version: tables.version, era: tables.era })
+    }
+
     fn commit(&self, commit: store::Commit) -> Result<store::Receipt, store::StoreError> {
         self.check_available()?;
         let version_of = |key: &str| {
@@ -192,18 +223,24 @@
 
     pub fn store(&self) -> store::Store {
         let (reads, watches, commits) = (self.clone(), self.clone(), self.clone());
+        let versions = self.clone();
         store::Store {
-            read: Box::new(move |table| {
+            read: Box::new(move |table, progress| {
                 let fake = reads.clone();
                 async move {
                     fake.start_call().await;
+                    fake.send(&progress).await;
                     fake.read(table)
                 }
                 .boxed_local()
             }),
-            watch: Box::new(move |table, since, wait| {
+            watch: Box::new(move |table, since, wait, progress| {
                 let fake = watches.clone();
-                async move { fake.watch(table, since, wait).await }.boxed_local()
+                async move { fake.watch(table, since, wait, &progress).await }.boxed_local()
+            }),
+            version: Box::new(move || {
+                let version = versions.tables.borrow().version;
+                async move { Ok(version) }.boxed_local()
             }),
             commit: Box::new(move |commit| {
                 let fake = commits.clone();
@@ -323,6 +360,7 @@
         metrics_address: local,
         gossip_address: local,
         revocation_bound: Duration::from_secs(5),
+        configuration_bound: Duration::from_secs(2),
         retry_budget: retry_budget::Limits {
             ratio: 0.2,
             slack: 50.0,
