fix(gateway): many routes of a host don't hold up requests

Seen: with thousands of routes on one host a gateway handles nothing else for a second and more after each new version. Cause: all routes of the host were sorted again after each one, lookups went through all of them, and decoding ran on the only thread. Change: a map by prefix; a lookup tries the prefixes of the path, the longest first. Documents of 64 KiB or more are decoded on another thread.

--- a/crates/gateway/src/configuration/snapshot.rs
+++ b/crates/gateway/src/configuration/snapshot.rs
@@ -1,7 +1,7 @@
 //! One version of the configuration.
 
 use std::collections;
-use std::rc;
+use std::sync;
 
 use azuregap_core::ids;
 
@@ -19,7 +19,11 @@
     pub tier: ids::Tier,
 }
 
+type RoutesByPrefix = collections::HashMap<String, sync::Arc<route::Route>>;
+
 /// One version of the configuration, indexed for lookups.
+///
+/// Adding a route and finding one take the same time however many there are.
 #[derive(Clone, Debug, Default)]
 pub struct Configuration {
     /// Its version; versions only increase.
@@ -27,8 +31,8 @@
     /// Limits for requests.
     pub limits: limits::Limits,
     services: collections::HashMap<ids::PoolId, service::Service>,
-    routes_by_host: collections::HashMap<String, Vec<rc::Rc<route::Route>>>,
-    teams_by_key: collections::HashMap<String, rc::Rc<Team>>,
+    routes_by_host: collections::HashMap<String, RoutesByPrefix>,
+    teams_by_key: collections::HashMap<String, sync::Arc<Team>>,
     has_teams: bool,
     team_tiers: priority::Tiers,
     route_tiers: collections::HashMap<ids::PoolId, priority::Tiers>,
@@ -55,7 +59,7 @@
         self
     }
 
-    /// Adds a route.
+    /// Adds a route; of several with the same host and prefix, the first one counts.
     #[must_use]
     pub fn with_route(mut self, route: route::Route) -> Self {
         if route.public {
@@ -65,8 +69,7 @@
             self.route_tiers.entry(weighted.service.clone()).or_default().add(route.tier);
         }
         let routes = self.routes_by_host.entry(route.host.to_ascii_lowercase()).or_default();
-        routes.push(rc::Rc::new(route));
-        routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        routes.entry(route.prefix.clone()).or_insert_with(|| sync::Arc::new(route));
         self
     }
 
@@ -75,22 +78,23 @@
     pub fn with_team(mut self, team: Team, keys: impl IntoIterator<Item = String>) -> Self {
         self.has_teams = true;
         self.team_tiers.add(team.tier);
-        let team = rc::Rc::new(team);
+        let team = sync::Arc::new(team);
         self.teams_by_key.extend(keys.into_iter().map(|key| (key, team.clone())));
         self
     }
 
     /// Finds the route of a host with the longest matching path prefix.
     #[must_use]
-    pub fn find_route(&self, host: &str, path: &str) -> Option<rc::Rc<route::Route>> {
+    pub fn find_route(&self, host: &str, path: &str) -> Option<sync::Arc<route::Route>> {
         let host = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
         let routes = self.routes_by_host.get(&host)?;
-        routes.iter().find(|route| path.starts_with(&route.prefix)).cloned()
+        let mut ends = path.rmatch_indices('/').map(|(at, _)| at + 1);
+        ends.find_map(|end| routes.get(&path[..end])).cloned()
     }
 
     /// Returns the team that a key belongs to.
     #[must_use]
-    pub fn team_for_key(&self, key: &str) -> Option<rc::Rc<Team>> {
+    pub fn team_for_key(&self, key: &str) -> Option<sync::Arc<Team>> {
         self.teams_by_key.get(key).cloned()
     }
 
@@ -128,6 +132,6 @@
     /// Number of routes.
     #[must_use]
     pub fn route_count(&self) -> usize {
-        self.routes_by_host.values().map(Vec::len).sum()
+        self.routes_by_host.values().map(RoutesByPrefix::len).sum()
     }
 }
--- a/crates/gateway/src/proxy/admission.rs
+++ b/crates/gateway/src/proxy/admission.rs
@@ -1,7 +1,7 @@
 //! Decides whether a request is allowed: route, API key, and whether the configuration is recent
 //! enough to rely on.
 
-use std::rc;
+use std::sync;
 use std::time::Duration;
 
 use azuregap_core::ids;
@@ -16,7 +16,7 @@
 #[derive(Debug)]
 pub(super) struct Admitted {
     pub(super) headers: codec::RequestHeaders,
-    pub(super) route: rc::Rc<configuration::Route>,
+    pub(super) route: sync::Arc<configuration::Route>,
     pub(super) service: ids::PoolId,
     pub(super) team: Option<ids::TeamId>,
     pub(super) ranks: priority::Ranks,
--- a/crates/gateway/src/service/backends.rs
+++ b/crates/gateway/src/service/backends.rs
@@ -20,7 +20,7 @@
 /// Watches the entries of the backend servers; never returns.
 pub async fn watch(state: rc::Rc<state::State>, store: rc::Rc<store::Store>) {
     let shared = state.clone();
-    let handle_event = move |event: watcher::Event| {
+    let handle_event = async move |event: watcher::Event| {
         let watcher::Event::Update(update) = event else { return };
         let now = shared.clock.now();
         if update.outage > EXPIRY_OUTAGE || update.is_from_copy {
--- a/crates/gateway/src/service/configuration.rs
+++ b/crates/gateway/src/service/configuration.rs
@@ -2,15 +2,22 @@
 
 use std::rc;
 
+use tokio::task;
+
 use super::watcher;
+use crate::codec;
+use crate::configuration;
 use crate::decision::usage_counts;
 use crate::state;
 use crate::store;
 
+/// Length of a configuration from which on it is decoded on another thread.
+const LARGE_BYTES: usize = 64 << 10;
+
 /// Watches the operator's configuration; never returns.
 pub async fn watch(state: rc::Rc<state::State>, store: rc::Rc<store::Store>) {
     let shared = state.clone();
-    let handle_event = move |event: watcher::Event| {
+    let handle_event = async move |event: watcher::Event| {
         let watcher::Event::Update(update) = event else {
             shared.freshness.borrow_mut().record_failure();
             shared.refresh_finished.notify_waiters();
@@ -19,7 +26,7 @@
         let mut is_valid = true;
         for row in &update.rows.rows {
             if row.key == shared.codec.configuration_key {
-                is_valid &= apply(&shared, row);
+                is_valid &= apply(&shared, row).await;
             }
         }
         if is_valid && shared.configuration.borrow().is_some() {
@@ -44,12 +51,12 @@
 /// Applies a version of the configuration; returns false if it can't be decoded.
 ///
 /// A version older than the active one is ignored.
-fn apply(state: &state::State, row: &store::Row) -> bool {
+async fn apply(state: &state::State, row: &store::Row) -> bool {
     let Some(data) = &row.data else {
         tracing::warn!("the configuration was deleted; the last version stays active");
         return true;
     };
-    let configuration = match (state.codec.decode_configuration)(data) {
+    let configuration = match decode(state, data).await {
         Ok(configuration) => configuration,
         Err(error) => {
             tracing::error!(reason = error.to_string(), "failed to decode the configuration");
@@ -74,3 +81,17 @@
     *state.configuration.borrow_mut() = Some(rc::Rc::new(configuration));
     true
 }
+
+/// Decodes a configuration; a large one on another thread, so that requests don't wait for it.
+async fn decode(
+    state: &state::State,
+    data: &[u8],
+) -> Result<configuration::Configuration, codec::CodecError> {
+    let decode = state.codec.decode_configuration;
+    if data.len() < LARGE_BYTES {
+        return decode(data);
+    }
+    let data = data.to_vec();
+    let decoded = task::spawn_blocking(move || decode(&data)).await;
+    decoded.unwrap_or_else(|error| Err(codec::CodecError::Document(error.to_string())))
+}
--- a/crates/gateway/src/service/watcher.rs
+++ b/crates/gateway/src/service/watcher.rs
@@ -70,7 +70,7 @@
     state: rc::Rc<state::State>,
     store: rc::Rc<store::Store>,
     options: Options<'_>,
-    mut handle_event: impl FnMut(Event),
+    mut handle_event: impl AsyncFnMut(Event),
 ) {
     let Options { table, refresh, is_follower, wait: wait_after, bound } = options;
     let mut version: Option<ids::RowVersion> = None;
@@ -137,7 +137,8 @@
                     requested_at,
                     outage,
                     is_from_copy,
-                }));
+                }))
+                .await;
                 let elapsed = state.clock.now().saturating_duration_since(requested_at);
                 let delay = MIN_INTERVAL.saturating_sub(elapsed);
                 refresh_pending = time::timeout(delay, refresh.notified()).await.is_ok();
@@ -152,7 +153,7 @@
                     tracing::warn!(table = ?table, reason = error.to_string(), "the store is lost");
                 }
                 failures += 1;
-                handle_event(Event::Failed);
+                handle_event(Event::Failed).await;
                 let delay = RETRY_DELAY * 2_u32.pow(failures.min(5));
                 let jitter = 0.5 + rand::random::<f64>();
                 time::sleep(delay.min(MAX_RETRY_DELAY).mul_f64(jitter)).await;
