fix(gateway): a server that takes nothing doesn't make a request's task panic

Cause: the time until a place was Duration::MAX for 'never', and failure::not_before divided it by 0.75. Change: waits that may never end are Options; not_before limits the time before it scales it. expected_wait of the tests says None where it said the longest time.

--- a/crates/gateway/src/decision/failure.rs
+++ b/crates/gateway/src/decision/failure.rs
@@ -46,8 +46,10 @@
 }
 
 /// Expected delay for [`retry_after`] with which no caller returns before capacity is available
-/// after `capacity_in`; they return spread out after it.
+/// after `capacity_in`; they return spread out after it. `None` means never: callers then return as
+/// late as they can be told.
 #[must_use]
-pub fn not_before(capacity_in: Duration) -> Duration {
+pub fn not_before(capacity_in: Option<Duration>) -> Duration {
+    let capacity_in = capacity_in.map_or(MAX_RETRY_AFTER, |wait| wait.min(MAX_RETRY_AFTER));
     capacity_in.div_f64(1.0 - JITTER / 2.0)
 }
--- a/crates/gateway/src/decision/waiting_line.rs
+++ b/crates/gateway/src/decision/waiting_line.rs
@@ -136,11 +136,13 @@
 }
 
 /// Time until a request gets a place, if the next one comes up after `next` and then `pace` of them a
-/// second, and `ahead` requests go before it.
+/// second, and `ahead` requests go before it; `None` if it gets none.
 #[must_use]
-pub fn expected_wait(next: Duration, pace: f64, ahead: usize) -> Duration {
-    let rest = Duration::try_from_secs_f64(ahead as f64 / pace).unwrap_or(Duration::MAX);
-    next.saturating_add(rest)
+pub fn expected_wait(next: Duration, pace: f64, ahead: usize) -> Option<Duration> {
+    if ahead == 0 {
+        return Some(next);
+    }
+    next.checked_add(Duration::try_from_secs_f64(ahead as f64 / pace).ok()?)
 }
 
 /// Whether a request may wait for so long: until half of the time to its latency target, the rest of
--- a/crates/gateway/src/proxy/access.rs
+++ b/crates/gateway/src/proxy/access.rs
@@ -57,8 +57,8 @@
     None,
     /// This gateway may send one after `wait`, and then `pace` requests a second.
     Here { wait: Duration, pace: f64 },
-    /// Only other gateways may send any; each place comes up after this time.
-    Elsewhere(Duration),
+    /// Only other gateways may send any; each place comes up after this time, or never.
+    Elsewhere(Option<Duration>),
 }
 
 /// When a request that was not sent to them yet may be sent to a backend server with a limit.
@@ -92,8 +92,7 @@
     }
     match (next, elsewhere) {
         (NextPlace::None, Some(limit)) => {
-            let wait = Duration::try_from_secs_f64(1.0 / limit).unwrap_or(Duration::MAX);
-            NextPlace::Elsewhere(wait)
+            NextPlace::Elsewhere(Duration::try_from_secs_f64(1.0 / limit).ok())
         }
         (next, _) => next,
     }
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -201,7 +201,7 @@
                 Err(waiting::Unavailable::None) => return Err(self.failure(retry_delay, reason)),
                 Err(waiting::Unavailable::Quiet(wait)) => {
                     let reason = "all backend servers ask for a quiet period".to_owned();
-                    return Err(self.failure(failure::not_before(wait), reason));
+                    return Err(self.failure(failure::not_before(Some(wait)), reason));
                 }
                 Err(waiting::Unavailable::Limited(wait)) => {
                     let reason = "the limits that the backend servers name are used up".to_owned();
--- a/crates/gateway/src/proxy/waiting.rs
+++ b/crates/gateway/src/proxy/waiting.rs
@@ -28,8 +28,8 @@
     None,
     /// All of them ask for a quiet period; the first one ends after this time.
     Quiet(Duration),
-    /// The limits that they name are used up; a place is expected after this time.
-    Limited(Duration),
+    /// The limits that they name are used up; a place is expected after this time, or never.
+    Limited(Option<Duration>),
 }
 
 /// A request's place in the waiting line, until it is dropped.
@@ -109,7 +109,8 @@
                     let wait = waiting_line::expected_wait(next, pace, waiting.ahead());
                     let target = self.admitted.route.latency_target;
                     let target_left = target.saturating_sub(self.started.elapsed());
-                    if !waiting_line::may_wait(wait, target_left, self.time_left()) {
+                    let left = self.time_left();
+                    if !wait.is_some_and(|wait| waiting_line::may_wait(wait, target_left, left)) {
                         return Err(self.refuse_place(Some(waiting), wait));
                     }
                     time::Instant::now() + next.max(MIN_WAIT)
@@ -121,7 +122,7 @@
     }
 
     /// Records that the request gets no place.
-    fn refuse_place(&self, waiting: Option<&Waiting>, wait: Duration) -> Unavailable {
+    fn refuse_place(&self, waiting: Option<&Waiting>, wait: Option<Duration>) -> Unavailable {
         let (rank, now) = (self.admitted.ranks.on_time, time::Instant::now());
         let mut lines = self.state.waiting_lines.borrow_mut();
         lines.entry(self.admitted.service.clone()).or_default().record_refusal(rank, now);
--- a/crates/gateway/tests/limited_backends.rs
+++ b/crates/gateway/tests/limited_backends.rs
@@ -179,3 +179,28 @@
         expect_that!(backend.requests.borrow().len(), eq(0));
     });
 }
+
+/// The time until a place, which never comes up, was too long to be calculated with, and the caller's
+/// connection was closed.
+#[gtest]
+fn a_limit_of_nothing_at_a_gateway_without_a_share_leads_to_a_response() {
+    let failing = "HTTP/1.1 500 Failed\r\nx-id: 1\r\ncontent-length: 0\r\n\r\n";
+    for (name, named, path, with_other, expected) in [
+        ("alone, nothing", 0.0, "/once/a", false, "503"),
+        ("alone, next to nothing", 1e-300, "/once/a", false, "503"),
+        ("beside a server that fails", 0.0, "/again/a", true, "500"),
+        ("beside a server that fails, once only", 0.0, "/once/a", true, "500"),
+    ] {
+        run(async {
+            let limited = backend(vec![keep_open(RESPONSE)]).await;
+            let other = backend(vec![keep_open(failing)]).await;
+            let backends = [&limited, &other];
+            let (state, address) = gateway(&backends[..if with_other { 2 } else { 1 }]).await;
+            limit(&state, "b-0", named);
+            state.membership.borrow_mut().record_loss();
+            let response = call(address, path, "").await;
+            expect_that!(status(&response), eq(expected), "{name}");
+            expect_that!(limited.requests.borrow().len(), eq(0), "{name}");
+        });
+    }
+}
