fix(gateway): a rejection that may be of another request promises nothing

Callers saw (a report of other operators, shown here): a server that wrote an earlier rejection once more on a kept connection, without a request id, made a request that ran look as not run: 503, or a second send. Cause: a rejection without an id was believed on any connection. Change: it is believed on a connection that has served no other request; elsewhere the outcome is unknown.

--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -199,7 +199,12 @@
         return Outcome::unknown("the response belongs to another request");
     }
     // A backend server that got the address of one that has ended responds with 421.
-    if head.status == http::StatusCode::MISDIRECTED_REQUEST {
+    let is_misdirected = head.status == http::StatusCode::MISDIRECTED_REQUEST;
+    // On a connection that has served another request, it may be a late copy of that one's rejection.
+    if (is_misdirected || decoded.not_executed) && decoded.id.is_none() && connection.reused {
+        return Outcome::unknown("a rejection without request id may belong to another request");
+    }
+    if is_misdirected {
         return Outcome::NotExecuted;
     }
     record_notices(state, target, head.status, &decoded);
