--- a/crates/gateway/tests/rejections.rs
+++ b/crates/gateway/tests/rejections.rs
@@ -2,8 +2,12 @@
 
 mod support;
 
+use std::time::Duration;
+
+use futures::future;
 use googletest::prelude::*;
 use support::loopback::*;
+use tokio::time;
 
 fn rejection(status: &str, headers: &str) -> Reply {
     keep_open(format!("HTTP/1.1 {status}\r\n{headers}content-length: 0\r\n\r\n"))
@@ -40,17 +44,19 @@
 fn a_request_is_not_sent_again_after_a_rejection_that_may_be_of_another() {
     run(async {
         let copy = rejection("503 Full", "x-not-run: 1\r\n");
+        let copy = Reply { delay: Duration::from_millis(200), ..copy };
         let first = backend(vec![keep_open(RESPONSE), copy]).await;
+        let second = backend(vec![keep_open(RESPONSE)]).await;
         let (state, address) = gateway(&[&first]).await;
         expect_that!(status(&call(address, "/once/a", "").await), eq("200"));
-        let second = backend(vec![keep_open(RESPONSE)]).await;
-        register(&state, &[&first, &second], 1);
-        let mut last = (0, String::new());
-        while first.requests.borrow().len() < 2 {
-            last = (second.requests.borrow().len(), call(address, "/once/a", "").await);
-        }
-        let (before, response) = last;
+        // The second backend server is known once the first one has the request.
+        let registration = async {
+            time::sleep(Duration::from_millis(100)).await;
+            register(&state, &[&first, &second], 1);
+        };
+        let (response, ()) = future::join(call(address, "/once/a", ""), registration).await;
         expect_that!(status(&response), eq("502"));
-        expect_that!(second.requests.borrow().len(), eq(before));
+        expect_that!(first.requests.borrow().len(), eq(2));
+        expect_that!(second.requests.borrow().len(), eq(0));
     });
 }
