fix(gateway): only events of the same kind continue a stream that broke off

Cause: any success was taken for the continuation of the stream. Change: it is 200, of the same media type and not encoded; otherwise the attempt has failed and another server is asked. Test: gateway::streams::only_events_of_the_same_kind_continue_a_stream; the rows without content, of a part, text, no type and an encoded body failed before.

--- a/crates/gateway/src/proxy/handler.rs
+++ b/crates/gateway/src/proxy/handler.rs
@@ -286,6 +286,7 @@
     speed.observe(target.queued_tokens + target.uncached_tokens, sent_at.elapsed());
     drop(speeds);
     let (sender, receiver) = mpsc::channel(EVENT_BUFFER);
+    let media_type = response.head.headers.get(header::CONTENT_TYPE).cloned();
     let client_response = forward(
         response.head,
         response_body::Body::Events { events: receiver, _active: active.clone() },
@@ -297,6 +298,7 @@
         body: response.body,
         connection: response.connection,
         framing: response.framing,
+        media_type,
     };
     actix_rt::spawn(relay::run(request.clone(), stream, splitter, first, sender));
     Ok(client_response)
--- a/crates/gateway/src/proxy/relay.rs
+++ b/crates/gateway/src/proxy/relay.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header;
+use http::response;
 use http_body_util::BodyExt as _;
 use hyper::body;
 use tokio::sync::mpsc;
@@ -32,6 +34,8 @@
     pub(super) body: body::Incoming,
     pub(super) connection: pool::Connection,
     pub(super) framing: attempt::Framing,
+    /// Media type of its events.
+    pub(super) media_type: Option<header::HeaderValue>,
 }
 
 type EventSender = mpsc::Sender<Result<Bytes, response_body::BodyError>>;
@@ -100,8 +104,9 @@
         request.log_failed_attempt(&stream.target, &reason);
         splitter.discard_partial();
         request.last_event = splitter.last_id();
+        let media_type = stream.media_type.clone();
         drop(stream);
-        match resume(&mut request, &events).await {
+        match resume(&mut request, media_type.as_ref(), &events).await {
             Some(next) => stream = next,
             None => {
                 truncate(&events).await;
@@ -120,24 +125,49 @@
 }
 
 /// Continues the stream at another backend server after the last event, if the route allows it.
-async fn resume(request: &mut dispatch::ProxyRequest, events: &EventSender) -> Option<Stream> {
-    if !handler::is_resumable(request.admitted.route.kind) || !request.may_retry() {
-        return None;
+async fn resume(
+    request: &mut dispatch::ProxyRequest,
+    media_type: Option<&header::HeaderValue>,
+    events: &EventSender,
+) -> Option<Stream> {
+    while handler::is_resumable(request.admitted.route.kind) && request.may_retry() {
+        let response = tokio::select! {
+            response = request.send_until_response() => response.ok()?,
+            () = events.closed() => return None,
+        };
+        let dispatch::BackendResponse { target, mut load_guard, response, .. } = response;
+        load_guard.prefill_done();
+        if is_continuation(&response.head, media_type) {
+            return Some(Stream {
+                target,
+                _load_guard: load_guard,
+                decoded: response.decoded,
+                body: response.body,
+                connection: response.connection,
+                framing: response.framing,
+                media_type: media_type.cloned(),
+            });
+        }
+        request.observe(&target, health::Outcome::Failure);
+        let status = response.head.status;
+        request.log_failed_attempt(&target, &format!("status {status} continues no stream"));
     }
-    let response = tokio::select! {
-        response = request.send_until_response() => response.ok()?,
-        () = events.closed() => return None,
-    };
-    let dispatch::BackendResponse { target, mut load_guard, response, .. } = response;
-    load_guard.prefill_done();
-    response.head.status.is_success().then_some(Stream {
-        target,
-        _load_guard: load_guard,
-        decoded: response.decoded,
-        body: response.body,
-        connection: response.connection,
-        framing: response.framing,
-    })
+    None
+}
+
+/// Whether a response continues a stream whose events have a media type. Other successes, such as a
+/// part of a document or an encoded body, are no events that could follow the earlier ones.
+fn is_continuation(head: &response::Parts, media_type: Option<&header::HeaderValue>) -> bool {
+    let next = head.headers.get(header::CONTENT_TYPE);
+    head.status == http::StatusCode::OK
+        && next.map(essence) == media_type.map(essence)
+        && !head.headers.contains_key(header::CONTENT_ENCODING)
+}
+
+/// A media type without its parameters.
+fn essence(media_type: &header::HeaderValue) -> Vec<u8> {
+    let essence = media_type.as_bytes().split(|byte| *byte == b';').next().unwrap_or_default();
+    essence.trim_ascii().to_ascii_lowercase()
 }
 
 async fn relay_events(
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -137,6 +137,54 @@
     });
 }
 
+/// Any success of the next server was taken for the rest of a stream that had broken off: the stream
+/// ended as if it were complete, with the text of that response in it.
+#[gtest]
+fn only_events_of_the_same_kind_continue_a_stream() {
+    let head = |status: &str, more: &str| format!("HTTP/1.1 {status}\r\nx-id: 1\r\n{more}\r\n");
+    let text = "content-length: 12\r\n";
+    let (events, plain) = ("content-type: text/event-stream\r\n", "content-type: text/plain\r\n");
+    for (name, next, is_whole) in [
+        (
+            "events",
+            head("200 OK", &format!("{events}content-length: 15\r\n")) + "id: 2\ndata: b\n\n",
+            true,
+        ),
+        ("no content", head("204 No Content", events), false),
+        ("a part", head("206 Partial", &format!("{events}{text}")) + "page 1\n\nof 2", false),
+        ("text", head("200 OK", &format!("{plain}{text}")) + "page 1\n\nof 2", false),
+        ("no type", head("200 OK", text) + "page 1\n\nof 2", false),
+        (
+            "encoded",
+            head("200 OK", &format!("{events}content-encoding: gzip\r\n{text}")) + "page 1\n\nof 2",
+            false,
+        ),
+        ("an error", head("500 Failed", text) + "page 1\n\nof 2", false),
+        ("a redirection", head("302 Found", text) + "page 1\n\nof 2", false),
+    ] {
+        run(async {
+            let more = format!("{events}transfer-encoding: chunked\r\n");
+            let cut = head("200 OK", &more) + &chunk("id: 1\ndata: a\n\n");
+            let first =
+                backend(vec![Reply { delay: Duration::from_millis(200), ..close_after(cut) }])
+                    .await;
+            let second = backend(vec![keep_open(next)]).await;
+            let (state, address) = gateway(&[&first]).await;
+            // The second backend server is known once the first one has the request.
+            let registration = async {
+                time::sleep(Duration::from_millis(100)).await;
+                register(&state, &[&first, &second], 1);
+            };
+            let (response, ()) = futures::join!(call(address, "/resume/a", ""), registration);
+            expect_that!(second.requests.borrow().len(), eq(1), "{name}");
+            expect_that!(response, contains_substring("data: a"), "{name}");
+            expect_that!(response.contains("data: b"), eq(is_whole), "{name}");
+            expect_that!(response.contains("page"), is_false(), "{name}");
+            expect_that!(response.ends_with("0\r\n\r\n"), eq(is_whole), "{name}");
+        });
+    }
+}
+
 #[gtest]
 fn shutdown_rejects_streams_first_and_then_all_requests_with_503() {
     run(async {
