fix(gateway): a request doesn't wait without end for a server that wants no requests

Cause: the selection left the server out, the time of the next place did not; and a free place was waited for whatever time is left. Change: a place at a quiet server comes up when the quiet ends, and nothing is waited for once the time is up.

--- a/crates/gateway/src/decision/waiting_line.rs
+++ b/crates/gateway/src/decision/waiting_line.rs
@@ -150,5 +150,5 @@
 #[must_use]
 pub fn may_wait(wait: Duration, target_left: Duration, left: Duration) -> bool {
     let until = if target_left.is_zero() { left } else { target_left.min(left) };
-    wait <= until / 2
+    !left.is_zero() && wait <= until / 2
 }
--- a/crates/gateway/src/proxy/access.rs
+++ b/crates/gateway/src/proxy/access.rs
@@ -68,6 +68,7 @@
         return NextPlace::None;
     }
     let directory = state.directory.borrow();
+    let now = time::Instant::now();
     let (mut next, mut elsewhere) = (NextPlace::None, None);
     for server in directory.of_service(&request.admitted.service) {
         if request.tried.contains(&server.backend.id) {
@@ -76,6 +77,8 @@
         match place(state, server) {
             backend_limit::Place::Unlimited => return NextPlace::None,
             backend_limit::Place::Limited { wait, pace } => {
+                // A place that is free is of no use while the server wants no requests.
+                let wait = wait.max(directory.quiet_time_left(&server.backend, now));
                 next = match next {
                     NextPlace::Here { wait: first, pace: sum } => {
                         NextPlace::Here { wait: first.min(wait), pace: sum + pace }
--- a/crates/gateway/tests/limited_backends.rs
+++ b/crates/gateway/tests/limited_backends.rs
@@ -180,6 +180,28 @@
     });
 }
 
+/// A request waited without end for a place at a server that wanted no requests.
+#[gtest]
+fn a_request_is_refused_while_the_last_server_with_a_place_asks_for_quiet() {
+    let full = "HTTP/1.1 503 Full\r\nx-id: 1\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+    for (name, quiet, path, expected) in [
+        ("long", Duration::from_secs(20), "/once/a", "503"),
+        ("long, a stream", Duration::from_secs(20), "/stream/a", "503"),
+        ("short", Duration::from_millis(60), "/once/a", "200"),
+    ] {
+        run(async {
+            let limited = backend(vec![naming("20")]).await;
+            let other = backend(vec![keep_open(full)]).await;
+            let (state, address) = gateway(&[&limited, &other]).await;
+            limit(&state, "b-0", 20.0);
+            let now = time::Instant::now();
+            state.directory.borrow_mut().record_quiet_period("b-0", 1, quiet, now);
+            let response = call(address, path, "x-patience-ms: 500\r\n").await;
+            expect_that!(status(&response), eq(expected), "{name}");
+        });
+    }
+}
+
 /// The time until a place, which never comes up, was too long to be calculated with, and the caller's
 /// connection was closed.
 #[gtest]
--- a/crates/gateway/tests/waiting_line.rs
+++ b/crates/gateway/tests/waiting_line.rs
@@ -113,6 +113,7 @@
         ("not on time any more, but in time", 2_000, 0, 5_000, true),
         ("not in time any more", 3_000, 0, 5_000, false),
         ("the deadline comes before the target", 200, 900, 300, false),
+        ("free, but no time is left", 0, 0, 0, false),
     ] {
         let may = waiting_line::may_wait(millis(wait), millis(target_left), millis(left));
         expect_that!(may, eq(expected), "{name}");
