Review: a gateway that starts beside a store from a copy accepts a key that was taken away

Hearing of a newer version from another gateway has no effect until a later long poll has confirmed the older one, up to 2.6 s after the start; meanwhile the keys of the older version are trusted.

--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -126,9 +126,11 @@
     def __init__(self, port, handle):
         self.port, self.handle = port, handle
         self.server = None
+        self.was_started = False
         self.writers = set()
 
     async def start(self):
+        self.was_started = True
         self.server = await asyncio.start_server(
             self.serve, "127.0.0.1", self.port, limit=1 << 20, backlog=512
         )
@@ -153,16 +155,18 @@
             writer.close()
 
     def stop(self, reset=False):
-        """Closes the port and all connections, with a reset as of a process that is killed."""
+        """Closes the port and all connections, as if the process had ended; with `reset`, abruptly."""
         if self.server:
             self.server.close()
             self.server = None
         for writer in list(self.writers):
-            if reset:
-                sock = writer.get_extra_info("socket")
-                if sock is not None:
-                    linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
-                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            if not reset:
+                writer.close()
+                continue
+            sock = writer.get_extra_info("socket")
+            if sock is not None:
+                linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
             writer.transport.abort()
 
 
@@ -176,6 +180,8 @@
         self.log = []
         self.changed = asyncio.Event()
         self.usage = []
+        self.era = 1
+        self.compacted = 0
         self.port, self.cloud_port = free_ports(2)
         self.server = Server(self.port, self.handle)
         self.cloud = Server(self.cloud_port, self.handle_cloud)
@@ -186,6 +192,8 @@
 
     def write(self, table, key, document):
         """A row of the operator or of a replica; None removes it."""
+        if self.server.server is None and self.server.was_started:
+            return
         data = None if document is None else json.dumps(document).encode()
         self.apply([(table, key, data)])
 
@@ -200,6 +208,21 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def copy(self):
+        """A copy, from which the store may come back."""
+        return self.version, dict(self.rows)
+
+    async def come_back(self, copy, away_s):
+        """Is away for a moment and comes back from a copy, in the next era."""
+        self.record("the store is away")
+        self.server.stop(reset=True)
+        await asyncio.sleep(away_s)
+        (self.version, rows), self.log = copy, []
+        self.rows, self.compacted = dict(rows), self.version
+        self.era += 1
+        await self.server.start()
+        self.record(f"the store is back from a copy, era {self.era}")
+
     def row(self, table, key, data, version):
         row = {"Table": table, "part": "", "Key": key, "SchemaVersion": version}
         if data is None:
@@ -212,7 +235,8 @@
         document = {**document, "SchemaVersion": self.version}
         document["NowMs"] = int(time.monotonic() * 1000)
         body = json.dumps(document).encode()
-        writer.write(response(status, body, [("Content-Type", "application/json")]))
+        headers = [("Content-Type", "application/json"), ("Store-Era", str(self.era))]
+        writer.write(response(status, body, headers))
 
     async def handle(self, request, writer):
         query = request.query
@@ -225,6 +249,8 @@
         elif request.path == "/rows-feed":
             table, since = query["Table"], int(query["SinceRevision"])
             until = time.monotonic() + int(query.get("WaitMs", 0)) / 1000
+            if not self.compacted <= since <= self.version:
+                return self.answer(writer, 410, {})
             while True:
                 changed = self.changed
                 rows = [
@@ -309,11 +335,11 @@
             await asyncio.sleep(HEARTBEAT_S)
             self.beat()
 
-    def crash(self):
-        """Ends as a process does that crashes: its port refuses, its connections are reset."""
+    def crash(self, reset=True):
+        """Ends as a process does that crashes: its port refuses, its connections end."""
         self.is_up = False
         self.beats.cancel()
-        self.server.stop(reset=True)
+        self.server.stop(reset)
 
     def headers(self, request):
         return [
