fix(gateway): a restart beside a lost gateway waits for a window, not for a minute

Cause: a process that starts waits until each listed gateway has sent it a message, or for the validity of a read of the list. An earlier process of the same gateway had been counted by all, and its entry was in the list all the time, but nothing told the new one.

Ruled out: the choice of holders among dead gateways (it costs their share only, see the new histories), and what the store keeps of limits.

Change: the entry says in which era of the store all that use a share have counted the gateway. A process that replaces such an entry in that era waits for the window only; the argument is in `decision::membership`. The retry budget and the shares of cold servers ask for the same standing and are mended with it. A process that takes a name over at another address now waits the whole minute, which it didn't: the other one may be cut off and go on.

The bounds are played with gateways that are lost, replaced or forgotten by a copy of the store.

--- a/crates/gateway/src/decision/membership.rs
+++ b/crates/gateway/src/decision/membership.rs
@@ -15,6 +15,22 @@
 //! An entry of the list is retired for [`LIST_VALIDITY`] and more before it is removed, so whoever
 //! isn't listed has stopped using its part.
 //!
+//! # Restarts
+//!
+//! Once all that use a part have counted a gateway, this stays true for as long as its entry is in
+//! the list, whoever runs: a read of the list is valid for less time than it takes until an entry is
+//! removed, and whoever registers later finds the entry. So the fact is kept in the entry. A process
+//! that starts and finds it there, in its own entry, waits for no other gateway, only for the
+//! window. A gateway that is gone for good costs the fleet its own part, also after all others have
+//! started again. The entry shows nothing
+//!
+//! - in another era of the store: it may have been removed, and have come back with a copy;
+//! - if it has the address of another process, which may still run and use the same part. There is
+//!   no message by which to know, so the part is used only [`LIST_VALIDITY`] later;
+//! - before the fact is written, as of a gateway that started first beside a silent one.
+//!
+//! No clock of another VM is part of this, nor the time of day.
+//!
 //! ```
 //! use std::time::Duration;
 //!
@@ -33,6 +49,7 @@
 use std::collections;
 use std::time::Duration;
 
+use azuregap_coordination::ids as store_ids;
 use azuregap_core::ids;
 use tokio::time;
 
@@ -62,6 +79,45 @@
     }
 }
 
+/// What the entry of a gateway showed when its process registered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Precedent {
+    /// There was none, or one that others may not have counted.
+    Unknown,
+    /// All others that use a part of the allowance have counted it, see [`Membership::is_known`].
+    Known,
+    /// It was that of another process of the same name, which may still run.
+    Replaced,
+}
+
+impl Precedent {
+    /// What an entry showed in an era of the store. `is_replacement` is whether it has the address of
+    /// another process, or took the place of such a one and the gateway isn't known since, and
+    /// `known_in` the era in which it says that the gateway is known.
+    #[must_use]
+    pub fn of_entry(
+        is_replacement: bool,
+        known_in: Option<store_ids::Era>,
+        era: store_ids::Era,
+    ) -> Self {
+        match (is_replacement, known_in) {
+            (true, _) => Self::Replaced,
+            (false, Some(known_in)) if known_in == era => Self::Known,
+            (false, _) => Self::Unknown,
+        }
+    }
+
+    /// Name in logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Unknown => "unknown",
+            Self::Known => "known",
+            Self::Replaced => "replaced",
+        }
+    }
+}
+
 /// A gateway's place in the list of gateways.
 #[derive(Debug, Default)]
 pub struct Membership {
@@ -74,12 +130,26 @@
     heard: collections::HashSet<ids::NodeId>,
     /// When the last of the awaited gateways was heard.
     known_at: Option<time::Instant>,
+    /// Whether another process of the same name may still run.
+    is_replacement: bool,
 }
 
 impl Membership {
     /// Records that this gateway was written into the list.
     pub fn record_registration(&mut self, now: time::Instant) {
-        *self = Self { registered_at: Some(now), ..Self::default() };
+        self.record_registration_after(Precedent::Unknown, now);
+    }
+
+    /// Records that this gateway was written into the list, in place of its entry there.
+    pub fn record_registration_after(&mut self, precedent: Precedent, now: time::Instant) {
+        let is_known = precedent == Precedent::Known;
+        *self = Self {
+            registered_at: Some(now),
+            awaited: is_known.then(collections::HashSet::new),
+            known_at: is_known.then_some(now),
+            is_replacement: precedent == Precedent::Replaced,
+            ..Self::default()
+        };
     }
 
     /// Records a read of the list, which names this gateway and `others`; `now` is when the read
@@ -134,23 +204,35 @@
 
     fn update_known(&mut self, now: time::Instant) {
         let is_complete = self.awaited.as_ref().is_some_and(collections::HashSet::is_empty);
-        if is_complete && self.known_at.is_none() {
+        if is_complete && self.known_at.is_none() && !self.is_replacement {
             self.known_at = Some(now);
         }
     }
 
+    /// When all others that use a part of the allowance have counted this gateway, also if it hears
+    /// nothing more of them; `None` if it isn't in the list.
+    fn known_since(&self) -> Option<time::Instant> {
+        let all_have_read = self.registered_at? + LIST_VALIDITY;
+        Some(self.known_at.map_or(all_have_read, |at| at.min(all_have_read)))
+    }
+
+    /// Whether all others that use a part of the allowance have counted this gateway. They go on to do
+    /// so while it is in the list, whether its process runs or not.
+    #[must_use]
+    pub fn is_known(&self, now: time::Instant) -> bool {
+        self.known_since().is_some_and(|since| since <= now)
+    }
+
     /// What the others know about this gateway, if the use of the allowance is limited per `window`.
     #[must_use]
     pub fn standing(&self, window: Duration, now: time::Instant) -> Standing {
         let is_within = |at: time::Instant, span| now.saturating_duration_since(at) < span;
-        let (Some(registered_at), Some(listed_at)) = (self.registered_at, self.listed_at) else {
+        let (Some(known_since), Some(listed_at)) = (self.known_since(), self.listed_at) else {
             return Standing::Unlisted;
         };
         if !is_within(listed_at, LIST_VALIDITY) {
             return Standing::Unlisted;
         }
-        let all_have_read = registered_at + LIST_VALIDITY;
-        let known_at = self.known_at.map_or(all_have_read, |at| at.min(all_have_read));
-        if is_within(known_at, window) { Standing::Listed } else { Standing::Counted }
+        if is_within(known_since, window) { Standing::Listed } else { Standing::Counted }
     }
 }
--- a/crates/gateway/src/proxy/access.rs
+++ b/crates/gateway/src/proxy/access.rs
@@ -8,6 +8,7 @@
 use super::eligibility;
 use crate::cold_servers;
 use crate::decision::backend_limit;
+use crate::decision::membership;
 use crate::decision::waiting_line;
 use crate::directory;
 use crate::state;
@@ -71,7 +72,10 @@
     let is_cold = |server: &directory::BackendState| {
         protection.is_some_and(|protection| protection.cold_left(state, server.hash).is_some())
     };
-    if eligibility::of_service(request, &directory).any(is_cold) {
+    let (membership, now) = (state.membership.borrow(), state.clock.now());
+    if membership.standing(backend_limit::WINDOW, now) != membership::Standing::Counted {
+        "this gateway has no share of the limits: others may not have counted it yet"
+    } else if eligibility::of_service(request, &directory).any(is_cold) {
         "cold: the places at cold backend servers are used up"
     } else {
         "the limits that the backend servers name are used up"
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -7,6 +7,7 @@
 mod gossip;
 mod limit_rows;
 mod quarantine_rows;
+mod registration;
 mod transfer;
 mod usage;
 mod usage_reporter;
--- a/crates/gateway/src/service/gateway_list.rs
+++ b/crates/gateway/src/service/gateway_list.rs
@@ -1,18 +1,16 @@
 //! Registers this gateway in the list of gateways in the store, and keeps up with the list.
 
 use std::collections;
-use std::net;
 use std::rc;
 use std::time::Duration;
 
 use azuregap_coordination::ids as store_ids;
 use azuregap_core::ids;
-use serde::Deserialize;
-use serde::Serialize;
 use tokio::time;
 
 use super::limit_rows;
 use super::quarantine_rows;
+use super::registration;
 use super::transfer;
 use crate::decision::membership;
 use crate::peers;
@@ -39,16 +37,6 @@
 /// Maximum entries that are retired or removed after one read of the list.
 const MAX_REMOVALS: usize = 10;
 
-/// Entry of a gateway in the store.
-#[derive(Debug)]
-#[derive(Serialize, Deserialize)]
-struct Entry {
-    address: net::SocketAddr,
-    /// Whether the gateway has been silent for long; it counts as listed until it is removed.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    is_retired: bool,
-}
-
 /// Retired entries: their versions, and when this gateway first read them.
 type Retired = collections::HashMap<ids::NodeId, (store_ids::RowVersion, time::Instant)>;
 
@@ -60,11 +48,15 @@
     let mut interval = INITIAL_LIST_INTERVAL;
     let mut reporter_since = None;
     let mut retired = Retired::new();
+    let mut registered_in = None;
     let mut era = state.store_era.subscribe();
     loop {
-        let result = register_and_list(&state, &store).await;
+        let result = register_and_list(&state, &store, &mut registered_in).await;
         match &result {
             Ok(rows) => {
+                if registered_in == Some(rows.era) {
+                    registration::save_known(&state, &store, rows).await;
+                }
                 remove_silent(&state, &store, rows, &mut reporter_since, &mut retired).await;
             }
             Err(error) => {
@@ -93,29 +85,24 @@
     }
 }
 
+/// Registers this gateway if it isn't in the list, and reads the list. `registered_in` is the era of
+/// the store in which it registered.
 async fn register_and_list(
     state: &state::State,
     store: &store::Store,
+    registered_in: &mut Option<store_ids::Era>,
 ) -> Result<store::Rows, store::StoreError> {
     let table = store::Table::Gateways;
     let node = &state.settings.node;
-    let entry = Entry { address: state.settings.gossip_address, is_retired: false };
-    let data = serde_json::to_vec(&entry).expect("an entry can be encoded as JSON");
     if !state.registered.get() {
-        let write =
-            store::Write { key: node.clone(), data: Some(data.clone()), expected_version: None };
-        (store.commit)(store::Commit { table, writes: vec![write], preconditions: Vec::new() })
-            .await
-            .map(|receipt| state.observe_era(receipt.era))?;
-        state.registered.set(true);
-        state.membership.borrow_mut().record_registration(state.clock.now());
-        tracing::info!(address = %entry.address, "registered in the list of gateways");
+        *registered_in = Some(registration::register(state, store).await?);
     }
     let read_at = state.clock.now();
     let rows = transfer::read(store, table).await?.rows;
     state.observe_era(rows.era);
     let own = rows.rows.iter().find(|row| row.key == *node);
-    state.registered.set(own.is_some_and(|row| row.data.as_ref() == Some(&data)));
+    let own = own.and_then(registration::Entry::decode);
+    state.registered.set(own.is_some_and(|entry| entry.is_of(state)));
     let now = state.clock.now();
     let mut others = Vec::new();
     for row in rows.rows.iter().filter(|row| row.key != *node) {
@@ -127,20 +114,9 @@
             limit_rows::load(state, row);
             continue;
         }
-        let entry: Result<Entry, _> =
-            serde_json::from_slice(row.data.as_deref().unwrap_or_default());
-        match entry {
-            Ok(entry) => {
-                state.peers.borrow_mut().add_listed(row.key.clone(), entry.address, now);
-                others.push(row.key.clone());
-            }
-            Err(error) => {
-                tracing::warn!(
-                    gateway = row.key,
-                    reason = error.to_string(),
-                    "invalid gateway entry"
-                );
-            }
+        if let Some(entry) = registration::Entry::decode(row) {
+            state.peers.borrow_mut().add_listed(row.key.clone(), entry.address, now);
+            others.push(row.key.clone());
         }
     }
     let mut membership = state.membership.borrow_mut();
@@ -187,7 +163,9 @@
         if !state.peers.borrow().is_expired(&row.key, now) {
             return None;
         }
-        let Some((_, since)) = retired.get(&row.key) else { return retire(row).map(Some) };
+        let Some((_, since)) = retired.get(&row.key) else {
+            return registration::retire(row).map(Some);
+        };
         (now.saturating_duration_since(*since) >= RETIREMENT).then_some(None)
     };
     let changes = rows.rows.iter().filter_map(|row| Some((row, change_of(row)?)));
@@ -210,10 +188,8 @@
 
 /// Keeps up with which entries are retired.
 fn record_retired(rows: &store::Rows, retired: &mut Retired, now: time::Instant) {
-    let is_retired = |row: &&store::Row| {
-        let entry = serde_json::from_slice(row.data.as_deref().unwrap_or_default());
-        entry.is_ok_and(|entry: Entry| entry.is_retired)
-    };
+    let is_retired =
+        |row: &&store::Row| registration::Entry::decode(row).is_some_and(|entry| entry.is_retired);
     let current: Vec<_> = rows.rows.iter().filter(is_retired).collect();
     retired.retain(|key, (version, _)| {
         current.iter().any(|row| row.key == *key && row.version == *version)
@@ -222,9 +198,3 @@
         retired.entry(row.key.clone()).or_insert((row.version, now));
     }
 }
-
-/// Content of an entry once it is retired.
-fn retire(row: &store::Row) -> Option<Vec<u8>> {
-    let entry: Entry = serde_json::from_slice(row.data.as_deref()?).ok()?;
-    serde_json::to_vec(&Entry { is_retired: true, ..entry }).ok()
-}
--- a/crates/gateway/tests/cold_histories.rs
+++ b/crates/gateway/tests/cold_histories.rs
@@ -54,6 +54,18 @@
     }
 }
 
+#[gtest]
+fn random_losses_of_gateways_send_a_cold_server_no_more_than_it_tolerates() {
+    for seed in 0..48 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let gateways = FLEETS[seed as usize % FLEETS.len()];
+        let pace = [0.5, 4.0, 11.0, 40.0][rng.random_range(0..4)];
+        let mut events = network::random_events(gateways, 20..65, 30.0, &mut rng);
+        events.extend(network::random_losses(gateways, 20..65, &mut rng));
+        expect_bound(gateways, pace, seed, &busy(events));
+    }
+}
+
 #[gtest]
 fn fleets_that_end_or_freeze_at_once_send_a_cold_server_no_more_than_it_tolerates() {
     for gateways in FLEETS {
@@ -69,6 +81,25 @@
     }
 }
 
+#[gtest]
+fn a_gateway_that_is_gone_leaves_a_cold_server_to_the_others_after_they_start_again() {
+    // Guards against fleets that sent cold servers nothing for a minute after all their processes
+    // were killed beside a gateway that was gone for good.
+    for gateways in FLEETS.into_iter().skip(1) {
+        let mut fleet = cold_fleet::Fleet::new(gateways, BOUND.allowance(11.0), runs(), 1);
+        let rate = (seconds(10), Event::Rate(0..usize::MAX, 30.0));
+        let lost = (seconds(33), Event::Remove(0..1));
+        fleet.play(&[rate, lost, (seconds(38), Event::End(0..gateways))], seconds(75));
+        // Cold starts from twelve seconds after the ends on, with the shares of all other holders.
+        let arrivals: usize = (5..9).map(|run| fleet.aware_arrivals(run)).sum();
+        expect_that!(
+            arrivals as f64,
+            ge(0.5 * 4.0 * 3.0 * 11.0 * 2.0 / 3.0),
+            "{gateways} gateways"
+        );
+    }
+}
+
 #[gtest]
 fn a_cold_server_gets_the_pace_that_serves_callers_well() {
     for gateways in FLEETS {
--- a/crates/gateway/tests/limit_histories.rs
+++ b/crates/gateway/tests/limit_histories.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use azuregap_gateway::decision::backend_limit;
 use googletest::prelude::*;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
@@ -109,6 +110,80 @@
     }
 }
 
+/// Histories in which gateways are lost, replaced or forgotten by the store before others start again.
+fn losses(gateways: usize) -> [(&'static str, History); 6] {
+    let (all, half) = (0..gateways, 0..gateways.div_ceil(2));
+    let end = |at| (at, Event::End(0..usize::MAX));
+    let restore = |at| (at, Event::Restore(seconds(8)));
+    [
+        ("one gone for good, then ends", busy([(33, Event::Remove(0..1)), end(36), end(43)])),
+        (
+            "cut off, then ends of the others and new ones",
+            busy([
+                (32, Event::Isolate(half.clone(), seconds(40))),
+                (33, Event::Detach(half.clone(), seconds(40))),
+                (34, Event::Add(gateways)),
+                (36, Event::End(half.end..usize::MAX)),
+            ]),
+        ),
+        (
+            "all replaced, with and without their addresses",
+            busy([
+                (33, Event::Replace(half.clone())),
+                (34, Event::End(half.end..gateways)),
+                (39, Event::End(gateways..usize::MAX)),
+            ]),
+        ),
+        (
+            "all gone, then new ones that end",
+            busy([(33, Event::Remove(all.clone())), (34, Event::Add(gateways)), end(42)]),
+        ),
+        ("back from a copy, then ends", busy([restore(35), end(36), restore(44), end(45)])),
+        (
+            "added, and forgotten by a copy while they end",
+            busy([(33, Event::Add(gateways)), restore(37), end(37), end(48)]),
+        ),
+    ]
+}
+
+#[gtest]
+fn gateways_that_start_again_beside_lost_ones_send_a_limited_server_no_more_than_it_takes() {
+    for gateways in FLEETS {
+        for (name, history) in losses(gateways) {
+            expect_bound(name, gateways, &limits(&[Some(1.8)]), 1, &history);
+            expect_bound(name, gateways, &limits(&[Some(12.0)]), 2, &history);
+        }
+    }
+}
+
+#[gtest]
+fn random_losses_of_gateways_while_a_server_names_limits_exceed_them_in_no_window() {
+    for seed in 0..60 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let gateways = FLEETS[seed as usize % 3];
+        let limit = rng.random_range(0.0..12.0);
+        let mut events = network::random_events(gateways, 20..60, 20.0, &mut rng);
+        events.extend(network::random_losses(gateways, 20..60, &mut rng));
+        let history = busy(events);
+        expect_bound("random losses", gateways, &limits(&[Some(limit)]), seed, &history);
+    }
+}
+
+#[gtest]
+fn a_gateway_that_is_gone_costs_its_share_of_a_limit_also_after_the_others_start_again() {
+    // Guards against fleets that sent limited servers nothing for a minute after all their processes
+    // were killed beside a gateway that was gone for good.
+    for gateways in [4, 8, 48, 301] {
+        let mut fleet = limit_fleet::Fleet::new(gateways, limits(&[Some(1.8)]), 1);
+        let lost = (33, Event::Remove(0..1));
+        fleet.play(&busy([lost, (40, Event::End(0..gateways))]), seconds(62));
+        // Within twelve seconds, with the shares of all other holders.
+        let arrivals = fleet.arrivals_in(seconds(52)..seconds(62)) as f64;
+        let shares = (backend_limit::HOLDERS - 1) as f64 / backend_limit::HOLDERS as f64;
+        expect_that!(arrivals, ge(0.8 * shares * 18.0), "{gateways} gateways");
+    }
+}
+
 #[gtest]
 fn limits_that_change_are_kept_by_all_gateways_together() {
     for (name, named) in [
--- a/crates/gateway/tests/retry_histories.rs
+++ b/crates/gateway/tests/retry_histories.rs
@@ -24,6 +24,9 @@
     Duration::from_secs(seconds)
 }
 
+/// Time from the ends of all gateways until the retry budget is used again, at most.
+const RECOVERY: u64 = 12;
+
 /// A history in which callers send requests from the tenth second on, and most sends fail from
 /// [`FAILING`] on.
 fn failing(events: impl IntoIterator<Item = (u64, Event)>) -> History {
@@ -117,3 +120,50 @@
         expect_bound("random", gateways, slack, seed, &history);
     }
 }
+
+#[gtest]
+fn losses_of_gateways_while_backend_servers_fail_exceed_no_retry_window() {
+    for (gateways, slack) in FLEETS {
+        let half = 0..gateways.div_ceil(2);
+        let end = |at| (at, Event::End(0..usize::MAX));
+        let histories = [
+            (
+                "one gone for good, then ends",
+                failing([(38, Event::Remove(0..1)), end(43), end(50)]),
+            ),
+            ("half replaced, then ends", failing([(38, Event::Replace(half)), end(43), end(55)])),
+            (
+                "added, and forgotten by a copy while they end",
+                failing([(41, Event::Add(gateways)), (45, Event::Restore(seconds(8))), end(45)]),
+            ),
+        ];
+        for (name, history) in histories {
+            expect_bound(name, gateways, slack, 1, &history);
+        }
+    }
+    for seed in 0..60 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let (gateways, slack) = FLEETS[seed as usize % 3];
+        let mut events = network::random_events(gateways, 30..60, 30.0, &mut rng);
+        events.extend(network::random_losses(gateways, 30..60, &mut rng));
+        expect_bound("random losses", gateways, slack, seed, &failing(events));
+    }
+}
+
+#[gtest]
+fn a_gateway_that_is_gone_costs_its_part_of_the_retries_also_after_the_others_start_again() {
+    // Guards against fleets that retried nothing for a minute after all their processes were killed
+    // beside a gateway that was gone for good: the rate of requests alone allows no retry here.
+    for (gateways, slack) in FLEETS.into_iter().skip(1) {
+        let lost = (30, Event::Remove(0..1));
+        let rate = (36, Event::Rate(0..usize::MAX, 1.0));
+        let history = failing([lost, rate, (36, Event::End(0..gateways))]);
+        let mut fleet = retry_fleet::Fleet::new(gateways, slack, 1);
+        fleet.play(&history, seconds(36 + RECOVERY));
+        let before = fleet.repeat_count();
+        fleet.play(&[], seconds(36 + RECOVERY + 10));
+        let parts = slack * (gateways - 1) as f64 / gateways as f64;
+        let retries = (fleet.repeat_count() - before) as f64;
+        expect_that!(retries, ge(0.7 * parts), "{gateways} gateways");
+    }
+}
--- a/crates/gateway/tests/support/cold_fleet.rs
+++ b/crates/gateway/tests/support/cold_fleet.rs
@@ -133,6 +133,13 @@
         aware.iter().filter(|at| is_cold(**at)).map(|at| count(*at)).max().unwrap_or_default()
     }
 
+    /// Requests that arrived in the cold seconds of a run, of gateways that knew of it.
+    pub fn aware_arrivals(&self, run: usize) -> usize {
+        let start = self.runs[run];
+        let is_cold = |a: &&Arrival| a.is_aware && a.at >= start && a.at < start + WARM_UP;
+        self.arrivals.iter().filter(is_cold).count()
+    }
+
     /// Requests that arrived in the cold seconds of the runs.
     pub fn cold_arrivals(&self, run: usize) -> usize {
         let start = self.runs[run];
--- a/crates/gateway/tests/support/network.rs
+++ b/crates/gateway/tests/support/network.rs
@@ -40,6 +40,10 @@
     Add(usize),
     /// They are gone for good.
     Remove(ops::Range<usize>),
+    /// Others take their names at new addresses, while they run on and are cut off.
+    Replace(ops::Range<usize>),
+    /// The store comes back from a copy of this age.
+    Restore(Duration),
     /// Callers send this many requests per second to each gateway.
     Rate(ops::Range<usize>, f64),
     /// The share of the sends that fail.
@@ -72,6 +76,28 @@
     events
 }
 
+/// One to three losses of gateways, or of what the store knows of them, at random times in `from`, and
+/// as many ends of all processes.
+pub fn random_losses(
+    gateways: usize,
+    from: ops::Range<u64>,
+    rng: &mut ChaCha8Rng,
+) -> Vec<(u64, Event)> {
+    let mut events = Vec::new();
+    for _ in 0..rng.random_range(1..4) {
+        let first = rng.random_range(0..gateways);
+        let range = first..rng.random_range(first..gateways) + 1;
+        let event = match rng.random_range(0..3) {
+            0 => Event::Remove(range),
+            1 => Event::Replace(range),
+            _ => Event::Restore(Duration::from_millis(rng.random_range(500..10_000))),
+        };
+        events.push((rng.random_range(from.clone()), event));
+        events.push((rng.random_range(from.clone()), Event::End(0..usize::MAX)));
+    }
+    events
+}
+
 /// A gateway, with the state `T` that concerns its requests.
 pub struct Gateway<T> {
     pub name: String,
@@ -93,8 +119,20 @@
     isolated_until: Duration,
     detached_until: Duration,
     registered: bool,
+    /// Era of the store in which it registered.
+    era: u64,
+}
+
+/// An entry in the list of gateways.
+#[derive(Clone)]
+struct Entry {
+    address: net::SocketAddr,
+    known_in: Option<u64>,
+    is_replacement: bool,
 }
 
+type List = collections::BTreeMap<String, Entry>;
+
 impl<T> Gateway<T> {
     fn new(index: usize, load: T, now: Duration) -> Self {
         Self {
@@ -115,6 +153,7 @@
             isolated_until: now,
             detached_until: now,
             registered: false,
+            era: 0,
         }
     }
 
@@ -159,7 +198,11 @@
     pub gateways: Vec<Gateway<T>>,
     /// Time since the start.
     pub now: Duration,
-    listed: collections::BTreeMap<String, net::SocketAddr>,
+    listed: List,
+    /// The list as it was at the beginning of each second.
+    copies: Vec<List>,
+    /// Era of the store.
+    era: u64,
     saved: S,
     origin: time::Instant,
     hooks: Hooks<T, S>,
@@ -172,7 +215,9 @@
         Self {
             gateways: (0..gateways).map(start).collect(),
             now: Duration::ZERO,
-            listed: collections::BTreeMap::new(),
+            listed: List::new(),
+            copies: Vec::new(),
+            era: 0,
             saved: S::default(),
             origin: time::Instant::now(),
             hooks,
@@ -188,7 +233,10 @@
     pub fn apply(&mut self, event: &Event) {
         let now = self.now;
         match event.clone() {
-            Event::End(range) => range.for_each(|index| self.restart(index)),
+            Event::End(range) => {
+                let end = range.end.min(self.gateways.len());
+                (range.start..end).for_each(|index| self.restart(index));
+            }
             Event::Freeze(range, span) => {
                 self.update(range, |gateway| gateway.frozen_until = now + span);
             }
@@ -208,10 +256,26 @@
                     self.gateways.push(gateway);
                 }
             }
+            Event::Replace(range) => range.for_each(|index| self.replace(index)),
+            Event::Restore(age) => {
+                let second = now.saturating_sub(age).as_secs() as usize;
+                self.listed = self.copies.get(second).cloned().unwrap_or_default();
+                self.era += 1;
+            }
             Event::Failures(_) => {}
         }
     }
 
+    /// Starts a gateway with the name of another one, which is cut off for long.
+    fn replace(&mut self, index: usize) {
+        let now = self.now;
+        let mut new = Gateway::new(self.gateways.len(), (self.hooks.start)(), now + DOWN_TIME);
+        let Some(old) = self.gateways.get_mut(index).filter(|old| !old.is_removed) else { return };
+        (new.name, new.rate) = (old.name.clone(), old.rate);
+        (old.isolated_until, old.detached_until) = (Duration::MAX, Duration::MAX);
+        self.gateways.push(new);
+    }
+
     fn update(&mut self, range: ops::Range<usize>, change: impl FnMut(&mut Gateway<T>)) {
         let end = range.end.min(self.gateways.len());
         self.gateways[range.start.min(end)..end].iter_mut().for_each(change);
@@ -221,7 +285,7 @@
         let now = self.now;
         let Some(old) = self.gateways.get_mut(index).filter(|old| !old.is_removed) else { return };
         let mut new = Gateway::new(index, (self.hooks.start)(), now + DOWN_TIME);
-        new.rate = old.rate;
+        (new.name, new.rate) = (old.name.clone(), old.rate);
         (new.isolated_until, new.detached_until) = (old.isolated_until, old.detached_until);
         *old = new;
     }
@@ -236,26 +300,36 @@
     /// Registers a gateway and reads the list at its intervals.
     fn read_list(&mut self, index: usize) {
         let (now, at) = (self.now, self.instant());
+        if self.copies.len() <= now.as_secs() as usize {
+            self.copies.push(self.listed.clone());
+        }
         let gateway = &mut self.gateways[index];
         if now < gateway.detached_until {
             return;
         }
+        if gateway.registered && gateway.era != self.era {
+            gateway.registered = false;
+            gateway.membership.record_loss();
+            (gateway.next_list, gateway.list_interval) = (now, Duration::from_secs(1));
+        }
         let is_read = now >= gateway.next_list;
         (self.hooks.save)(gateway, &mut self.saved, is_read, at);
         if !is_read {
             return;
         }
-        if self.listed.insert(gateway.name.clone(), gateway.address).is_none()
-            || !gateway.registered
-        {
-            gateway.registered = true;
-            gateway.membership.record_registration(at);
+        if !gateway.registered {
+            register(gateway, &mut self.listed, self.era, at);
         }
-        for (name, address) in self.listed.iter().filter(|(name, _)| **name != gateway.name) {
-            gateway.peers.add_listed(name.clone(), *address, at);
+        for (name, entry) in self.listed.iter().filter(|(name, _)| **name != gateway.name) {
+            gateway.peers.add_listed(name.clone(), entry.address, at);
         }
         let others = self.listed.keys().filter(|name| **name != gateway.name);
         gateway.membership.record_list(others.cloned(), at);
+        if gateway.membership.is_known(at)
+            && let Some(entry) = self.listed.get_mut(&gateway.name)
+        {
+            (entry.known_in, entry.is_replacement) = (Some(self.era), false);
+        }
         gateway.next_list = now + gateway.list_interval;
         gateway.list_interval = (gateway.list_interval * 2).min(Duration::from_secs(20));
     }
@@ -324,3 +398,17 @@
         }
     }
 }
+
+/// Writes a gateway into the list as the gateway does.
+fn register<T>(gateway: &mut Gateway<T>, listed: &mut List, era: u64, at: time::Instant) {
+    let mut entry = Entry { address: gateway.address, known_in: None, is_replacement: false };
+    if let Some(earlier) = listed.get(&gateway.name) {
+        entry.is_replacement = earlier.is_replacement || earlier.address != entry.address;
+        entry.known_in = earlier.known_in.filter(|_| !entry.is_replacement);
+    }
+    let Entry { known_in, is_replacement, .. } = entry;
+    let precedent = membership::Precedent::of_entry(is_replacement, known_in, era);
+    listed.insert(gateway.name.clone(), entry);
+    (gateway.registered, gateway.era) = (true, era);
+    gateway.membership.record_registration_after(precedent, at);
+}
