fix(gateway): a crash after the head of an answer counts as one

Cause: what counts as the loss of a server was decided in four places, each with its own conditions on framing and kind of route; bodies and unframed events were left out. Evidence: the log had the failed attempts, and no `request lost at a backend server`.

Change: `proxy::interruption` decides it once, for heads, bodies, events and uploads, and every interruption goes to the quarantine by one way. A server that was known to leave or to have been replaced has not crashed, so that planned work makes no sound request suspicious; for streams it did before.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -249,6 +249,13 @@
         self.services.get(self.service_of.get(id)?)?.get(id)
     }
 
+    /// Whether a run of a backend server is in the directory: it isn't known to leave, to be gone or to
+    /// have been replaced.
+    #[must_use]
+    pub fn has_run(&self, id: &str, started_ms: u64) -> bool {
+        self.get(id).is_some_and(|state| state.backend.started_ms == started_ms)
+    }
+
     /// Returns the backend server with an id, for modification.
     pub fn get_mut(&mut self, id: &str) -> Option<&mut BackendState> {
         self.services.get_mut(self.service_of.get(id)?)?.get_mut(id)
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -19,6 +19,7 @@
 mod guards;
 mod handler;
 mod held_bytes;
+mod interruption;
 mod listener;
 mod own_response;
 pub mod pool;
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -1,6 +1,5 @@
 //! A single attempt to send a request to one backend server.
 
-use std::error::Error as _;
 use std::net;
 use std::rc;
 use std::time::Duration;
@@ -15,6 +14,7 @@
 use tokio::time;
 
 use super::eligibility;
+use super::interruption;
 use super::pool;
 use crate::backend_limits;
 use crate::codec;
@@ -92,16 +92,12 @@
     /// Nothing was sent, since the backend server must not get the request any more.
     Withheld(&'static str),
     /// The request may have been executed.
-    Unknown {
-        cause: String,
-        /// Whether the connection ended before the response, as it does if the server crashes.
-        is_disconnect: bool,
-    },
+    Unknown(interruption::Interruption),
 }
 
 impl Outcome {
     fn unknown(cause: impl Into<String>) -> Self {
-        Self::Unknown { cause: cause.into(), is_disconnect: false }
+        Self::Unknown(interruption::Interruption::fault(cause))
     }
 }
 
@@ -160,10 +156,7 @@
                     if start.elapsed() < IMMEDIATE_FAILURE {
                         record_idle_loss(state, service, connection.idle_time);
                     }
-                    return Outcome::Unknown {
-                        cause: error.error().to_string(),
-                        is_disconnect: is_disconnect(error.error()),
-                    };
+                    return Outcome::Unknown(interruption::Interruption::of_error(error.error()));
                 }
             },
         };
@@ -193,14 +186,6 @@
     None
 }
 
-/// Whether an error means that the backend server has ended or closed the connection, rather than
-/// that it is silent or sends bytes that are no response.
-pub(super) fn is_disconnect(error: &hyper::Error) -> bool {
-    let io_error = error.source().and_then(|source| source.downcast_ref::<std::io::Error>());
-    let is_silent = io_error.is_some_and(|error| error.kind() == std::io::ErrorKind::TimedOut);
-    !is_silent && !error.is_parse()
-}
-
 /// How long a pooled connection to a service may have been idle to be used again.
 fn max_idle(state: &state::State, service: &str) -> Duration {
     let now = time::Instant::now();
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -298,17 +298,15 @@
                     self.observe(&target, health::Outcome::Unreachable);
                     reason = cause;
                 }
-                attempt::Outcome::Unknown { cause, is_disconnect } => {
+                attempt::Outcome::Unknown(interruption) => {
                     self.deliveries += 1;
                     self.executions += 1;
                     if self.time_left().is_zero() {
                         self.record_duration();
                     }
                     self.observe(&target, health::Outcome::Unreachable);
-                    if is_disconnect {
-                        self.record_loss(&target).await;
-                    }
-                    reason = cause;
+                    self.record_interruption(&target, &interruption).await;
+                    reason = interruption.reason().to_owned();
                     if !self.may_retry() {
                         self.log_failed_attempt(&target, &reason);
                         return Err(self.failure(retry_delay, reason));
--- a/crates/gateway/src/proxy/handler.rs
+++ b/crates/gateway/src/proxy/handler.rs
@@ -19,6 +19,7 @@
 use super::collect;
 use super::dispatch;
 use super::guards;
+use super::interruption;
 use super::own_response;
 use super::relay;
 use super::request_body;
@@ -230,12 +231,14 @@
 }
 
 /// Records that a backend server began to respond and failed; returns the reason.
-fn fail_attempt(
+async fn fail_attempt(
     request: &dispatch::ProxyRequest,
     target: &attempt::Target,
-    reason: String,
+    interruption: interruption::Interruption,
 ) -> String {
+    request.record_interruption(target, &interruption).await;
     request.observe(target, health::Outcome::Failure);
+    let reason = interruption.reason().to_owned();
     request.log_failed_attempt(target, &reason);
     reason
 }
@@ -257,7 +260,14 @@
         Ok(Ok(body)) => body,
         // This says nothing about the backend server.
         Ok(Err(error @ collect::CollectError::NoRoom)) => return Err(error.to_string()),
-        Ok(Err(error)) => return Err(fail_attempt(request, &target, error.to_string())),
+        Ok(Err(collect::CollectError::Failed(error))) => {
+            let interruption = interruption::Interruption::of_error(&error);
+            return Err(fail_attempt(request, &target, interruption).await);
+        }
+        Ok(Err(error @ collect::CollectError::TooLong)) => {
+            let interruption = interruption::Interruption::fault(error.to_string());
+            return Err(fail_attempt(request, &target, interruption).await);
+        }
         Err(_) => return Err("the response did not end in time".to_owned()),
     };
     drop(load_guard);
@@ -302,17 +312,14 @@
         let frame = match frame {
             Err(_) => return Err("no event in time".to_owned()),
             Ok(None) if response.framing == attempt::Framing::UntilClose => {
-                request.record_loss(&target).await;
-                let reason = "the stream ended before its first event".to_owned();
-                return Err(fail_attempt(request, &target, reason));
+                let reason = "the stream ended before its first event";
+                let interruption = interruption::Interruption::of_end(response.framing, reason);
+                return Err(fail_attempt(request, &target, interruption).await);
             }
             Ok(None) => break None,
             Ok(Some(Err(error))) => {
-                if attempt::is_disconnect(&error) {
-                    request.record_loss(&target).await;
-                }
-                let reason = format!("the stream ended early: {error}");
-                return Err(fail_attempt(request, &target, reason));
+                let interruption = interruption::Interruption::of_error(&error);
+                return Err(fail_attempt(request, &target, interruption).await);
             }
             Ok(Some(Ok(frame))) => frame,
         };
@@ -321,7 +328,8 @@
             break events;
         }
         if splitter.is_too_long() {
-            return Err(fail_attempt(request, &target, sse::TOO_LONG.to_owned()));
+            let interruption = interruption::Interruption::fault(sse::TOO_LONG);
+            return Err(fail_attempt(request, &target, interruption).await);
         }
     };
     load_guard.prefill_done();
--- a/crates/gateway/src/proxy/relay.rs
+++ b/crates/gateway/src/proxy/relay.rs
@@ -17,6 +17,7 @@
 use super::guards;
 use super::handler;
 use super::held_bytes;
+use super::interruption;
 use super::pool;
 use super::sse;
 use crate::codec;
@@ -51,10 +52,8 @@
     DeadlineExceeded,
     /// This process exits.
     Stopped,
-    /// The backend server ended or closed the connection.
-    Disconnected(String),
-    /// The backend server's stream failed, while its connection may go on.
-    Failed(String),
+    /// The backend server's stream broke off.
+    Interrupted(interruption::Interruption),
 }
 
 /// Relays events until the stream is complete or can't be continued, or the client disconnects.
@@ -75,7 +74,7 @@
         let end =
             relay_events(&mut request, &mut last_sent, &mut stream, &mut splitter, &events).await;
         let backend = stream.target.id.clone();
-        let reason = match end {
+        let interruption = match end {
             StreamEnd::Complete => {
                 request.observe(&stream.target, health::Outcome::Success);
                 request.record_answer();
@@ -98,14 +97,12 @@
                 truncate(&events).await;
                 return request.record_end(200, &backend, "cut", "the process stopped");
             }
-            StreamEnd::Disconnected(reason) => {
-                request.record_loss(&stream.target).await;
-                reason
-            }
-            StreamEnd::Failed(reason) => reason,
+            StreamEnd::Interrupted(interruption) => interruption,
         };
+        request.record_interruption(&stream.target, &interruption).await;
+        let reason = interruption.reason();
         request.observe(&stream.target, health::Outcome::Failure);
-        request.log_failed_attempt(&stream.target, &reason);
+        request.log_failed_attempt(&stream.target, reason);
         splitter.discard_partial();
         request.last_event = splitter.last_id();
         let media_type = stream.media_type.clone();
@@ -114,7 +111,7 @@
             Some(next) => stream = next,
             None => {
                 truncate(&events).await;
-                return request.record_end(200, &backend, "cut", &reason);
+                return request.record_end(200, &backend, "cut", reason);
             }
         }
     }
@@ -205,14 +202,15 @@
         };
         let complete = match frame {
             Some(Ok(frame)) => frame.into_data().ok().and_then(|data| splitter.push(&data)),
-            Some(Err(error)) if attempt::is_disconnect(&error) => {
-                return StreamEnd::Disconnected(error.to_string());
+            Some(Err(error)) => {
+                return StreamEnd::Interrupted(interruption::Interruption::of_error(&error));
             }
-            Some(Err(error)) => return StreamEnd::Failed(error.to_string()),
             None => {
                 let is_delimited = stream.framing == attempt::Framing::Delimited;
                 if splitter.is_broken_off(is_delimited) {
-                    return StreamEnd::Failed("the stream ended inside an event".to_owned());
+                    let reason = "the stream ended inside an event";
+                    let interruption = interruption::Interruption::of_end(stream.framing, reason);
+                    return StreamEnd::Interrupted(interruption);
                 }
                 if let Some(remainder) = splitter.take_remainder()
                     && !send(request, events, remainder).await
@@ -223,7 +221,7 @@
             }
         };
         if splitter.is_too_long() {
-            return StreamEnd::Failed(sse::TOO_LONG.to_owned());
+            return StreamEnd::Interrupted(interruption::Interruption::fault(sse::TOO_LONG));
         }
         if let Some(complete) = complete {
             if request.is_proven() {
--- a/crates/gateway/src/proxy/screening.rs
+++ b/crates/gateway/src/proxy/screening.rs
@@ -11,6 +11,7 @@
 
 use super::attempt;
 use super::dispatch;
+use super::interruption;
 use super::pool;
 use crate::codec;
 use crate::cold_servers;
@@ -91,9 +92,21 @@
         segments.map(|segment| quarantine::SuspectId::Segment(segment.id)).collect()
     }
 
-    /// Records that the request lost its connection before the end of its answer, if the backend
-    /// server has ended. One that is alive may lose connections too.
-    pub(super) async fn record_loss(&self, target: &attempt::Target) {
+    /// Records that the request was interrupted before the end of its answer, if its backend server may
+    /// have ended. Every interruption passes here.
+    pub(super) async fn record_interruption(
+        &self,
+        target: &attempt::Target,
+        interruption: &interruption::Interruption,
+    ) {
+        if interruption.is_disconnect() {
+            self.record_loss(target).await;
+        }
+    }
+
+    /// Records that the request lost its connection, and whether its backend server has ended. One
+    /// that is alive may end connections too.
+    async fn record_loss(&self, target: &attempt::Target) {
         cold_servers::record_loss(&self.state, &self.admitted.service, &target.id);
         let crash = self.crash_at(target);
         let mut suspects = self.suspects();
@@ -137,7 +150,8 @@
         }
     }
 
-    /// Records that the backend server has ended while it had the request.
+    /// Records that the backend server has ended while it had the request. One that was known to leave,
+    /// or to have been replaced, has not crashed.
     fn record_crash(
         &self,
         target: &attempt::Target,
@@ -146,6 +160,9 @@
     ) {
         let state = &self.state;
         self.log_loss(target, true);
+        if !state.directory.borrow().has_run(&target.id, target.started_ms) {
+            return;
+        }
         state.metrics.lost_prompts.inc();
         let answered_at = state.answered.borrow().last(self.identity().hash(state.hash_seed));
         if let Some(at) = answered_at {
--- a/crates/gateway/tests/support/fragile.rs
+++ b/crates/gateway/tests/support/fragile.rs
@@ -20,6 +20,32 @@
     CrashLater,
     /// It closes the connection.
     Close,
+    /// It begins to answer and ends.
+    CrashAfter(Partial),
+    /// It begins to answer and loses the connection.
+    CloseAfter(Partial),
+}
+
+/// What a backend server sends of an answer before its connection is lost.
+#[derive(Clone, Copy)]
+pub struct Partial {
+    pub text: &'static str,
+    /// Whether the connection is reset, or else closed.
+    pub resets: bool,
+    /// Time between the text and the end.
+    pub delay: Duration,
+}
+
+impl Partial {
+    /// Is sent, and then the connection is closed.
+    pub const fn closed(text: &'static str) -> Self {
+        Self { text, resets: false, delay: Duration::from_millis(10) }
+    }
+
+    /// Is sent, and then the connection is reset.
+    pub const fn reset(text: &'static str) -> Self {
+        Self { resets: true, ..Self::closed(text) }
+    }
 }
 
 /// Time until a backend server that has ended is back.
@@ -79,12 +105,21 @@
                 let Some(head) = head else { return };
                 if head.contains(deadly.mark) {
                     deadly.count.set(deadly.count.get() + 1);
+                    if let OnDeadly::CrashAfter(partial) | OnDeadly::CloseAfter(partial) = on_deadly
+                    {
+                        let _ = stream.write_all(partial.text.as_bytes()).await;
+                        time::sleep(partial.delay).await;
+                        if partial.resets {
+                            let socket = socket2::SockRef::from(&stream);
+                            socket.set_linger(Some(Duration::ZERO)).expect("a socket option");
+                        }
+                    }
                     if matches!(on_deadly, OnDeadly::CrashLater) {
                         actix_rt::spawn(async move {
                             time::sleep(Duration::from_millis(20)).await;
                             crashed.notify_waiters();
                         });
-                    } else if matches!(on_deadly, OnDeadly::Crash) {
+                    } else if matches!(on_deadly, OnDeadly::Crash | OnDeadly::CrashAfter(_)) {
                         crashed.notify_waiters();
                         // The port is closed before the connection.
                         time::sleep(Duration::from_millis(5)).await;
--- a/crates/gateway/tests/support/loopback.rs
+++ b/crates/gateway/tests/support/loopback.rs
@@ -174,9 +174,22 @@
     headers: &str,
     silence: Duration,
 ) -> String {
-    let mut stream = tokio_net::TcpStream::connect(address).await.expect("a connection");
     let head = format!("GET {path} HTTP/1.1\r\nhost: h\r\nx-id: 1\r\n{headers}\r\n");
-    stream.write_all(head.as_bytes()).await.expect("a request");
+    exchange(address, &head, silence).await
+}
+
+/// Uploads a body and reads until the gateway closes the connection or stays silent for 900 ms.
+pub async fn upload(address: net::SocketAddr, path: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    let head = format!("POST {path} HTTP/1.1\r\nhost: h\r\nx-id: 1\r\n{headers}");
+    let request = format!("{head}content-length: {length}\r\n\r\n{body}");
+    exchange(address, &request, Duration::from_millis(900)).await
+}
+
+/// Sends bytes and reads until the gateway closes the connection or stays silent for so long.
+async fn exchange(address: net::SocketAddr, request: &str, silence: Duration) -> String {
+    let mut stream = tokio_net::TcpStream::connect(address).await.expect("a connection");
+    stream.write_all(request.as_bytes()).await.expect("a request");
     let mut response = Vec::new();
     let mut bytes = [0; 4096];
     while let Ok(Ok(count)) = time::timeout(silence, stream.read(&mut bytes)).await {
