fix(gateway): a status that no answer has doesn't reach callers

Callers: a faulty server's 101, 600, 700 or 999 came as a complete answer, from all kinds of routes.

Cause: the parser ends with 101 and knows no class of statuses; nothing after it asked.

Change: `attempt::check_response`, through which every response goes, takes 200 to 599. Others are bytes that are no response: 502, the connection is closed.

Tests: a_status_that_no_final_answer_has_does_not_reach_callers failed before for these four statuses on four routes.

--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -206,6 +206,12 @@
     }
 }
 
+/// Whether a status is one that a request may end with. No request asks to change the protocol, and
+/// other interim responses have been dropped; from 600 on there is no class of responses.
+fn is_final(status: http::StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Checks that a response belongs to the request and whether the request was executed.
 fn check_response(
     state: &rc::Rc<state::State>,
@@ -216,6 +222,9 @@
     sent_at: time::Instant,
 ) -> Outcome {
     let (head, body) = response.into_parts();
+    if !is_final(head.status) {
+        return Outcome::unknown(format!("status {} is none of a final response", head.status));
+    }
     let decoded = (state.codec.decode_response)(&head.headers);
     if decoded.id.as_deref().is_some_and(|echoed| echoed != id) {
         return Outcome::unknown("the response belongs to another request");
--- a/crates/gateway/tests/support/fragile.rs
+++ b/crates/gateway/tests/support/fragile.rs
@@ -27,7 +27,7 @@
 }
 
 /// What a backend server sends of an answer before its connection is lost.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 pub struct Partial {
     pub text: &'static str,
     /// Whether the connection is reset, or else closed.
