fix(agent): a status that no answer has isn't buffered as one

Change: the client of the backend server takes 200 to 599; anything else is a failure that may have run.

--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -1,5 +1,6 @@
 //! HTTP client that runs requests and orders at the backend server and buffers its responses.
 
+use std::ops;
 use std::str;
 use std::time;
 
@@ -27,6 +28,9 @@
 /// Path of an engine's endpoint for orders.
 const ORDERS_PATH: &str = "/orders";
 
+/// Statuses that a request may end with.
+const FINAL_STATUSES: ops::Range<u16> = 200..600;
+
 /// Timeout of a call that executes an order.
 const ORDER_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 
@@ -83,6 +87,9 @@
     ) -> Result<(), refusal::Refusal> {
         let mut upstream = self.send(request).await?;
         let status = upstream.status();
+        if !FINAL_STATUSES.contains(&status.as_u16()) {
+            return Err(backend_failed(format!("status {status} is none of a final answer")));
+        }
         if self.is_model && status.is_server_error() {
             return Err(backend_failed(format!("the engine answered {status}")));
         }
