fix(gateway): interim responses without end don't hold the thread

Callers: while two servers sent interim responses without a pause, 60 callers got nothing until long after their deadlines, nor did those of other services.

Cause: nothing bounded the interim responses of one answer, and a connection was read and parsed for as long as there was something to read: up to 8 MiB in one turn of the runtime, on the thread that serves all.

Ruled out: memory (53 MB of 112 with fourteen forms), the number of callers by itself (with 8 all are served).

Change: 256 KiB at most are read until the head of a response is complete, and 64 KiB of any connection, of a backend server or a client, before the others get their turn.

Tests: callers_are_answered_while_backend_servers_send_interim_responses_without_end failed before (59 of 60 without an answer in 30 s, now 1.4 s for all); endless_responses_are_given_up_before_they_fill_the_memory asks of interim responses what it asks of other heads, which failed before.

--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -8,6 +8,7 @@
 mod access;
 mod admission;
 mod attempt;
+mod backend_stream;
 mod body;
 pub mod client;
 mod client_body;
@@ -23,6 +24,7 @@
 mod listener;
 mod own_response;
 pub mod pool;
+mod read_turn;
 mod relay;
 mod request_body;
 mod request_log;
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -142,7 +142,9 @@
             return Outcome::Withheld(reason);
         }
         let (start, sent_at) = (time::Instant::now(), state.clock.now());
+        connection.head.start();
         let sent = time::timeout_at(deadline, connection.sender.try_send_request(request)).await;
+        connection.head.stop();
         let response = match sent {
             Err(_) => return Outcome::unknown("no response in time"),
             Ok(Ok(response)) => response,
--- a/crates/gateway/src/proxy/client_stream.rs
+++ b/crates/gateway/src/proxy/client_stream.rs
@@ -13,6 +13,7 @@
 use tokio::time;
 
 use super::client;
+use super::read_turn;
 
 /// Longest time for which a client's bytes are discarded before its connection is closed. If they
 /// were left unread, the client would see a reset and lose the answer.
@@ -29,13 +30,14 @@
 pub(super) struct ClientStream {
     stream: net::TcpStream,
     client: rc::Rc<client::Client>,
+    turn: read_turn::ReadTurn,
     /// Ends the discarding of what the client still sends.
     linger: Option<pin::Pin<Box<time::Sleep>>>,
 }
 
 impl ClientStream {
-    pub(super) const fn new(stream: net::TcpStream, client: rc::Rc<client::Client>) -> Self {
-        Self { stream, client, linger: None }
+    pub(super) fn new(stream: net::TcpStream, client: rc::Rc<client::Client>) -> Self {
+        Self { stream, client, turn: read_turn::ReadTurn::default(), linger: None }
     }
 
     /// Discards what the client sends until it closes its side, or for some time.
@@ -60,14 +62,18 @@
 
 impl AsyncRead for ClientStream {
     fn poll_read(
-        mut self: pin::Pin<&mut Self>,
+        self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> task::Poll<io::Result<()>> {
+        let Self { stream, client, turn, .. } = self.get_mut();
         let before = buffer.filled().len();
-        let polled = pin::Pin::new(&mut self.stream).poll_read(cx, buffer);
+        let read = |cx: &mut task::Context<'_>, buffer: &mut ReadBuf<'_>| {
+            pin::Pin::new(stream).poll_read(cx, buffer)
+        };
+        let polled = turn.poll(cx, buffer, read);
         if buffer.filled().len() > before {
-            self.client.record_read();
+            client.record_read();
         }
         polled
     }
--- a/crates/gateway/src/proxy/pool.rs
+++ b/crates/gateway/src/proxy/pool.rs
@@ -14,6 +14,8 @@
 use tokio::task;
 use tokio::time;
 
+use super::backend_stream;
+
 /// Timeout for opening a connection; after it another backend server is tried.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -36,6 +38,7 @@
 #[derive(Debug)]
 pub(super) struct Connection {
     pub(super) sender: http1::SendRequest<Full<Bytes>>,
+    pub(super) head: backend_stream::HeadBytes,
     driver: task::AbortHandle,
     _open_guard: OpenGuard,
     /// Whether it has served a request before.
@@ -170,6 +173,8 @@
             .await
             .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
         set_socket_options(&stream, USER_TIMEOUT)?;
+        let head = backend_stream::HeadBytes::default();
+        let stream = backend_stream::BackendStream::new(stream, head.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(64 * 1024)
             .handshake(rt::TokioIo::new(stream))
@@ -185,6 +190,7 @@
         });
         Ok(Connection {
             sender,
+            head,
             driver: driver.abort_handle(),
             _open_guard: open_guard,
             reused: false,
