fix(gateway): a stop waits for answers that clients are still reading

Cause: the process waited for requests until their answers were whole at the gateway, and then 0.3 s for all connections.

Change: it waits, for the grace period at most, while a client that is owed an answer has taken some of it in the last two seconds. The connection of a client that was slower than its answer is kept until the client closes its side, so that what is left in the socket's queue isn't lost with the process. Other connections end as before.

Test: answers_that_clients_read_slowly_are_whole_when_a_stopped_process_exits (with a length, unframed, a stream): before, the process had exited before any of the three clients had its answer.

--- a/crates/gateway/src/decision/shutdown.rs
+++ b/crates/gateway/src/decision/shutdown.rs
@@ -1,10 +1,13 @@
-//! Decides which requests a gateway that is shutting down still admits.
+//! Decides which requests a gateway that is shutting down still admits, and for which answers it waits.
 //!
 //! Callers keep coming while no other gateway of the zone is ready, so a request is admitted as long
 //! as it is likely to end before the process does. A request that isn't is rejected before it is
 //! sent, so that the caller knows that it has not run. This answers rolling restarts, and the stop of
 //! most gateways of a zone at once.
 //!
+//! The process waits for an answer until its client has taken it, at most for the grace period, as long
+//! as the client goes on reading. This answers clients on slow links, and long answers.
+//!
 //! ```
 //! use std::time::Duration;
 //!
@@ -29,6 +32,9 @@
 /// Part of the grace period that is kept for the process to write its last responses and to exit.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time for which a client may take nothing of its answer before the process waits for it no longer.
+const MAX_STALL: Duration = Duration::from_secs(2);
+
 /// The last phase of a process, from the stop request on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Shutdown {
@@ -63,6 +69,12 @@
         now.saturating_duration_since(self.requested_at) > BALANCER_LAG || self.has_ended(now)
     }
 
+    /// Whether the process waits for a client that has taken nothing of its answer for `stalled`.
+    #[must_use]
+    pub fn awaits(&self, stalled: Duration, now: time::Instant) -> bool {
+        stalled < MAX_STALL && !self.has_ended(now)
+    }
+
     /// Whether requests that still run get their final response now.
     #[must_use]
     pub fn has_ended(&self, now: time::Instant) -> bool {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -135,15 +135,18 @@
     }
 }
 
-/// Shuts a gateway down: waits for active requests to finish, at most for the grace period. Those that
-/// still run then get a complete response that says so, and the function returns once the responses
-/// are written.
+/// Shuts a gateway down: waits for active requests to finish and for clients to take their answers, at
+/// most for the grace period. Requests that still run then get a complete response that says so, and
+/// the function returns once the responses are written.
 pub async fn shut_down(state: &state::State) {
     let shutdown = shutdown::Shutdown::new(state.clock.now(), state.settings.grace_period);
     tracing::info!(active = state.active_requests.get(), "stop");
     state.shutdown.set(Some(shutdown));
     state.stopping.send_replace(true);
-    let is_idle = |now| shutdown.may_exit(now) && state.active_requests.get() == 0;
+    let owes_answers =
+        |now| state.clients.stalls().into_iter().any(|stalled| shutdown.awaits(stalled, now));
+    let is_idle =
+        |now| shutdown.may_exit(now) && state.active_requests.get() == 0 && !owes_answers(now);
     while !is_idle(state.clock.now()) && !shutdown.has_ended(state.clock.now()) {
         time::sleep(DRAIN_INTERVAL).await;
     }
--- a/crates/gateway/src/proxy/client.rs
+++ b/crates/gateway/src/proxy/client.rs
@@ -71,6 +71,10 @@
     read_at: cell::Cell<time::Instant>,
     /// Since when the client has not read what was sent.
     blocked_since: cell::Cell<Option<time::Instant>>,
+    /// Whether the client has read its answer more slowly than it was sent.
+    is_slow: cell::Cell<bool>,
+    /// Whether the process waits until the client closes the connection, since it has taken its answer.
+    is_lingering: cell::Cell<bool>,
     /// Whether the body of the answer has been passed on to the connection.
     is_answered: cell::Cell<bool>,
     /// Whether the client may still be sending when the connection is closed.
@@ -86,6 +90,8 @@
             stage: cell::Cell::new(Stage::Idle),
             read_at: cell::Cell::new(time::Instant::now()),
             blocked_since: cell::Cell::new(None),
+            is_slow: cell::Cell::new(false),
+            is_lingering: cell::Cell::new(false),
             is_answered: cell::Cell::new(false),
             is_sending: cell::Cell::new(false),
             evicted: watch::Sender::new(None),
@@ -99,6 +105,9 @@
     pub(super) fn set_stage(&self, stage: Stage) {
         self.stage.set(stage);
         self.is_answered.set(false);
+        if stage == Stage::Answer {
+            self.is_slow.set(false);
+        }
     }
 
     /// Records that the client sent something.
@@ -114,6 +123,9 @@
     pub(super) fn record_write(&self, is_blocked: bool) {
         let since = self.blocked_since.get().unwrap_or_else(time::Instant::now);
         self.blocked_since.set(is_blocked.then_some(since));
+        if is_blocked {
+            self.is_slow.set(true);
+        }
     }
 
     /// Records that the connection has taken the whole answer.
@@ -134,8 +146,21 @@
         self.is_sending.set(true);
     }
 
-    pub(super) fn is_sending(&self) -> bool {
-        self.is_sending.get()
+    /// Whether the connection is kept until the client has closed its side: the client still sends, or
+    /// may not have received what was sent last.
+    pub(super) fn needs_linger(&self) -> bool {
+        self.is_sending.get() || self.is_slow.get()
+    }
+
+    pub(super) fn set_lingering(&self, is_lingering: bool) {
+        self.is_lingering.set(is_lingering);
+    }
+
+    /// For how long the client has taken nothing of an answer that it is owed; `None` if it is owed none.
+    pub(super) fn stalled(&self) -> Option<Duration> {
+        let stalled = || self.blocked_since.get().map_or(Duration::ZERO, |since| since.elapsed());
+        let is_owed = self.stage.get() == Stage::Answer || self.is_lingering.get();
+        is_owed.then(stalled)
     }
 
     /// Since when the process has waited for the client, if it does.
--- a/crates/gateway/src/proxy/client_stream.rs
+++ b/crates/gateway/src/proxy/client_stream.rs
@@ -121,10 +121,12 @@
     ) -> task::Poll<io::Result<()>> {
         if self.linger.is_none() {
             let polled = pin::Pin::new(&mut self.stream).poll_shutdown(cx);
-            if !self.client.is_sending() || !matches!(polled, task::Poll::Ready(Ok(()))) {
+            if !self.client.needs_linger() || !matches!(polled, task::Poll::Ready(Ok(()))) {
                 return polled;
             }
         }
-        self.poll_discard(cx).map(Ok)
+        let polled = self.poll_discard(cx);
+        self.client.set_lingering(polled.is_pending());
+        polled.map(Ok)
     }
 }
--- a/crates/gateway/src/proxy/clients.rs
+++ b/crates/gateway/src/proxy/clients.rs
@@ -3,6 +3,7 @@
 use std::cell;
 use std::collections;
 use std::rc;
+use std::time::Duration;
 
 use tokio::sync;
 
@@ -44,6 +45,13 @@
         connection_limit::pick_victim(clients.map(|client| (client.clone(), client.activity())))
     }
 
+    /// For how long each client has taken nothing of the answer that it is owed.
+    #[must_use]
+    pub fn stalls(&self) -> Vec<Duration> {
+        let open = self.open.borrow();
+        open.values().filter_map(rc::Weak::upgrade).filter_map(|client| client.stalled()).collect()
+    }
+
     /// Waits until a connection is closed.
     pub(super) async fn wait_for_close(&self) {
         self.closed.notified().await;
--- a/crates/gateway/tests/shutdown.rs
+++ b/crates/gateway/tests/shutdown.rs
@@ -2,11 +2,14 @@
 
 mod support;
 
+use std::rc;
 use std::time::Duration;
 
+use azuregap_gateway::configuration;
 use azuregap_gateway::decision::recent_durations;
 use azuregap_gateway::decision::shutdown;
 use azuregap_gateway::process;
+use azuregap_gateway::state;
 use futures::future;
 use googletest::prelude::*;
 use support::loopback::*;
@@ -121,6 +124,83 @@
     });
 }
 
+#[gtest]
+fn the_process_waits_for_clients_that_go_on_reading() {
+    let start = time::Instant::now();
+    let shutdown = shutdown::Shutdown::new(start, GRACE_PERIOD);
+    for (name, at_ms, stalled_ms, is_awaited) in [
+        ("a client that reads", 3_000, 0, true),
+        ("a slow one", 7_000, 1_500, true),
+        ("one that has stopped reading", 3_000, 2_000, false),
+        ("one that reads for longer than the grace period", 7_500, 0, false),
+    ] {
+        let now = start + Duration::from_millis(at_ms);
+        let stalled = Duration::from_millis(stalled_ms);
+        expect_that!(shutdown.awaits(stalled, now), eq(is_awaited), "{name}");
+    }
+}
+
+/// Sends a request and reads its answer at some 300 KB a second; returns what came of it.
+async fn read_slowly(address: std::net::SocketAddr, request: &str) -> String {
+    let socket = tokio_net::TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(32 << 10).expect("a socket option");
+    let mut stream = socket.connect(address).await.expect("a connection");
+    stream.write_all(request.as_bytes()).await.expect("a request");
+    let (mut response, mut bytes) = (Vec::new(), vec![0; 15_000]);
+    while let Ok(count) = stream.read(&mut bytes).await
+        && count > 0
+    {
+        response.extend_from_slice(&bytes[..count]);
+        time::sleep(Duration::from_millis(50)).await;
+    }
+    String::from_utf8(response).expect("text")
+}
+
+/// Adds routes whose requests may take as long as the grace period.
+fn add_patient_routes(state: &state::State) {
+    let kinds = [
+        ("/patient/", configuration::RouteKind::NonIdempotent),
+        ("/patient-stream/", stream_kind(false)),
+    ];
+    let mut configuration = (*state.configuration().expect("a configuration")).clone();
+    for (prefix, kind) in kinds {
+        let route = configuration::Route { timeout: GRACE_PERIOD, ..route(prefix, kind, 1) };
+        configuration = configuration.with_route(route);
+    }
+    *state.configuration.borrow_mut() = Some(rc::Rc::new(configuration));
+}
+
+#[gtest]
+fn answers_that_clients_read_slowly_are_whole_when_a_stopped_process_exits() {
+    // Guards against answers that were cut by the exit, since only the requests were waited for.
+    let body = "data: 0123456789abcdefghijklmnopqrstuvwxyz0123456\n\n".repeat(20_000);
+    let length = format!("content-length: {}\r\n\r\n", body.len());
+    for (name, path, head) in [
+        ("with a length", "/patient/a", length.as_str()),
+        ("until the connection ends", "/patient/a", "\r\n"),
+        ("a stream", "/patient-stream/a", "\r\n"),
+    ] {
+        run(async {
+            let answer = format!("HTTP/1.1 200 OK\r\nx-id: 1\r\n{head}{body}");
+            let backend = backend(vec![close_after(answer)]).await;
+            let (state, address) = gateway_with(&[&backend], |settings| {
+                settings.grace_period = GRACE_PERIOD;
+            })
+            .await;
+            add_patient_routes(&state);
+            let request = format!("GET {path} HTTP/1.1\r\nhost: h\r\nx-id: 1\r\n\r\n");
+            let reading = actix_rt::spawn(async move { read_slowly(address, &request).await });
+            time::sleep(Duration::from_millis(300)).await;
+            process::shut_down(&state).await;
+            // Nothing is left to the time after the exit.
+            expect_that!(reading.is_finished(), is_true(), "{name}");
+            let response = reading.await.expect("the client ends");
+            let events = response.matches("data: ").count();
+            expect_that!(events, eq(20_000), "{name}");
+        });
+    }
+}
+
 /// Sends a request of which the last byte of the body is missing, and reads the response.
 async fn send_half(address: std::net::SocketAddr, head: &str) -> String {
     let mut stream = tokio_net::TcpStream::connect(address).await.expect("a connection");
