fix(gateway): a stop admits no request that is known to outlive it

Callers: a request that came 2.5 s after the stop of a process with a grace period of 4.5 s got 502 at the exit, as its server took the 1.5 s that its service always took. It may not be repeated.

Cause: for the 2.6 s in which the balancer may still send clients, everything was admitted. The red test, traced: the request at 2.5 s ends at 4.0 s, when the process begins to exit; which of both came first was chance.

Change: at any time of a stop, a request whose service is known to take longer than what is left is rejected, not run. What isn't known, and streams, are admitted as before.

The rows of the decision are the same, with the likely duration known or not, and four more.

--- a/crates/gateway/src/decision/shutdown.rs
+++ b/crates/gateway/src/decision/shutdown.rs
@@ -17,8 +17,9 @@
 //! let now = time::Instant::now();
 //! let shutdown = shutdown::Shutdown::new(now, Duration::from_secs(8));
 //! let late = now + Duration::from_secs(6);
-//! assert!(shutdown.admits(false, Duration::from_millis(300), late));
-//! assert!(!shutdown.admits(false, Duration::from_secs(2), late));
+//! let longest = Duration::from_secs(5);
+//! assert!(shutdown.admits(false, Some(Duration::from_millis(300)), longest, late));
+//! assert!(!shutdown.admits(false, Some(Duration::from_secs(2)), longest, late));
 //! ```
 
 use std::time::Duration;
@@ -49,17 +50,27 @@
         Self { requested_at: now, ends_at: now + grace_period.saturating_sub(EXIT_MARGIN) }
     }
 
-    /// Whether a request is admitted. `duration` is how long it is likely to take, and at most the
-    /// time until its deadline.
+    /// Whether a request is admitted. `likely` is how long those of its service take, if that is known,
+    /// and `longest` the time until its deadline.
     ///
-    /// Streams are admitted only as long as callers can't know that the process stops: how long
-    /// they take varies too much.
+    /// As long as callers can't know that the process stops, a request is rejected only if it is likely
+    /// to outlive it. Later, one is admitted only if it is likely to end in time, and no stream is: how
+    /// long they take varies too much.
     #[must_use]
-    pub fn admits(&self, is_stream: bool, duration: Duration, now: time::Instant) -> bool {
-        if !self.may_exit(now) {
-            return true;
+    pub fn admits(
+        &self,
+        is_stream: bool,
+        likely: Option<Duration>,
+        longest: Duration,
+        now: time::Instant,
+    ) -> bool {
+        let duration = likely.map_or(longest, |likely| likely.min(longest));
+        let ends_in_time = now + duration < self.ends_at;
+        if self.may_exit(now) {
+            !is_stream && ends_in_time
+        } else {
+            is_stream || likely.is_none() || ends_in_time
         }
-        !is_stream && now + duration < self.ends_at
     }
 
     /// Whether the load balancer has had the time to notice, so that the process may exit as soon as
--- a/crates/gateway/src/proxy/admission.rs
+++ b/crates/gateway/src/proxy/admission.rs
@@ -120,6 +120,7 @@
 ) -> bool {
     let Some(shutdown) = state.shutdown.get() else { return true };
     let longest = timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
-    let likely = state.likely_duration(service).unwrap_or(longest).min(longest);
-    !*state.exiting.borrow() && shutdown.admits(route.kind.is_stream(), likely, state.clock.now())
+    let (is_stream, likely) = (route.kind.is_stream(), state.likely_duration(service));
+    let is_exiting = *state.exiting.borrow();
+    !is_exiting && shutdown.admits(is_stream, likely, longest, state.clock.now())
 }
--- a/crates/gateway/tests/shutdown.rs
+++ b/crates/gateway/tests/shutdown.rs
@@ -24,23 +24,32 @@
 fn requests_are_admitted_as_long_as_they_are_likely_to_end_before_the_process() {
     let start = time::Instant::now();
     let shutdown = shutdown::Shutdown::new(start, GRACE_PERIOD);
-    for (name, at_ms, is_stream, duration_ms, is_admitted) in [
-        ("a stream while callers can't know", 2_000, true, 15_000, true),
-        ("a stream later", 2_700, true, 100, false),
-        ("a long request while callers can't know", 2_000, false, 15_000, true),
-        ("a long request later", 2_700, false, 5_000, false),
-        ("a request that ends in time", 5_900, false, 1_500, true),
-        ("a request that doesn't", 6_100, false, 1_500, false),
-        ("a short request near the end", 7_400, false, 50, true),
-        ("a short request after the end", 7_500, false, 0, false),
+    let longest = Duration::from_secs(15);
+    for (name, at_ms, is_stream, likely_ms, is_admitted) in [
+        ("a stream while callers can't know", 2_000, true, Some(15_000), true),
+        ("a stream later", 2_700, true, Some(100), false),
+        ("any request while callers can't know", 2_000, false, None, true),
+        ("a long request while callers can't know", 2_500, false, Some(5_100), false),
+        ("one that ends in time", 2_300, false, Some(5_100), true),
+        ("any request later", 2_700, false, None, false),
+        ("a long request later", 2_700, false, Some(5_000), false),
+        ("a request that ends in time", 5_900, false, Some(1_500), true),
+        ("a request that doesn't", 6_100, false, Some(1_500), false),
+        ("a short request near the end", 7_400, false, Some(50), true),
+        ("a short request after the end", 7_500, false, Some(0), false),
     ] {
         let now = start + Duration::from_millis(at_ms);
-        let duration = Duration::from_millis(duration_ms);
-        expect_that!(shutdown.admits(is_stream, duration, now), eq(is_admitted), "{name}");
+        let likely = likely_ms.map(Duration::from_millis);
+        expect_that!(shutdown.admits(is_stream, likely, longest, now), eq(is_admitted), "{name}");
     }
+    // A deadline ends a request that takes longer.
+    let late = start + Duration::from_secs(7);
+    let short = Duration::from_millis(400);
+    expect_that!(shutdown.admits(false, Some(longest), short, late), is_true());
     let short = shutdown::Shutdown::new(start, Duration::from_secs(1));
     expect_that!(short.has_ended(start + Duration::from_millis(500)), is_true());
-    expect_that!(short.admits(false, Duration::ZERO, start + Duration::from_secs(1)), is_false());
+    let end = start + Duration::from_secs(1);
+    expect_that!(short.admits(false, Some(Duration::ZERO), longest, end), is_false());
 }
 
 #[gtest]
