fix(gateway): a limit on heads is in force for clients that were connected before

Cause: the limit is read once for a connection, and before the first configuration it was that of the samples, 16 KiB.

Change: when a configuration with another limit comes into force, connections with the earlier one end after their request, idle ones at once. Without a configuration 64 KiB are read.

Test: a_limit_on_heads_is_in_force_for_clients_that_were_connected_before failed before (431 on kept connections for a first configuration and a raised limit, 200 for a lowered one).

--- a/crates/gateway/src/proxy/listener.rs
+++ b/crates/gateway/src/proxy/listener.rs
@@ -32,6 +32,10 @@
 /// ahead.
 const READ_MARGIN: usize = 4 << 10;
 
+/// Longest head while there is no configuration. Its requests are told to come back later; no client
+/// that stays within the limits of any configuration sends a longer one.
+const UNCONFIGURED_HEAD_BYTES: usize = 64 << 10;
+
 /// Bytes that wait in the socket of a client, as far as the system allows so few.
 const SEND_BUFFER_BYTES: usize = 64 << 10;
 
@@ -79,6 +83,12 @@
     has_room
 }
 
+/// Longest head that a client may send now, in bytes.
+fn head_limit(state: &state::State) -> usize {
+    let configuration = state.configuration();
+    configuration.map_or(UNCONFIGURED_HEAD_BYTES, |found| found.limits.max_head_bytes)
+}
+
 async fn serve_connection(
     state: rc::Rc<state::State>,
     stream: net::TcpStream,
@@ -93,7 +103,9 @@
         tracing::debug!(reason = error.to_string(), "failed to set the size of a send buffer");
     }
     let limits = || state.configuration().map(|c| c.limits).unwrap_or_default();
-    let max_head_bytes = limits().max_head_bytes + READ_MARGIN;
+    let mut limits_changed = state.limits_changed.subscribe();
+    let initial_limit = head_limit(&state);
+    let max_head_bytes = initial_limit + READ_MARGIN;
     let (shared, used) = (state.clone(), guards::UsedConnection::new(&state));
     let requester = client.clone();
     let service = service::service_fn(move |request| {
@@ -107,13 +119,13 @@
     });
     let mut stopping = state.stopping.subscribe();
     // A connection accepted during shutdown serves a single request.
-    let mut is_stopping = state.is_stopping();
+    let mut is_ending = state.is_stopping();
     let io = rt::TokioIo::new(client_stream::ClientStream::new(stream, client.clone()));
     let connection = http1::Builder::new()
         .header_read_timeout(None)
         .max_buf_size(max_head_bytes.max(MIN_BUFFER_BYTES))
         .max_header_size(max_head_bytes)
-        .keep_alive(!is_stopping)
+        .keep_alive(!is_ending)
         .serve_connection(io, service);
     let mut connection = std::pin::pin!(connection);
     let served = loop {
@@ -138,10 +150,18 @@
                 client::record_limit(&state, Some(eviction.reason()), "");
                 return;
             }
-            _ = stopping.wait_for(|stopping| *stopping), if !is_stopping => {
-                is_stopping = true;
+            _ = stopping.wait_for(|stopping| *stopping), if !is_ending => {
+                is_ending = true;
                 connection.as_mut().graceful_shutdown();
             }
+            // The limit of a connection can't be changed, so requests under another one need a new
+            // connection.
+            _ = limits_changed.changed(), if !is_ending => {
+                if head_limit(&state) != initial_limit {
+                    is_ending = true;
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
             () = time::sleep_until(check_at) => {}
         }
     };
--- a/crates/gateway/src/service/configuration.rs
+++ b/crates/gateway/src/service/configuration.rs
@@ -80,7 +80,7 @@
     for team in configuration.team_names() {
         team_names.insert(usage_counts::team_hash(team), team.to_owned());
     }
-    *state.configuration.borrow_mut() = Some(rc::Rc::new(configuration));
+    state.set_configuration(configuration);
     true
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -57,6 +57,8 @@
     pub clock: clock::Clock,
     /// Active configuration; `None` until the first one was read.
     pub configuration: cell::RefCell<Option<rc::Rc<configuration::Configuration>>>,
+    /// Notified when a configuration with other limits on clients is in force.
+    pub limits_changed: sync::watch::Sender<()>,
     /// When the configuration was last confirmed by the store.
     pub freshness: cell::RefCell<freshness::Freshness>,
     /// Notified when a denial would be based on an old configuration.
@@ -174,6 +176,7 @@
             clients: clients::Clients::default(),
             told_version: cell::RefCell::default(),
             configuration: cell::RefCell::new(None),
+            limits_changed: sync::watch::Sender::default(),
             freshness: cell::RefCell::new(freshness::Freshness::new(settings.revocation_bound)),
             refresh_requested: sync::Notify::new(),
             refresh_finished: sync::Notify::new(),
@@ -216,6 +219,15 @@
         self.configuration.borrow().clone()
     }
 
+    /// Puts a configuration in force.
+    pub fn set_configuration(&self, configuration: configuration::Configuration) {
+        let limits = configuration.limits;
+        let old = self.configuration.borrow_mut().replace(rc::Rc::new(configuration));
+        if old.is_none_or(|old| old.limits != limits) {
+            self.limits_changed.send_replace(());
+        }
+    }
+
     /// Applies the reloadable settings; returns whether any of them changed.
     pub fn apply_settings(&self, settings: &settings::Settings) -> bool {
         let bound_changed = self.freshness.borrow_mut().set_bound(settings.revocation_bound);
--- a/crates/gateway/tests/client_promises.rs
+++ b/crates/gateway/tests/client_promises.rs
@@ -5,6 +5,7 @@
 use std::net;
 use std::time::Duration;
 
+use azuregap_gateway::configuration;
 use googletest::prelude::*;
 use support::loopback::*;
 use tokio::io::AsyncReadExt as _;
@@ -149,3 +150,55 @@
         expect_that!(head, not(contains_substring("content-length: 30")));
     });
 }
+
+/// Status of the answer to a request with a head of `length` bytes on a kept connection; "closed" if
+/// the gateway has closed the connection.
+async fn ask(stream: &mut tokio_net::TcpStream, length: usize) -> String {
+    let head = "GET /once/a HTTP/1.1\r\nhost: h\r\nx-id: 1\r\n";
+    let filler = "b".repeat(length.saturating_sub(head.len()));
+    let _ = stream.write_all(format!("{head}a: {filler}\r\n\r\n").as_bytes()).await;
+    let Some(head) = read_head(stream).await else { return "closed".to_owned() };
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+    let length = length.and_then(|length| length.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await.expect("a body");
+    status(&head).to_owned()
+}
+
+#[gtest]
+fn a_limit_on_heads_is_in_force_for_clients_that_were_connected_before() {
+    // Guards against 431 for good on connections that were opened before the configuration was read, or
+    // before it raised the limit.
+    run(async {
+        let backend = backend(vec![keep_open(RESPONSE)]).await;
+        let (state, address) = gateway(&[&backend]).await;
+        let configuration = state.configuration().expect("a configuration");
+        let with_limit = |max_head_bytes| {
+            let limits = configuration::Limits { max_head_bytes, ..configuration.limits };
+            (*configuration).clone().with_limits(limits)
+        };
+        *state.configuration.borrow_mut() = None;
+        for (name, limit, length, wanted) in [
+            ("without a configuration", None, 60_000, "503"),
+            ("a first one", Some(32 << 10), 30_000, "200"),
+            ("raised", Some(48 << 10), 45_000, "200"),
+            ("lowered", Some(8 << 10), 30_000, "431"),
+            ("as before", Some(8 << 10), 8_000, "200"),
+        ] {
+            let mut kept = tokio_net::TcpStream::connect(address).await.expect("a connection");
+            let first = ask(&mut kept, 100).await;
+            expect_that!(first, any![eq("200"), eq("503")], "{name}");
+            let before = state.configuration().map(|found| found.limits.max_head_bytes);
+            if let Some(limit) = limit {
+                state.set_configuration(with_limit(limit));
+                state.freshness.borrow_mut().record_confirmation(state.clock.now());
+                time::sleep(Duration::from_millis(50)).await;
+            }
+            let is_kept = limit.is_none() || before == limit;
+            let on_kept = ask(&mut kept, length).await;
+            expect_that!(on_kept, eq(if is_kept { wanted } else { "closed" }), "{name}");
+            let mut new = tokio_net::TcpStream::connect(address).await.expect("a connection");
+            expect_that!(ask(&mut new, length).await, eq(wanted), "{name}");
+        }
+    });
+}
