fix(gateway): a client that was slow long ago doesn't delay a stop

The connection of a client that has been slower than its answer is kept until the client closes its side. That was so for as long as the connection was open; now it is for two seconds, after which nothing of the answer is on its way any more.

--- a/crates/gateway/src/proxy/client.rs
+++ b/crates/gateway/src/proxy/client.rs
@@ -19,6 +19,9 @@
 /// Time for which a client may send nothing of a body that it has begun.
 pub(super) const MAX_BODY_PAUSE: Duration = Duration::from_secs(10);
 
+/// Longest time for which a connection is kept until its client has closed its side.
+pub(super) const MAX_LINGER: Duration = Duration::from_secs(2);
+
 /// How much longer than the configuration says a client may take for a head. The process may have
 /// been suspended in between.
 const HEAD_MARGIN: u32 = 2;
@@ -71,8 +74,8 @@
     read_at: cell::Cell<time::Instant>,
     /// Since when the client has not read what was sent.
     blocked_since: cell::Cell<Option<time::Instant>>,
-    /// Whether the client has read its answer more slowly than it was sent.
-    is_slow: cell::Cell<bool>,
+    /// When the client last was slower than what was sent.
+    blocked_at: cell::Cell<Option<time::Instant>>,
     /// Whether the process waits until the client closes the connection, since it has taken its answer.
     is_lingering: cell::Cell<bool>,
     /// Whether the body of the answer has been passed on to the connection.
@@ -90,7 +93,7 @@
             stage: cell::Cell::new(Stage::Idle),
             read_at: cell::Cell::new(time::Instant::now()),
             blocked_since: cell::Cell::new(None),
-            is_slow: cell::Cell::new(false),
+            blocked_at: cell::Cell::new(None),
             is_lingering: cell::Cell::new(false),
             is_answered: cell::Cell::new(false),
             is_sending: cell::Cell::new(false),
@@ -105,9 +108,6 @@
     pub(super) fn set_stage(&self, stage: Stage) {
         self.stage.set(stage);
         self.is_answered.set(false);
-        if stage == Stage::Answer {
-            self.is_slow.set(false);
-        }
     }
 
     /// Records that the client sent something.
@@ -121,11 +121,12 @@
 
     /// Records whether the client takes what is sent.
     pub(super) fn record_write(&self, is_blocked: bool) {
-        let since = self.blocked_since.get().unwrap_or_else(time::Instant::now);
-        self.blocked_since.set(is_blocked.then_some(since));
-        if is_blocked {
-            self.is_slow.set(true);
+        let now = time::Instant::now();
+        if is_blocked || self.blocked_since.get().is_some() {
+            self.blocked_at.set(Some(now));
         }
+        let since = self.blocked_since.get().unwrap_or(now);
+        self.blocked_since.set(is_blocked.then_some(since));
     }
 
     /// Records that the connection has taken the whole answer.
@@ -149,7 +150,8 @@
     /// Whether the connection is kept until the client has closed its side: the client still sends, or
     /// may not have received what was sent last.
     pub(super) fn needs_linger(&self) -> bool {
-        self.is_sending.get() || self.is_slow.get()
+        let is_recent = |at: time::Instant| at.elapsed() < MAX_LINGER;
+        self.is_sending.get() || self.blocked_at.get().is_some_and(is_recent)
     }
 
     pub(super) fn set_lingering(&self, is_lingering: bool) {
--- a/crates/gateway/src/proxy/client_stream.rs
+++ b/crates/gateway/src/proxy/client_stream.rs
@@ -4,7 +4,6 @@
 use std::pin;
 use std::rc;
 use std::task;
-use std::time::Duration;
 
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
@@ -15,10 +14,6 @@
 use super::client;
 use super::read_turn;
 
-/// Longest time for which a client's bytes are discarded before its connection is closed. If they
-/// were left unread, the client would see a reset and lose the answer.
-const MAX_LINGER: Duration = Duration::from_secs(2);
-
 /// Most bytes that are discarded at one time, before other connections get their turn.
 const DISCARD_BYTES: usize = 8 << 10;
 
@@ -40,9 +35,10 @@
         Self { stream, client, turn: read_turn::ReadTurn::default(), linger: None }
     }
 
-    /// Discards what the client sends until it closes its side, or for some time.
+    /// Discards what the client sends until it closes its side, or for some time. If it was left unread,
+    /// the client would see a reset and lose the answer.
     fn poll_discard(&mut self, cx: &mut task::Context<'_>) -> task::Poll<()> {
-        let linger = self.linger.get_or_insert_with(|| Box::pin(time::sleep(MAX_LINGER)));
+        let linger = self.linger.get_or_insert_with(|| Box::pin(time::sleep(client::MAX_LINGER)));
         if linger.as_mut().poll(cx).is_ready() {
             return task::Poll::Ready(());
         }
