fix(gateway): rows that are no gateways aren't logged as invalid entries

Since the search for retired entries wrote a warning for each suspect and limit that stands in the list of gateways, at each read. Only the listing logs an entry that can't be read, as before.

--- a/crates/gateway/src/service/gateway_list.rs
+++ b/crates/gateway/src/service/gateway_list.rs
@@ -101,7 +101,7 @@
     let rows = transfer::read(store, table).await?.rows;
     state.observe_era(rows.era);
     let own = rows.rows.iter().find(|row| row.key == *node);
-    let own = own.and_then(registration::Entry::decode);
+    let own = own.and_then(|row| registration::Entry::decode(row).ok());
     state.registered.set(own.is_some_and(|entry| entry.is_of(state)));
     let now = state.clock.now();
     let mut others = Vec::new();
@@ -114,9 +114,15 @@
             limit_rows::load(state, row);
             continue;
         }
-        if let Some(entry) = registration::Entry::decode(row) {
-            state.peers.borrow_mut().add_listed(row.key.clone(), entry.address, now);
-            others.push(row.key.clone());
+        match registration::Entry::decode(row) {
+            Ok(entry) => {
+                state.peers.borrow_mut().add_listed(row.key.clone(), entry.address, now);
+                others.push(row.key.clone());
+            }
+            Err(error) => {
+                let reason = error.to_string();
+                tracing::warn!(gateway = row.key, reason, "invalid gateway entry");
+            }
         }
     }
     let mut membership = state.membership.borrow_mut();
@@ -189,7 +195,7 @@
 /// Keeps up with which entries are retired.
 fn record_retired(rows: &store::Rows, retired: &mut Retired, now: time::Instant) {
     let is_retired =
-        |row: &&store::Row| registration::Entry::decode(row).is_some_and(|entry| entry.is_retired);
+        |row: &&store::Row| registration::Entry::decode(row).is_ok_and(|entry| entry.is_retired);
     let current: Vec<_> = rows.rows.iter().filter(is_retired).collect();
     retired.retain(|key, (version, _)| {
         current.iter().any(|row| row.key == *key && row.version == *version)
--- a/crates/gateway/src/service/registration.rs
+++ b/crates/gateway/src/service/registration.rs
@@ -34,15 +34,13 @@
         Self { address, is_retired: false, known_in: None, is_replacement: false }
     }
 
-    /// Decodes the entry in a row; `None` if it can't be read.
-    pub(super) fn decode(row: &store::Row) -> Option<Self> {
-        let entry = serde_json::from_slice(row.data.as_deref().unwrap_or_default());
-        entry
-            .inspect_err(|error: &serde_json::Error| {
-                let reason = error.to_string();
-                tracing::warn!(gateway = row.key, reason, "invalid gateway entry");
-            })
-            .ok()
+    /// Decodes the entry in a row.
+    ///
+    /// # Errors
+    ///
+    /// If the row holds something else, or can't be read.
+    pub(super) fn decode(row: &store::Row) -> Result<Self, serde_json::Error> {
+        serde_json::from_slice(row.data.as_deref().unwrap_or_default())
     }
 
     fn encode(&self) -> Vec<u8> {
@@ -85,7 +83,7 @@
 ) -> Result<(store::Receipt, membership::Precedent), store::StoreError> {
     let row = rows.iter().find(|row| row.key == state.settings.node);
     let version = row.map_or(0, |row| row.version);
-    let Some(earlier) = row.and_then(Entry::decode) else {
+    let Some(earlier) = row.and_then(|row| Entry::decode(row).ok()) else {
         let receipt = commit(state, store, &entry, version).await?;
         return Ok((receipt, membership::Precedent::Unknown));
     };
@@ -100,7 +98,7 @@
 /// have. `rows` is the list, of the era of the store in which this gateway registered.
 pub(super) async fn save_known(state: &state::State, store: &store::Store, rows: &store::Rows) {
     let own = rows.rows.iter().find(|row| row.key == state.settings.node);
-    let entry = own.and_then(|row| Some((row.version, Entry::decode(row)?)));
+    let entry = own.and_then(|row| Some((row.version, Entry::decode(row).ok()?)));
     let Some((version, entry)) = entry.filter(|(_, entry)| entry.is_of(state)) else { return };
     let is_known = state.membership.borrow().is_known(state.clock.now());
     if !is_known || entry.known_in == Some(rows.era) {
@@ -121,7 +119,7 @@
 
 /// Content of an entry once it is retired.
 pub(super) fn retire(row: &store::Row) -> Option<Vec<u8>> {
-    Some(Entry { is_retired: true, ..Entry::decode(row)? }.encode())
+    Some(Entry { is_retired: true, ..Entry::decode(row).ok()? }.encode())
 }
 
 async fn commit(
