test(standins): a call that goes on is looked at after a tick of the clock

Cause: the call sleeps for no time, which on a running clock may end at the next millisecond; the test looked after one turn of the scheduler.

--- a/crates/standins/tests/platform.rs
+++ b/crates/standins/tests/platform.rs
@@ -239,7 +239,7 @@
 }
 
 #[gtest]
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_call_goes_on_when_its_caller_is_dropped() -> Result<()> {
     let table: service::Service<u32> = service::Service::default();
     let add = |state: &mut u32| {
@@ -248,7 +248,8 @@
     };
     let call = table.call_within(time::Duration::ZERO, service::Effect::Change, add);
     verify_that!(matches!(call.await, Err(error::PlatformError::Unknown(_))), eq(true))?;
-    tokio::task::yield_now().await;
+    // The call waits for the next tick of the clock.
+    tokio::time::sleep(time::Duration::from_millis(1)).await;
     verify_that!(table.with(|state| *state), eq(1))
 }
 
