fix(gateway): without a configuration heads of up to 32 KiB are read, not 64

A crowd that stops before the end of such heads, at a gateway that has no configuration yet, would have outgrown the smallest VM: connections are limited to one for each 16 KiB of a quarter of the memory.

--- a/crates/gateway/src/proxy/listener.rs
+++ b/crates/gateway/src/proxy/listener.rs
@@ -32,9 +32,9 @@
 /// ahead.
 const READ_MARGIN: usize = 4 << 10;
 
-/// Longest head while there is no configuration. Its requests are told to come back later; no client
-/// that stays within the limits of any configuration sends a longer one.
-const UNCONFIGURED_HEAD_BYTES: usize = 64 << 10;
+/// Longest head while there is no configuration. Its requests are told to come back later. A crowd of
+/// clients that stop before the end of such heads still fits into the memory of the smallest VM.
+const UNCONFIGURED_HEAD_BYTES: usize = 32 << 10;
 
 /// Bytes that wait in the socket of a client, as far as the system allows so few.
 const SEND_BUFFER_BYTES: usize = 64 << 10;
