--- a/review/lib-3/world.rs
+++ b/review/lib-3/world.rs
@@ -789,15 +789,20 @@
 
 /// The operator's configuration.
 pub fn configuration(version: u64, tenants: &str) -> String {
-    let route = |name: &str, kind: &str, attempts: u32| {
+    let route = |name: &str, kind: &str, attempts: u32, public: bool| {
         format!(
             "{{\"Name\":\"r-{name}\",\"Hostname\":\"ficu95.example\",\"PathPrefix\":\"/{name}/\",\
              \"RouteType\":\"{kind}\",\"TimeoutMs\":4000,\"GoalMs\":300,\"Priority\":0,\
-             \"Service\":\"wuno96b\",\"MaxAttempts\":{attempts},\"Public\":false,\"Sticky\":false,\
+             \"Service\":\"wuno96b\",\"MaxAttempts\":{attempts},\"Public\":{public},\"Sticky\":false,\
              \"Resumable\":false,\"TbtTargetMs\":0}}"
         )
     };
-    let routes = [route("lookup", "idempotent", 2), route("lodge", "non_idempotent", 1)].join(",");
+    let routes = [
+        route("lookup", "idempotent", 2, false),
+        route("lodge", "non_idempotent", 1, false),
+        route("notes", "idempotent", 2, true),
+    ];
+    let routes = routes.join(",");
     format!(
         "{{\"Version\":{version},\"Routes\":[{routes}],\"Services\":[{{\"Name\":\"wuno96b\",\
          \"HealthPath\":\"/healthz\",\"MaxConns\":96,\"Protocol\":\"h1\",\"Tls\":false}}],\
@@ -858,13 +863,15 @@
     })
 }
 
-/// The head of a request with a body of `length` bytes.
+/// The head of a request with a body of `length` bytes, and with a key unless that is empty.
 pub fn request_head(method: &str, path: &str, key: &str, id: &str, length: usize) -> String {
     let length =
         if method == "GET" { String::new() } else { format!("Content-Length: {length}\r\n") };
+    let key =
+        if key.is_empty() { String::new() } else { format!("Authorization: Token {key}\r\n") };
     format!(
         "{method} {path} HTTP/1.1\r\nHost: ficu95.example\r\nRequest-Id: {id}\r\n\
-         Deadline-Ms: 4000\r\nAuthorization: Token {key}\r\n{length}\r\n"
+         Deadline-Ms: 4000\r\n{key}{length}\r\n"
     )
 }
 
