--- a/review/lib-3/world.rs
+++ b/review/lib-3/world.rs
@@ -802,10 +802,16 @@
         route("lodge", "non_idempotent", 1, false),
         route("notes", "idempotent", 2, true),
     ];
-    let routes = routes.join(",");
+    let chat = "{\"Name\":\"r-chat\",\"Hostname\":\"ficu95.example\",\"PathPrefix\":\"/chat/\",\
+         \"RouteType\":\"streaming\",\"TimeoutMs\":15000,\"GoalMs\":250,\"Priority\":0,\
+         \"Service\":\"huvo11a\",\"MaxAttempts\":1,\"Public\":false,\"Sticky\":true,\
+         \"Resumable\":false,\"TbtTargetMs\":150}";
+    let routes = format!("{},{chat}", routes.join(","));
     format!(
         "{{\"Version\":{version},\"Routes\":[{routes}],\"Services\":[{{\"Name\":\"wuno96b\",\
-         \"HealthPath\":\"/healthz\",\"MaxConns\":96,\"Protocol\":\"h1\",\"Tls\":false}}],\
+         \"HealthPath\":\"/healthz\",\"MaxConns\":96,\"Protocol\":\"h1\",\"Tls\":false}},\
+         {{\"Name\":\"huvo11a\",\"HealthPath\":\"/healthz\",\"MaxConns\":360,\"Protocol\":\"h1\",\
+         \"Tls\":false}}],\
          \"Limits\":{{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,\
          \"IdleTimeoutMs\":15000}},\"Tenants\":{tenants}}}"
     )
