--- a/review/lib-3/case_15.rs
+++ b/review/lib-3/case_15.rs
@@ -16,6 +16,9 @@
 /// Clients that leave: as many as the replicas have slots.
 const CLIENTS: usize = 18;
 
+/// Rounds of as many clients that stay, so that a fifth of all clients leave (`give_up` has 0.2).
+const STAYING_ROUNDS: usize = 4;
+
 /// Requests that each of them sends ahead.
 const AHEAD: usize = 3;
 
@@ -67,6 +70,14 @@
     stream.write_all((head + &"x".repeat(800)).as_bytes())
 }
 
+/// Sends one request and waits for its answer; returns whether it is a success.
+fn stay(deployment: &world::Deployment) -> bool {
+    let bytes = world::request_head("GET", "/notes/1", "", &world::new_id(), 0);
+    let patience = Duration::from_secs(4);
+    let answer = world::exchange(deployment.gateway.front, bytes.as_bytes(), patience);
+    answer.is_ok_and(|answer| answer.status() == 200)
+}
+
 /// Sends requests on one connection and leaves; returns their ids and when it closed the connection.
 fn visit(deployment: &world::Deployment, ahead: usize) -> io::Result<(Vec<String>, Instant)> {
     let mut stream = TcpStream::connect(deployment.gateway.front)?;
@@ -90,6 +101,16 @@
     let deployment = world::Deployment::start(Path::new(folder), respond);
     let Some(deployment) = deployment else { return 2 };
     let record = deployment.record.clone();
+    for _ in 0..STAYING_ROUNDS {
+        let served = thread::scope(|scope| {
+            let clients: Vec<_> = (0..CLIENTS).map(|_| scope.spawn(|| stay(&deployment))).collect();
+            clients.into_iter().filter_map(|client| client.join().ok()).filter(|served| *served).count()
+        });
+        record.write(format!("{served} of {CLIENTS} clients that stay are served"));
+        if served < CLIENTS {
+            return 2;
+        }
+    }
     // Without trouble each client sends one request and leaves; that alone is no fault.
     let ahead = if world::has_trouble() { AHEAD } else { 1 };
     let visits = thread::scope(|scope| {
