fix(gateway): an empty list of teams asks for keys and gives none

Cause: whether keys are asked for was concluded from the teams that were added while a version was indexed; the document didn't tell an empty list from a missing one. Ruled out: a key kept from the version before (one that no version held works too, and a start under the version does the same).

Change: a draft says whether it has a list of teams, and one that has asks for keys whoever is in it; null is a list of nobody. Settings::requires_keys, from the contracts in the settings, asks under any version, so a version without the field opens nothing there. Elsewhere a log line and azuregap_key_checks_ended_total say that keys aren't asked for any more.

--- a/crates/gateway/src/configuration/check/field.rs
+++ b/crates/gateway/src/configuration/check/field.rs
@@ -25,6 +25,8 @@
     Services,
     /// Connections to a backend server of a service.
     Connections,
+    /// Teams of the configuration.
+    Teams,
     /// Keys of a team.
     Keys,
 }
--- a/crates/gateway/src/configuration/check/teams.rs
+++ b/crates/gateway/src/configuration/check/teams.rs
@@ -16,7 +16,14 @@
 pub(super) fn check<F: Fn(Place) -> String>(findings: &mut Findings<F>, draft: &draft::Draft) {
     let (mut owners, mut names) = (collections::HashMap::new(), collections::HashMap::new());
     let needs_key = draft.routes.iter().any(|route| !route.public);
-    for (index, declared) in draft.teams.iter().enumerate() {
+    if needs_key && draft.listed_teams().is_empty() {
+        let (value, expected) = match draft.teams {
+            Some(_) => ("none", "at least one team: nobody can call a route that isn't public"),
+            None => ("missing", "a list: without it no key is asked for, unless the settings do"),
+        };
+        findings.warning((Entry::Whole, Field::Teams), value, expected);
+    }
+    for (index, declared) in draft.listed_teams().iter().enumerate() {
         let (entry, name) = (Entry::Team(index), declared.team.name.as_str());
         let first = *names.entry(name).or_insert(index);
         if first != index {
--- a/crates/gateway/src/configuration/difference.rs
+++ b/crates/gateway/src/configuration/difference.rs
@@ -108,11 +108,22 @@
 }
 
 fn compare_teams(differences: &mut Differences, old: &draft::Draft, new: &draft::Draft) {
-    match (old.teams.is_empty(), new.teams.is_empty()) {
-        (false, true) => differences.add("keys", "no route needs one any more"),
-        (true, false) => differences.add("keys", "routes that aren't public need one from now on"),
+    let has_keys = |draft: &draft::Draft| draft.listed_teams().iter().any(|it| !it.keys.is_empty());
+    match (&old.teams, &new.teams) {
+        (Some(_), None) => {
+            let change =
+                "no route needs one any more, unless the settings of a gateway ask for keys";
+            differences.add("keys", change);
+        }
+        (None, Some(_)) => {
+            differences.add("keys", "routes that aren't public need one from now on");
+        }
         _ => {}
     }
+    if has_keys(old) && new.teams.is_some() && !has_keys(new) {
+        differences.add("keys", "nobody has one any more: routes that aren't public answer 401");
+    }
+    let withdrawn = if new.teams.is_some() { "withdrawn, which get 401" } else { "withdrawn" };
     let (old, new) = (teams_by_name(old), teams_by_name(new));
     let held: collections::HashSet<&str> =
         new.values().flat_map(|(_, keys)| keys).copied().collect();
@@ -134,7 +145,7 @@
         for (count, what) in [
             (new_keys.difference(keys).count(), "added"),
             (moved, "moved to another team"),
-            (gone().count() - moved, "withdrawn, which get 401"),
+            (gone().count() - moved, withdrawn),
         ] {
             if count > 0 {
                 differences.add(&entry, format!("{count} key(s) {what}"));
@@ -151,7 +162,7 @@
     draft: &draft::Draft,
 ) -> collections::BTreeMap<&str, (u8, collections::BTreeSet<&str>)> {
     let mut teams = collections::BTreeMap::new();
-    for declared in &draft.teams {
+    for declared in draft.listed_teams() {
         let team = teams
             .entry(declared.team.name.as_str())
             .or_insert_with(|| (declared.team.tier, collections::BTreeSet::new()));
--- a/crates/gateway/src/configuration/draft.rs
+++ b/crates/gateway/src/configuration/draft.rs
@@ -19,8 +19,17 @@
     pub services: Vec<service::Service>,
     /// Routes.
     pub routes: Vec<route::Route>,
-    /// Teams.
-    pub teams: Vec<declared_team::DeclaredTeam>,
+    /// Teams; `None` if the document has no list of them, which asks for no keys. An empty list asks
+    /// for keys and gives none.
+    pub teams: Option<Vec<declared_team::DeclaredTeam>>,
+}
+
+impl Draft {
+    /// Teams that are listed.
+    #[must_use]
+    pub fn listed_teams(&self) -> &[declared_team::DeclaredTeam] {
+        self.teams.as_deref().unwrap_or_default()
+    }
 }
 
 impl From<Draft> for snapshot::Configuration {
@@ -32,7 +41,9 @@
         for route in draft.routes {
             configuration = configuration.with_route(route);
         }
-        for declared in draft.teams {
+        let Some(teams) = draft.teams else { return configuration };
+        configuration = configuration.with_required_keys();
+        for declared in teams {
             configuration = configuration.with_team(declared.team, declared.keys);
         }
         configuration
--- a/crates/gateway/src/configuration/snapshot.rs
+++ b/crates/gateway/src/configuration/snapshot.rs
@@ -38,7 +38,7 @@
     services: collections::HashMap<ids::PoolId, service::Service>,
     routes_by_host: collections::HashMap<String, RoutesByPrefix>,
     teams_by_key: collections::HashMap<String, sync::Arc<Team>>,
-    has_teams: bool,
+    requires_keys: bool,
     team_tiers: priority::Tiers,
     route_tiers: collections::HashMap<ids::PoolId, priority::Tiers>,
     /// Shortest pause that the streams of each tier tolerate, by service.
@@ -85,10 +85,17 @@
         self
     }
 
+    /// Makes all routes that aren't public require a key, also if no team has one.
+    #[must_use]
+    pub const fn with_required_keys(mut self) -> Self {
+        self.requires_keys = true;
+        self
+    }
+
     /// Adds a team with its keys; from then on, routes that aren't public require a key.
     #[must_use]
     pub fn with_team(mut self, team: Team, keys: impl IntoIterator<Item = String>) -> Self {
-        self.has_teams = true;
+        self.requires_keys = true;
         self.team_tiers.add(team.tier);
         let team = sync::Arc::new(team);
         self.teams_by_key.extend(keys.into_iter().map(|key| (key, team.clone())));
@@ -113,7 +120,13 @@
     /// Whether requests on a route require a key.
     #[must_use]
     pub const fn requires_key(&self, route: &route::Route) -> bool {
-        self.has_teams && !route.public
+        self.requires_keys && !route.public
+    }
+
+    /// Whether routes that aren't public require a key.
+    #[must_use]
+    pub const fn requires_keys(&self) -> bool {
+        self.requires_keys
     }
 
     /// Finds a service by name.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -48,6 +48,8 @@
     pub quarantine_rejections: core::GenericCounter<core::AtomicU64>,
     /// Refusals and closed connections of clients that reached a limit, by reason.
     pub client_limits: Counters,
+    /// Versions of the configuration since which no key is asked for, after one that asked.
+    pub key_checks_ended: core::GenericCounter<core::AtomicU64>,
     limited_backends: core::GenericGauge<core::AtomicI64>,
     backend_limit: Rates,
     allowed_sends: Rates,
@@ -135,6 +137,10 @@
                 "azuregap_quarantine_rejections_total",
                 "Requests rejected since they crash backend servers, or their prompt does",
             ),
+            key_checks_ended: plain_counter(
+                "azuregap_key_checks_ended_total",
+                "Versions of the configuration since which no key is asked for",
+            ),
             client_limits: counter(
                 "azuregap_client_limits_total",
                 "Requests refused and connections closed at a limit on clients",
@@ -198,7 +204,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn core::Collector>; 24] = [
+        let collectors: [Box<dyn core::Collector>; 25] = [
             Box::new(self.requests.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.store_calls.clone()),
@@ -208,6 +214,7 @@
             Box::new(self.crash_trials.clone()),
             Box::new(self.quarantine_rejections.clone()),
             Box::new(self.client_limits.clone()),
+            Box::new(self.key_checks_ended.clone()),
             Box::new(self.limited_backends.clone()),
             Box::new(self.backend_limit.clone()),
             Box::new(self.allowed_sends.clone()),
--- a/crates/gateway/src/service/configuration.rs
+++ b/crates/gateway/src/service/configuration.rs
@@ -65,7 +65,8 @@
             return false;
         }
     };
-    let old = state.configuration().map(|configuration| configuration.version);
+    let before = state.configuration();
+    let old = before.as_ref().map(|configuration| configuration.version);
     if old.is_some_and(|old| configuration.version < old) {
         tracing::warn!(old, version = configuration.version, "ignored an older configuration");
         return true;
@@ -80,10 +81,26 @@
     for team in configuration.team_names() {
         team_names.insert(usage_counts::team_hash(team), team.to_owned());
     }
+    drop(team_names);
+    if !configuration.requires_keys() {
+        report_missing_teams(state, before.as_deref());
+    }
     state.set_configuration(configuration);
     true
 }
 
+/// Tells operators what follows from a configuration without a list of teams.
+fn report_missing_teams(state: &state::State, before: Option<&configuration::Configuration>) {
+    if state.settings.requires_keys {
+        tracing::warn!("the configuration has no list of teams; nobody has a key");
+    } else if before.is_some_and(configuration::Configuration::requires_keys) {
+        state.metrics.key_checks_ended.inc();
+        tracing::warn!("the configuration has no list of teams; keys aren't asked for any more");
+    } else {
+        tracing::info!("the configuration has no list of teams; no keys are asked for");
+    }
+}
+
 /// Decodes a configuration; a large one on another thread, so that requests don't wait for it.
 async fn decode(
     state: &state::State,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -46,6 +46,9 @@
     pub regions: collections::BTreeMap<ids::ZoneId, ids::RegionId>,
     /// How far the pace of cold backend servers may be exceeded; `None` if they aren't protected.
     pub cold_bound: Option<cold_server::Bound>,
+    /// Whether routes that aren't public require a key under any configuration, also one that has no
+    /// list of teams.
+    pub requires_keys: bool,
     /// What this process may use of its VM.
     pub resources: Resources,
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -220,7 +220,10 @@
     }
 
     /// Puts a configuration in force.
-    pub fn set_configuration(&self, configuration: configuration::Configuration) {
+    pub fn set_configuration(&self, mut configuration: configuration::Configuration) {
+        if self.settings.requires_keys {
+            configuration = configuration.with_required_keys();
+        }
         let limits = configuration.limits;
         let old = self.configuration.borrow_mut().replace(rc::Rc::new(configuration));
         if old.is_none_or(|old| old.limits != limits) {
--- a/crates/gateway/tests/configuration.rs
+++ b/crates/gateway/tests/configuration.rs
@@ -5,7 +5,9 @@
 use std::rc;
 use std::time::Duration;
 
+use azuregap_gateway::configuration;
 use azuregap_gateway::service;
+use azuregap_gateway::settings;
 use azuregap_gateway::state;
 use azuregap_gateway::store::Table;
 use googletest::prelude::*;
@@ -13,10 +15,16 @@
 
 async fn with_watcher<F: Future<Output = ()>>(
     test: impl FnOnce(rc::Rc<state::State>, support::FakeStore) -> F,
+) {
+    with_watcher_of(support::state("g-1"), test).await;
+}
+
+async fn with_watcher_of<F: Future<Output = ()>>(
+    state: rc::Rc<state::State>,
+    test: impl FnOnce(rc::Rc<state::State>, support::FakeStore) -> F,
 ) {
     let fake = support::FakeStore::default();
     fake.put(Table::Configuration, "configuration", Some("3"));
-    let state = support::state("g-1");
     state.backends_loaded.set(true);
     let watcher = service::watch_configuration(state.clone(), rc::Rc::new(fake.store()));
     support::run_with_service(watcher, test(state, fake)).await;
@@ -121,3 +129,32 @@
     })
     .await;
 }
+
+/// Guards against routes that are opened without a sign of it.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_version_since_which_no_key_is_asked_for_is_counted() {
+    with_watcher(|state, fake| async move {
+        let ended = || state.metrics.key_checks_ended.get();
+        state.set_configuration(configuration::Configuration::new(3).with_required_keys());
+        for (next, expected) in [(9, 1), (12, 1)] {
+            fake.put(Table::Configuration, "configuration", Some(&next.to_string()));
+            time::sleep(Duration::from_secs(1)).await;
+            expect_that!((version(&state), ended()), eq((next, expected)));
+        }
+    })
+    .await;
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_version_without_teams_asks_for_keys_if_the_settings_do() {
+    let settings = settings::Settings { requires_keys: true, ..support::settings("g-1") };
+    with_watcher_of(support::state_with(settings, time::Instant::now()), |state, _| async move {
+        let requires_keys =
+            state.configuration().map(|configuration| configuration.requires_keys());
+        expect_that!(requires_keys, some(eq(true)));
+        expect_that!(state.metrics.key_checks_ended.get(), eq(0));
+    })
+    .await;
+}
--- a/crates/gateway/tests/configuration_check.rs
+++ b/crates/gateway/tests/configuration_check.rs
@@ -19,7 +19,7 @@
             route("ask", "/ask/", configuration::RouteKind::Idempotent, &[("engines", 1)]),
             route("book", "/book/", configuration::RouteKind::NonIdempotent, &[("desk", 1)]),
         ],
-        teams: vec![team("clinic", &["key-1", "key-2"]), team("pharmacy", &["key-3"])],
+        teams: Some(vec![team("clinic", &["key-1", "key-2"]), team("pharmacy", &["key-3"])]),
     }
 }
 
@@ -59,6 +59,11 @@
     }
 }
 
+/// Adds a team to those that are listed.
+fn add(draft: &mut configuration::Draft, name: &str, keys: &[&str]) {
+    draft.teams.get_or_insert_default().push(team(name, keys));
+}
+
 fn path_of(place: configuration::Place) -> String {
     format!("{:?}.{:?}", place.entry, place.field)
 }
@@ -105,9 +110,9 @@
             draft.routes[1].services.clear();
         }),
         ("a key of two teams, one without a key, an empty one", |draft| {
-            draft.teams.push(team("lab", &["key-2"]));
-            draft.teams.push(team("ward", &[]));
-            draft.teams.push(team("desk", &[""]));
+            add(draft, "lab", &["key-2"]);
+            add(draft, "ward", &[]);
+            add(draft, "desk", &[""]);
         }),
         ("teams that no route takes", |draft| {
             draft.routes.iter_mut().for_each(|route| route.public = true);
@@ -115,7 +120,7 @@
         ("names that are used twice", |draft| {
             draft.routes[1].name = "ask".to_owned();
             draft.services.push(service("desk"));
-            draft.teams.push(team("clinic", &["key-4"]));
+            add(draft, "clinic", &["key-4"]);
         }),
     ];
     let told = cases.map(|(name, change)| format!("# {name}\n{}\n", findings(change)));
@@ -151,7 +156,7 @@
 #[gtest]
 fn no_finding_or_difference_shows_a_key() {
     let mut draft = sound();
-    draft.teams.push(team("lab", &["key-2", "key-9"]));
+    add(&mut draft, "lab", &["key-2", "key-9"]);
     let found = configuration::check(&draft, &[], path_of);
     let changes = configuration::compare(&sound(), &draft);
     expect_that!(format!("{found:?}{changes:?}"), not(contains_substring("key-")));
@@ -187,11 +192,36 @@
         }),
         ("teams", |draft| {
             let keys = ["key-1", "key-7", "key-8", "key-3"];
-            draft.teams = vec![team("clinic", &keys), team("lab", &[])];
-            draft.teams[0].team.tier = 2;
+            let mut clinic = team("clinic", &keys);
+            clinic.team.tier = 2;
+            draft.teams = Some(vec![clinic, team("lab", &[])]);
         }),
     ];
     let told = cases.map(|(name, change)| format!("# {name}\n{}\n", differences(change)));
-    let no_teams = differences(|draft| draft.teams.clear());
-    insta::assert_snapshot!(format!("{}# no teams\n{no_teams}\n", told.concat()));
+    insta::assert_snapshot!(told.concat());
+}
+
+/// Guards against an operator who is told that no key is needed when all of them are withdrawn.
+#[gtest]
+fn who_is_let_in_without_teams_is_told_as_gateways_decide() {
+    let cases: [(&str, Change); 3] = [
+        ("an empty list", |draft| draft.teams = Some(Vec::new())),
+        ("no team has a key", |draft| draft.teams = Some(vec![team("clinic", &[])])),
+        ("no list", |draft| draft.teams = None),
+    ];
+    let told = cases.map(|(name, change)| {
+        format!("# {name}\n{}\n# its findings\n{}\n", differences(change), findings(change))
+    });
+    insta::assert_snapshot!(told.concat());
+}
+
+#[gtest]
+fn a_list_of_teams_after_none_is_told() {
+    let old = configuration::Draft { teams: None, ..sound() };
+    let changes = configuration::compare(&old, &sound());
+    let told = changes.iter().map(|change| format!("{}: {}", change.entry, change.change));
+    expect_that!(
+        told.collect::<Vec<_>>(),
+        contains(eq("keys: routes that aren't public need one from now on"))
+    );
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -383,6 +383,7 @@
         grace_period: Duration::from_secs(8),
         regions: collections::BTreeMap::new(),
         cold_bound: None,
+        requires_keys: false,
         resources: settings::Resources::default(),
     }
 }
