fix(gateway): usage of a team that was removed is reported

A team is removed, or loses its last key, while its requests run. A gateway that started after that and reports the window drops the counts: "dropped the usage counts of an unknown team".

Cause: counts are told by the hash of a team's name, and the reporter took names from the configurations that it had seen, of these only from teams with a key.

Change: messages with counts name the teams in them that the configuration in force at the sender doesn't list (4 KiB at most; earlier versions ignore them), and a configuration gives the names of all its teams.

--- a/crates/gateway/src/configuration/snapshot.rs
+++ b/crates/gateway/src/configuration/snapshot.rs
@@ -38,6 +38,7 @@
     services: collections::HashMap<ids::PoolId, service::Service>,
     routes_by_host: collections::HashMap<String, RoutesByPrefix>,
     teams_by_key: collections::HashMap<String, sync::Arc<Team>>,
+    team_names: collections::HashSet<ids::TeamId>,
     requires_keys: bool,
     team_tiers: priority::Tiers,
     route_tiers: collections::HashMap<ids::PoolId, priority::Tiers>,
@@ -97,6 +98,7 @@
     pub fn with_team(mut self, team: Team, keys: impl IntoIterator<Item = String>) -> Self {
         self.requires_keys = true;
         self.team_tiers.add(team.tier);
+        self.team_names.insert(team.name.clone());
         let team = sync::Arc::new(team);
         self.teams_by_key.extend(keys.into_iter().map(|key| (key, team.clone())));
         self
@@ -168,9 +170,10 @@
         result
     }
 
-    /// Names of the teams, once for each key.
-    pub fn team_names(&self) -> impl Iterator<Item = &str> {
-        self.teams_by_key.values().map(|team| team.name.as_str())
+    /// Names of the teams, also of those without a key.
+    #[must_use]
+    pub const fn team_names(&self) -> &collections::HashSet<ids::TeamId> {
+        &self.team_names
     }
 
     /// Number of routes.
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -135,6 +135,10 @@
     /// of segments only.
     #[serde(skip)]
     pub suspects: Option<Vec<quarantine::Suspect>>,
+    /// Names of teams with counts in the message that the configuration in force at the sender doesn't
+    /// list; empty from a gateway of an earlier version.
+    #[serde(skip)]
+    pub teams: Vec<ids::TeamId>,
 }
 
 impl GossipMessage {
@@ -156,7 +160,8 @@
             let rest = (&self.limits, self.is_introduction);
             bytes = postcard::to_extend(&rest, bytes).expect("limits can be encoded");
             if let Some(suspects) = &self.suspects {
-                bytes = postcard::to_extend(suspects, bytes).expect("suspects can be encoded");
+                let rest = (suspects, &self.teams);
+                bytes = postcard::to_extend(&rest, bytes).expect("suspects can be encoded");
             }
         }
         bytes
@@ -244,7 +249,11 @@
                         let (limits, rest) = postcard::take_from_bytes(rest)?;
                         (message.limits, message.is_introduction) = limits;
                         if !rest.is_empty() {
-                            message.suspects = Some(postcard::from_bytes(rest)?);
+                            let (suspects, rest) = postcard::take_from_bytes(rest)?;
+                            message.suspects = Some(suspects);
+                            if !rest.is_empty() {
+                                message.teams = postcard::from_bytes(rest)?;
+                            }
                         }
                     }
                 }
--- a/crates/gateway/src/service/configuration.rs
+++ b/crates/gateway/src/service/configuration.rs
@@ -8,7 +8,6 @@
 use super::zone_rows;
 use crate::codec;
 use crate::configuration;
-use crate::decision::usage_counts;
 use crate::state;
 use crate::store;
 
@@ -77,11 +76,7 @@
         routes = configuration.route_count(),
         "configuration in force"
     );
-    let mut team_names = state.team_names.borrow_mut();
-    for team in configuration.team_names() {
-        team_names.insert(usage_counts::team_hash(team), team.to_owned());
-    }
-    drop(team_names);
+    state.remember_teams(configuration.team_names());
     if !configuration.requires_keys() {
         report_missing_teams(state, before.as_deref());
     }
--- a/crates/gateway/src/service/gossip.rs
+++ b/crates/gateway/src/service/gossip.rs
@@ -58,6 +58,9 @@
 /// Maximum counts per datagram, of at most 12 bytes each; further counts go into more datagrams.
 const MAX_COUNTS: usize = 800;
 
+/// Maximum bytes per datagram for the names of teams that were removed.
+const MAX_NAME_BYTES: usize = 4 * 1024;
+
 /// Registers this gateway and exchanges messages with the others; never returns.
 pub async fn run(
     state: rc::Rc<state::State>,
@@ -114,6 +117,7 @@
                 if let Some(notice) = &mut message.notice {
                     notice.relayed = vec![relayed];
                 }
+                message.teams = told_teams(&self.state, chunk);
                 self.send(&message, &[address]).await;
             }
         }
@@ -131,6 +135,7 @@
         }
         for chunk in counts.chunks(MAX_COUNTS) {
             message.counts = chunk.to_vec();
+            message.teams = told_teams(&self.state, chunk);
             self.send(&message, addresses).await;
         }
     }
@@ -275,6 +280,7 @@
         limits: state.backend_limits.borrow_mut().tell(state.clock.now()),
         is_introduction: false,
         suspects: Some(suspects),
+        teams: Vec::new(),
         notice: Some(peers::UsageNotice {
             can_report: state.freshness.borrow().is_store_answering() && !state.is_stopping(),
             is_leaving: state.is_stopping(),
@@ -283,6 +289,17 @@
     }
 }
 
+/// Names that the recipients of counts may not know, as many as a datagram takes beside them.
+fn told_teams(state: &state::State, counts: &[peers::UsageCount]) -> Vec<ids::TeamId> {
+    let mut left = MAX_NAME_BYTES;
+    let fits = |name: &ids::TeamId| {
+        let rest = left.checked_sub(name.len() + 1);
+        left = rest.unwrap_or(left);
+        rest.is_some()
+    };
+    state.unlisted_teams(counts).into_iter().take_while(fits).collect()
+}
+
 fn recent_counts(state: &state::State) -> Vec<peers::UsageCount> {
     let count = |(window, team, requests)| peers::UsageCount { window, team, requests };
     state.usage_counts.borrow().newest(SENT_WINDOWS).map(count).collect()
@@ -336,6 +353,7 @@
                 let is_requested = message.notice.is_some() && state.reporting.borrow().is_some();
                 state.directory.borrow_mut().record_reads(&message.cached, time::Instant::now());
                 receive_news(state, &message);
+                state.remember_teams(&message.teams);
                 state.membership.borrow_mut().record_message(&message.node, now);
                 let reply = state.peers.borrow_mut().handle_message(message, from, now);
                 match reply {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -330,12 +330,39 @@
         holder::share(backend, holders, &self.settings.node, peers.names(), standing)
     }
 
-    /// Counts a request of a team whose execution began `elapsed` before now.
-    pub fn count_usage(&self, team: &str, elapsed: Duration) {
+    /// Remembers the name of a team, so that its counts can be reported; returns its hash.
+    fn remember_team(&self, team: &str) -> usage_counts::TeamHash {
         let hash = usage_counts::team_hash(team);
         if !self.team_names.borrow().contains_key(&hash) {
             self.team_names.borrow_mut().insert(hash, team.to_owned());
         }
+        hash
+    }
+
+    /// Remembers the names of teams, so that their counts can be reported.
+    pub fn remember_teams<'a>(&self, teams: impl IntoIterator<Item = &'a ids::TeamId>) {
+        for team in teams {
+            self.remember_team(team);
+        }
+    }
+
+    /// Names of the teams of some counts that the configuration in force doesn't list, so that other
+    /// gateways may not know them.
+    #[must_use]
+    pub fn unlisted_teams(&self, counts: &[peers::UsageCount]) -> Vec<ids::TeamId> {
+        let configuration = self.configuration();
+        let is_listed = |name: &ids::TeamId| {
+            configuration.as_ref().is_some_and(|listing| listing.team_names().contains(name))
+        };
+        let hashes: collections::BTreeSet<_> = counts.iter().map(|count| count.team).collect();
+        let names = self.team_names.borrow();
+        let unlisted = hashes.iter().filter_map(|hash| names.get(hash));
+        unlisted.filter(|name| !is_listed(name)).cloned().collect()
+    }
+
+    /// Counts a request of a team whose execution began `elapsed` before now.
+    pub fn count_usage(&self, team: &str, elapsed: Duration) {
+        let hash = self.remember_team(team);
         let started = self.time_of_day().saturating_sub(elapsed);
         let window = usage_counts::window_at(started, self.settings.usage_window);
         self.usage_counts.borrow_mut().increment(window, hash);
--- a/crates/gateway/tests/cache_fetch.rs
+++ b/crates/gateway/tests/cache_fetch.rs
@@ -56,6 +56,7 @@
         limits: Vec::new(),
         is_introduction: false,
         suspects: None,
+        teams: Vec::new(),
     };
     let bytes = message.encode();
     expect_that!(peers::GossipMessage::decode(&bytes), ok(eq(&message)));
--- a/crates/gateway/tests/configuration.rs
+++ b/crates/gateway/tests/configuration.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use azuregap_gateway::configuration;
+use azuregap_gateway::decision::homes;
 use azuregap_gateway::service;
 use azuregap_gateway::settings;
 use azuregap_gateway::state;
@@ -130,6 +131,14 @@
     .await;
 }
 
+/// Guards against usage that is dropped since its team has lost all keys before the reporter started.
+#[gtest]
+fn a_team_without_a_key_is_known_by_its_name() {
+    let team = configuration::Team { name: "t".to_owned(), tier: 0, homes: homes::Regions::new() };
+    let configuration = configuration::Configuration::new(1).with_team(team, []);
+    expect_that!(configuration.team_names().iter().collect::<Vec<_>>(), elements_are![eq(&"t")]);
+}
+
 /// Guards against routes that are opened without a sign of it.
 #[gtest]
 #[tokio::test(start_paused = true)]
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use azuregap_gateway::clock;
+use azuregap_gateway::configuration;
 use azuregap_gateway::decision::gossip_timing;
+use azuregap_gateway::decision::homes;
 use azuregap_gateway::decision::placement;
 use azuregap_gateway::decision::usage_counts;
 use azuregap_gateway::directory;
@@ -31,6 +33,10 @@
     state
 }
 
+fn team(name: &str) -> configuration::Team {
+    configuration::Team { name: name.to_owned(), tier: 0, homes: homes::Regions::new() }
+}
+
 fn message(node: &str, running: u32) -> peers::GossipMessage {
     let entry = peers::RankEntry { rank: 2, in_flight: running, pending_prefill: 100 };
     let load = peers::BackendLoad { backend_hash: 7, long_prompts: 1, ranks: vec![entry] };
@@ -43,6 +49,7 @@
         limits: Vec::new(),
         is_introduction: false,
         suspects: None,
+        teams: Vec::new(),
         loads: vec![load],
         counts: Vec::new(),
         notice: None,
@@ -70,6 +77,30 @@
     });
 }
 
+/// Guards against usage that is dropped since the gateway that reports it has started after its team
+/// was removed.
+#[gtest]
+fn a_removed_team_is_named_to_gateways_that_get_its_counts() {
+    actix_rt::System::new().block_on(async {
+        let fake = support::FakeStore::default();
+        let old = gateway(&fake, "g-1", 1).await;
+        let removed = || configuration::Configuration::new(2).with_required_keys();
+        let listed = removed().with_team(team("listed"), ["key".to_owned()]);
+        old.set_configuration(listed.clone());
+        for name in ["removed", "listed"] {
+            old.count_usage(name, Duration::ZERO);
+        }
+        let new = gateway(&fake, "g-2", 2).await;
+        new.set_configuration(listed);
+        let names = || new.team_names.borrow().values().cloned().collect::<Vec<_>>();
+        let started = time::Instant::now();
+        while names().is_empty() && started.elapsed() < Duration::from_secs(10) {
+            time::sleep(Duration::from_millis(20)).await;
+        }
+        expect_that!(names(), elements_are![eq("removed")]);
+    });
+}
+
 #[gtest]
 fn invalid_datagrams_are_ignored() {
     actix_rt::System::new().block_on(async {
--- a/crates/gateway/tests/limit_gossip.rs
+++ b/crates/gateway/tests/limit_gossip.rs
@@ -109,6 +109,7 @@
         limits: vec![told, backend_limit::ToldLimit { limit: None, ..told }],
         is_introduction: true,
         suspects: Some(Vec::new()),
+        teams: Vec::new(),
     };
     expect_that!(peers::GossipMessage::decode(&message.encode()), ok(eq(&message)));
 }
--- a/crates/gateway/tests/malformed_messages.rs
+++ b/crates/gateway/tests/malformed_messages.rs
@@ -73,6 +73,7 @@
         limits: vec![limit(0, 1)],
         is_introduction: false,
         suspects: suspects(START, 1),
+        teams: Vec::new(),
     }
 }
 
--- a/crates/gateway/tests/proxy.rs
+++ b/crates/gateway/tests/proxy.rs
@@ -6,6 +6,7 @@
 use std::rc;
 use std::time::Duration;
 
+use azuregap_gateway::configuration;
 use azuregap_gateway::decision::freshness;
 use azuregap_gateway::state;
 use googletest::prelude::*;
@@ -205,6 +206,42 @@
     });
 }
 
+/// Guards against requests that nobody pays for since their team was removed while they ran.
+#[gtest]
+fn a_request_under_way_counts_once_for_a_team_that_is_removed() {
+    run(async {
+        let slow = |text: &str, closes| Reply {
+            text: text.to_owned(),
+            closes,
+            delay: Duration::from_millis(200),
+        };
+        let backends =
+            [backend(vec![slow("", true)]).await, backend(vec![slow(RESPONSE, false)]).await];
+        let (state, address) = gateway(&[&backends[0], &backends[1]]).await;
+        support::list_for_long(&state);
+        let with_route = |version| {
+            let route = route("/keyed/", configuration::RouteKind::Idempotent, 2);
+            let route = configuration::Route { public: false, ..route };
+            configuration::Configuration::new(version).with_route(route)
+        };
+        let team = configuration::Team { name: "t".to_owned(), tier: 0, homes: Default::default() };
+        for turn in 0..4 {
+            let listed = with_route(turn).with_team(team.clone(), ["secret".to_owned()]);
+            state.set_configuration(listed);
+            state.freshness.borrow_mut().record_confirmation(state.clock.now());
+            let remove = async {
+                time::sleep(Duration::from_millis(100)).await;
+                state.set_configuration(with_route(turn).with_required_keys());
+            };
+            let request = call(address, "/keyed/a", "x-key: secret\r\n");
+            let (response, ()) = futures::future::join(request, remove).await;
+            expect_that!(status(&response), eq("200"));
+        }
+        let counted = state.usage_counts.borrow().newest(4).map(|(.., count)| count).sum::<u64>();
+        expect_that!(counted, eq(4));
+    });
+}
+
 #[gtest]
 fn invalid_key_gets_401_only_after_the_configuration_is_confirmed() {
     run(async {
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -230,6 +230,7 @@
         limits: Vec::new(),
         is_introduction: false,
         suspects: None,
+        teams: Vec::new(),
     };
     let bytes = message.encode();
     expect_that!(peers::GossipMessage::decode(&bytes), ok(eq(&message)));
--- a/crates/gateway/tests/reporting.rs
+++ b/crates/gateway/tests/reporting.rs
@@ -281,6 +281,7 @@
         limits: Vec::new(),
         is_introduction: false,
         suspects: None,
+        teams: Vec::new(),
         loads: Vec::new(),
         counts: vec![peers::UsageCount { window: 1, team: 2, requests: 3 }],
         notice: None,
@@ -295,17 +296,20 @@
         relayed: Vec::new(),
     });
     message.suspects = Some(Vec::new());
+    message.teams = vec!["t".to_owned()];
     let new = message.encode();
     expect_that!(peers::GossipMessage::decode(&new), ok(eq(&message)));
     // An earlier version reads the fields that it knows and ignores the rest.
     expect_that!(new[..old.len()], eq(&old[..]));
-    // The messages of versions before end without suspects, without limits and introductions, without
-    // the empty news, and without the empty list of segments.
-    let without_suspects = new.len() - 1;
+    // The messages of versions before end without names, without suspects, without limits and
+    // introductions, without the empty news, and without the empty list of segments.
+    let without_names = new.len() - 3;
+    let without_suspects = without_names - 1;
     let without_limits = without_suspects - 2;
     let without_news = without_limits - 3;
     let without_segments = without_news - 1;
-    let whole = [old.len(), without_segments, without_news, without_limits, without_suspects];
+    let ends = [old.len(), without_segments, without_news, without_limits, without_suspects];
+    let whole: Vec<_> = ends.into_iter().chain([without_names]).collect();
     for length in 0..new.len() {
         let decoded = peers::GossipMessage::decode(&new[..length]);
         let is_whole = whole.contains(&length);
--- a/crates/gateway/tests/support/messages.rs
+++ b/crates/gateway/tests/support/messages.rs
@@ -17,6 +17,7 @@
         limits: Vec::new(),
         is_introduction: false,
         suspects: None,
+        teams: Vec::new(),
         notice: Some(peers::UsageNotice::default()),
     }
 }
--- a/crates/gateway/tests/usage.rs
+++ b/crates/gateway/tests/usage.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use azuregap_gateway::codec;
+use azuregap_gateway::configuration;
 use azuregap_gateway::peers;
 use azuregap_gateway::service;
 use azuregap_gateway::state;
@@ -227,6 +228,7 @@
             limits: Vec::new(),
             is_introduction: false,
             suspects: None,
+            teams: Vec::new(),
             loads: Vec::new(),
             counts: vec![peers::UsageCount { window: first_window(), team, requests: 30 }],
             notice: None,
@@ -253,6 +255,35 @@
     .await;
 }
 
+/// Guards against usage that is dropped since the reporter has started after its team was removed.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn usage_of_a_removed_team_is_reported_once_by_a_gateway_that_never_knew_it() {
+    run_local(async {
+        let fake = support::FakeStore::default();
+        let received = Received::default();
+        let state = support::state("g-1");
+        state.set_configuration(configuration::Configuration::new(2).with_required_keys());
+        let team = azuregap_gateway::decision::usage_counts::team_hash("removed");
+        let mut message = support::messages::empty("g-2");
+        message.wall_time = support::START_TIME;
+        message.counts = vec![peers::UsageCount { window: first_window(), team, requests: 30 }];
+        message.teams = vec!["removed".to_owned()];
+        state.remember_teams(&message.teams);
+        let from = std::net::SocketAddr::from(([127, 0, 0, 1], 9));
+        state.peers.borrow_mut().handle_message(message, from, state.clock.now());
+        let report = recording_reporter(&received, |_| Ok(()));
+        let store = rc::Rc::new(fake.store());
+        task::spawn_local(service::run_usage_reporting(state, store, report, 1));
+        time::sleep(Duration::from_secs(20)).await;
+        let bodies: Vec<_> = received.borrow().iter().map(|report| report.2.clone()).collect();
+        let named = bodies.iter().filter(|body| String::from_utf8_lossy(body).contains("removed"));
+        let named: Vec<_> = named.map(|body| String::from_utf8_lossy(body)).collect();
+        expect_that!(named, elements_are![contains_substring("(\"removed\", 30)")]);
+    })
+    .await;
+}
+
 fn fence_in_store(fake: &support::FakeStore) -> Option<String> {
     fake.get(Table::Usage, "usage-lease")
 }
