fix(gateway): an absent key is never known

Seen: with a list of keys that has an empty one, requests without Authorization run as that team on once-only, idempotent and streaming routes, and count for its usage. The check of a configuration said that nobody can send this key.

Cause: an absent key was looked up as the empty text. The product's own door looked the digest of nothing up, which the check of its configuration reports.

--- a/crates/entry/src/resolve.rs
+++ b/crates/entry/src/resolve.rs
@@ -139,10 +139,11 @@
     header: Option<&str>,
 ) -> Result<&'a intent::KeyGrant, refusal::Refusal> {
     let refuse = |code, text: &str| Err(refusal::Refusal::not_run(code, text));
-    let Some(key) = header.and_then(bearer_token) else {
+    let key = header.and_then(bearer_token).map(str::trim).filter(|key| !key.is_empty());
+    let Some(key) = key else {
         return refuse(code::Code::KeyMissing, "no key came with the request");
     };
-    let digest = key::Digest::of(key.trim());
+    let digest = key::Digest::of(key);
     match configuration.keys.get(&digest) {
         Some(grant) if !grant.digest.matches(&digest) || grant.withdrawn => {
             refuse(code::Code::KeyWithdrawn, "the key was withdrawn")
--- a/crates/entry/tests/resolve.rs
+++ b/crates/entry/tests/resolve.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use azuregap_control::snapshot;
+use azuregap_core::code;
 use azuregap_core::intent;
 use azuregap_core::key;
 use azuregap_core::refusal;
@@ -186,3 +187,22 @@
     }
     Ok(())
 }
+
+/// Guards against whoever sends no key running as a team that has an empty one.
+#[gtest]
+fn an_empty_key_is_a_missing_one_whatever_is_declared() {
+    let mut intent: intent::Intent = settings::from_text(INTENT).unwrap();
+    let (digest, team) = (key::Digest::of(""), "kelp-robotics".into());
+    intent.keys = vec![intent::KeyGrant { digest, team, withdrawn: false }];
+    // No operator can declare this one, since the check of an intent reports it.
+    expect_that!(intent.check().is_empty(), eq(false));
+    let configuration = snapshot::Snapshot::new(1, intent.clone());
+    let nobody = snapshot::Snapshot::new(2, intent::Intent { keys: Vec::new(), ..intent });
+    for header in [None, Some(""), Some("Bearer"), Some("Bearer "), Some("Bearer   ")] {
+        for snapshot in [&configuration, &nobody] {
+            let refused = resolve::authenticate(snapshot, header).map(|grant| grant.team.clone());
+            let code = refused.err().map(|refusal| refusal.code);
+            expect_that!(code, some(eq(code::Code::KeyMissing)), "{header:?}");
+        }
+    }
+}
--- a/crates/gateway/src/configuration/check/teams.rs
+++ b/crates/gateway/src/configuration/check/teams.rs
@@ -8,6 +8,7 @@
 use super::Field;
 use super::Findings;
 use super::Place;
+use crate::configuration::declared_team;
 use crate::configuration::draft;
 
 /// Stands for a key in a finding.
@@ -41,9 +42,11 @@
         }
         for key in &declared.keys {
             let at = (entry, Field::Keys);
-            if key.is_empty() {
-                let expected = "a key that isn't empty: nobody can send this one";
-                findings.error(at, "(empty)", code::Code::ValueInvalid, expected);
+            if !declared_team::is_sendable(key) {
+                let value = if key.is_empty() { "(empty)" } else { A_KEY };
+                let expected =
+                    "visible ASCII characters, no space around: nobody can send this one";
+                findings.error(at, value, code::Code::ValueInvalid, expected);
                 continue;
             }
             let first = *owners.entry(key.as_str()).or_insert(index);
--- a/crates/gateway/src/configuration/difference.rs
+++ b/crates/gateway/src/configuration/difference.rs
@@ -108,7 +108,9 @@
 }
 
 fn compare_teams(differences: &mut Differences, old: &draft::Draft, new: &draft::Draft) {
-    let has_keys = |draft: &draft::Draft| draft.listed_teams().iter().any(|it| !it.keys.is_empty());
+    let has_keys = |draft: &draft::Draft| {
+        draft.listed_teams().iter().any(|team| team.sendable_keys().next().is_some())
+    };
     match (&old.teams, &new.teams) {
         (Some(_), None) => {
             let change =
@@ -166,7 +168,7 @@
         let team = teams
             .entry(declared.team.name.as_str())
             .or_insert_with(|| (declared.team.tier, collections::BTreeSet::new()));
-        team.1.extend(declared.keys.iter().map(String::as_str));
+        team.1.extend(declared.sendable_keys());
     }
     teams
 }
--- a/crates/gateway/src/configuration/snapshot.rs
+++ b/crates/gateway/src/configuration/snapshot.rs
@@ -6,6 +6,7 @@
 
 use azuregap_core::ids;
 
+use super::declared_team;
 use super::limits;
 use super::route;
 use super::service;
@@ -93,14 +94,16 @@
         self
     }
 
-    /// Adds a team with its keys; from then on, routes that aren't public require a key.
+    /// Adds a team with its keys; from then on, routes that aren't public require a key. A key that
+    /// nobody can send, such as an empty one, is left out.
     #[must_use]
     pub fn with_team(mut self, team: Team, keys: impl IntoIterator<Item = String>) -> Self {
         self.requires_keys = true;
         self.team_tiers.add(team.tier);
         self.team_names.insert(team.name.clone());
         let team = sync::Arc::new(team);
-        self.teams_by_key.extend(keys.into_iter().map(|key| (key, team.clone())));
+        let keys = keys.into_iter().filter(|key| declared_team::is_sendable(key));
+        self.teams_by_key.extend(keys.map(|key| (key, team.clone())));
         self
     }
 
--- a/crates/gateway/src/proxy/admission.rs
+++ b/crates/gateway/src/proxy/admission.rs
@@ -81,15 +81,15 @@
     let host = host.or_else(|| head.uri.host()).unwrap_or_default();
     let route =
         configuration.find_route(host, head.uri.path()).ok_or_else(|| deny(Denial::NoRoute))?;
-    let team = if configuration.requires_key(&route) {
+    let team = headers.api_key.as_deref().and_then(|key| configuration.team_for_key(key));
+    if configuration.requires_key(&route) {
         if !freshness.may_trust_keys(now) || is_outdated {
             return Err(Denial::StaleConfiguration);
         }
-        let key = headers.api_key.as_deref().unwrap_or_default();
-        Some(configuration.team_for_key(key).ok_or_else(|| deny(Denial::InvalidKey))?)
-    } else {
-        headers.api_key.as_deref().and_then(|key| configuration.team_for_key(key))
-    };
+        if team.is_none() {
+            return Err(deny(Denial::InvalidKey));
+        }
+    }
     let draw = xxhash_rust::xxh3::xxh3_64(headers.id.as_bytes());
     let service = route.pick_service(draw).ok_or(Denial::StaleConfiguration)?.clone();
     if !ends_before_exit(state, &route, &service, headers.timeout) {
