--- a/crates/gateway/src/configuration/check/routes.rs
+++ b/crates/gateway/src/configuration/check/routes.rs
@@ -80,11 +80,11 @@
     }
     let idle: Vec<_> = route.services.iter().filter(|weighted| weighted.weight == 0).collect();
     if idle.len() == route.services.len() {
-        let expected = "weights of which one is above 0: the first service gets all requests";
+        let expected = "weights of which one is above 0: nobody serves its requests";
         return findings.error(at, "0", code::Code::ValueInvalid, expected);
     }
     for weighted in idle {
-        let expected = "a weight of at least a hundredth: the service gets no request of the route";
+        let expected = "a weight above 0: the service gets no request of the route";
         findings.warning(at, &weighted.service, expected);
     }
 }
--- a/crates/gateway/src/configuration/route.rs
+++ b/crates/gateway/src/configuration/route.rs
@@ -83,17 +83,18 @@
 }
 
 impl Route {
-    /// Chooses the service for a request by weight; `draw` is evenly distributed over requests.
+    /// Chooses the service for a request by weight; `draw` is evenly distributed over requests. Without
+    /// a service of some weight there is none.
     #[must_use]
     pub fn pick_service(&self, draw: u64) -> Option<&ids::PoolId> {
         let total: u64 = self.services.iter().map(|weighted| u64::from(weighted.weight)).sum();
-        let mut point = if total == 0 { 0 } else { draw % total };
+        let mut point = draw.checked_rem(total)?;
         for weighted in &self.services {
             if point < u64::from(weighted.weight) {
                 return Some(&weighted.service);
             }
             point -= u64::from(weighted.weight);
         }
-        self.services.first().map(|weighted| &weighted.service)
+        None
     }
 }
--- a/crates/gateway/src/configuration/snapshot.rs
+++ b/crates/gateway/src/configuration/snapshot.rs
@@ -68,7 +68,8 @@
         self
     }
 
-    /// Adds a route; of several with the same host and prefix, the first one counts.
+    /// Adds a route; of several with the same host and prefix, the first one counts, and it is public
+    /// only if all of them are.
     #[must_use]
     pub fn with_route(mut self, route: route::Route) -> Self {
         if route.public {
@@ -83,7 +84,11 @@
             }
         }
         let routes = self.routes_by_host.entry(route.host.to_ascii_lowercase()).or_default();
-        routes.entry(route.prefix.clone()).or_insert_with(|| sync::Arc::new(route));
+        let is_public = route.public;
+        let first = routes.entry(route.prefix.clone()).or_insert_with(|| sync::Arc::new(route));
+        if first.public && !is_public {
+            sync::Arc::make_mut(first).public = false;
+        }
         self
     }
 
