fix(gateway): the judgement of a long prompt doesn't hold the thread

Cause: each suspect of a request was compared with all known ones, and each of these looked for among all of the request: the cube of the segments. With TROUBLE=0 the same prompts cost nothing, so it isn't their parsing or placement.

Change: one pass over the records collects how suspect those outside of the request are, by the run that ended; each crash is looked up. Related: room for the suspects of a crash is made once, 2,048 are remembered (of longer prompts some were forgotten at each crash), telling others sorts without searching, log lines name 16 suspects and 32 segments at most.

--- a/crates/gateway/src/decision/quarantine.rs
+++ b/crates/gateway/src/decision/quarantine.rs
@@ -63,6 +63,7 @@
 //! ```
 
 mod crash;
+mod explanations;
 mod judgement;
 mod record;
 mod rejection;
@@ -91,6 +92,10 @@
 /// suspect gets no trial before its hold ends.
 pub const MAX_TRIED_CRASHES: usize = 5;
 
+/// Crashes without an answer since after which a request that lost its backend server is not
+/// retried.
+const RETRY_CRASHES: usize = 2;
+
 /// Crashes of a request from which on it is saved in the store.
 pub const SAVE_CRASHES: usize = 2;
 
@@ -108,11 +113,12 @@
 /// Maximum number of requests that were given up and may still crash their backend servers.
 const MAX_WITHDRAWALS: usize = 256;
 
-/// Maximum number of suspects that are remembered.
-const MAX_SUSPECTS: usize = 1_024;
+/// Maximum number of suspects that are remembered: more than a prompt has segments whose names fit into
+/// a head of 16 KiB.
+const MAX_SUSPECTS: usize = 2_048;
 
 /// Maximum number of segments whose last answer is remembered.
-const MAX_ANSWERS: usize = 4_096;
+const MAX_ANSWERS: usize = 4 * MAX_SUSPECTS;
 
 /// Suspects that were part of crashes, and which of them are kept from backend servers.
 #[derive(Debug, Default)]
@@ -159,7 +165,9 @@
     /// answered; returns whether this is news for the other gateways.
     pub fn record_crash(&mut self, suspects: &[SuspectId], crash: Crash) -> bool {
         let mut is_news = false;
-        for id in suspects {
+        self.make_room(suspects.iter().copied(), crash.at);
+        // The request itself comes last in the list, and is in need of a place first.
+        for id in suspects.iter().rev() {
             let Some(record) = self.record_mut(*id, crash.at) else { continue };
             record.is_own = true;
             let forget = record::forget_after(id, record.crashes.len());
@@ -237,6 +245,7 @@
     /// Adds what another gateway tells; returns whether it is news.
     pub fn merge(&mut self, told: &[Suspect], now: crash::TimeOfDay) -> bool {
         let mut is_news = false;
+        self.make_room(told.iter().map(|suspect| suspect.id), now);
         for suspect in told {
             let Some(record) = self.record_mut(suspect.id, now) else { continue };
             let mut is_changed = record.clear(suspect.answered_at.min(now));
@@ -264,9 +273,6 @@
     /// The record of a suspect, a new one if there is none; `None` if there is no room for it.
     fn record_mut(&mut self, id: SuspectId, now: crash::TimeOfDay) -> Option<&mut record::Record> {
         if !self.records.contains_key(&id) {
-            if self.records.len() >= MAX_SUSPECTS {
-                self.make_room(now);
-            }
             if self.records.len() >= MAX_SUSPECTS {
                 return None;
             }
@@ -278,25 +284,35 @@
         self.records.get_mut(&id)
     }
 
-    /// Removes suspects whose last crash is long ago or that were cleared, and the least suspect one
-    /// if all others are still needed.
-    fn make_room(&mut self, now: crash::TimeOfDay) {
-        self.records.retain(|id, record| {
-            let age = now.saturating_sub(record.last_change());
-            let crashes = record.crashes.len();
+    /// Makes room for suspects: removes those whose last crash is long ago or that were cleared, then
+    /// the least suspect ones, as far as they aren't among these themselves.
+    fn make_room(&mut self, ids: impl Iterator<Item = SuspectId>, now: crash::TimeOfDay) {
+        let ids: collections::HashSet<_> = ids.collect();
+        let missing = ids.iter().filter(|id| !self.records.contains_key(id)).count();
+        let excess = |len: usize| (len + missing).saturating_sub(MAX_SUSPECTS);
+        if excess(self.records.len()) == 0 {
+            return;
+        }
+        let is_needed = |id: &SuspectId, record: &record::Record| {
+            let (age, crashes) = (now.saturating_sub(record.last_change()), record.crashes.len());
             age < if crashes == 0 {
                 telling::TELL_CHANGES
             } else {
                 record::forget_after(id, crashes)
             }
-        });
-        if self.records.len() < MAX_SUSPECTS {
-            return;
+        };
+        let others = self.records.iter().filter(|(id, _)| !ids.contains(id));
+        let suspicion = |(id, record): (&SuspectId, &record::Record)| {
+            (is_needed(id, record), record.crashes.len(), record.last_change(), *id)
+        };
+        let mut others: Vec<_> = others.map(suspicion).collect();
+        let needless = others.iter().filter(|(is_needed, ..)| !is_needed).count();
+        let removed = excess(self.records.len()).max(needless).min(others.len());
+        if removed < others.len() {
+            others.select_nth_unstable(removed);
         }
-        let suspicion = |record: &record::Record| (record.crashes.len(), record.last_change());
-        let least = self.records.iter().min_by_key(|(_, record)| suspicion(record));
-        if let Some(id) = least.map(|(id, _)| *id) {
-            self.records.remove(&id);
+        for (.., id) in &others[..removed] {
+            self.records.remove(id);
         }
     }
 }
--- a/crates/gateway/src/decision/quarantine/crash.rs
+++ b/crates/gateway/src/decision/quarantine/crash.rs
@@ -8,7 +8,7 @@
 
 /// Losses of one backend server within this time are one crash, if the start of its run isn't known:
 /// gateways notice it at different times, and their clocks differ.
-const SAME_CRASH: Duration = Duration::from_millis(1_500);
+pub(super) const SAME_CRASH: Duration = Duration::from_millis(1_500);
 
 /// Crashes closer together than this have a common cause, unless the request was sent to the second
 /// backend server only after the first one had ended.
--- a/crates/gateway/src/decision/quarantine/judgement.rs
+++ b/crates/gateway/src/decision/quarantine/judgement.rs
@@ -1,20 +1,19 @@
 //! Which requests are kept from backend servers, by what is known of their suspects.
 
+use std::collections;
 use std::time::Duration;
 
 use smallvec::SmallVec;
 
 use super::Quarantine;
+use super::RETRY_CRASHES;
 use super::crash;
+use super::explanations;
 use super::record;
 use super::rejection;
 use super::suspect;
 use super::turn;
 
-/// Crashes without an answer since after which a request that lost its backend server is not
-/// retried.
-const RETRY_CRASHES: usize = 2;
-
 /// Interval between two trials of a gateway after the hold.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(60);
 
@@ -24,11 +23,17 @@
     /// sent to the last one of them, which the others need, unless it is answered all the time.
     #[must_use]
     pub fn may_risk(&self, suspects: &[suspect::SuspectId], living: usize, known: usize) -> bool {
+        living > 1 || known <= 1 || !self.has_lost(suspects)
+    }
+
+    /// Whether a request with these suspects has lost a backend server, and isn't answered all the time.
+    #[must_use]
+    pub fn has_lost(&self, suspects: &[suspect::SuspectId]) -> bool {
         let is_lost = |id: &suspect::SuspectId| {
             let record = id.is_request().then(|| self.records.get(id)).flatten();
             record.is_some_and(|record| !record.crashes.is_empty() && !record.was_current())
         };
-        living > 1 || known <= 1 || !suspects.iter().any(is_lost)
+        suspects.iter().any(is_lost)
     }
 
     /// Whether a request that lost its backend server may be retried: not if one of its suspects was
@@ -106,37 +111,58 @@
         if let Some(spent) = suspects.iter().copied().find(is_spent) {
             return Some(spent);
         }
-        let lost = suspects.iter().copied().filter(|id| self.crashes(id) >= min);
-        let counted = lost.map(|id| (id, self.unexplained_crashes(id, suspects)));
+        let known = suspects.iter().filter_map(|id| Some((id, self.records.get(id)?)));
+        let lost: Vec<_> = known.filter(|(_, record)| record.crashes.len() >= min).collect();
+        let explanations = self.explanations_outside(suspects, &lost);
+        let mut last: Option<(&record::Record, usize)> = None;
+        let counted = lost.iter().map(|(id, record)| {
+            // The segments of a prompt mostly have the same crashes.
+            let count = match last {
+                Some((other, count)) if other.is_judged_as(record) => count,
+                _ => unexplained_crashes(record, &explanations),
+            };
+            last = Some((record, count));
+            (**id, count)
+        });
         let guilty = counted.filter(|(_, count)| *count >= min).max_by_key(|(_, count)| *count);
         guilty.map(|(id, _)| id)
     }
 
-    /// Number of crashes of a suspect that no suspect outside the request explains: one that was lost as
-    /// often, or more than once and never answered while this one is answered all the time. Those at
-    /// about the same moment count once.
-    fn unexplained_crashes(&self, id: suspect::SuspectId, own: &[suspect::SuspectId]) -> usize {
-        let Some(record) = self.records.get(&id) else { return 0 };
-        let is_current = record.was_current();
-        let is_rival = |rival: &record::Record| {
-            let is_unanswered = rival.answered_at.is_zero() && rival.crashes.len() >= RETRY_CRASHES;
-            rival.crashes.len() >= record.crashes.len() || (is_current && is_unanswered)
-        };
-        let others: SmallVec<[&record::Record; 8]> = self
-            .records
-            .iter()
-            .filter(|(other, rival)| is_rival(rival) && !own.contains(other))
-            .map(|(_, rival)| rival)
-            .collect();
-        let is_explained = |crash: &crash::Crash| {
-            others.iter().any(|rival| rival.crashes.iter().any(|other| other.is_same(crash)))
-        };
-        let unexplained = record.crashes.iter().filter(|crash| !is_explained(crash));
-        let mut unexplained: SmallVec<[crash::Crash; 8]> = unexplained.copied().collect();
-        crash::count_causes(&mut unexplained)
+    /// What suspects outside of a request explain of the crashes of those that it has `lost`.
+    fn explanations_outside(
+        &self,
+        own: &[suspect::SuspectId],
+        lost: &[(&suspect::SuspectId, &record::Record)],
+    ) -> explanations::Explanations {
+        let crashes = lost.iter().flat_map(|(_, record)| &record.crashes);
+        let servers: collections::BTreeSet<_> = crashes.map(|crash| crash.backend_hash).collect();
+        if servers.is_empty() {
+            return explanations::Explanations::default();
+        }
+        let own: collections::HashSet<_> = own.iter().collect();
+        let rivals = self.records.iter().filter(|(id, record)| {
+            // One crash explains none of what was lost more often.
+            record.crashes.len() >= RETRY_CRASHES && !own.contains(id)
+        });
+        explanations::Explanations::new(rivals.map(|(_, record)| record), &servers)
     }
 }
 
+/// Number of crashes of a suspect that no suspect outside the request explains: one that was lost as
+/// often, or more than once and never answered while this one is answered all the time. Those at
+/// about the same moment count once.
+fn unexplained_crashes(
+    record: &record::Record,
+    explanations: &explanations::Explanations,
+) -> usize {
+    let (crashes, is_current) = (record.crashes.len(), record.was_current());
+    let is_unexplained =
+        |crash: &&crash::Crash| !explanations.of(crash).explains(crashes, is_current);
+    let unexplained = record.crashes.iter().filter(is_unexplained);
+    let mut unexplained: SmallVec<[crash::Crash; 8]> = unexplained.copied().collect();
+    crash::count_causes(&mut unexplained)
+}
+
 /// When this gateway may send the next of the trials that are sent in turn.
 fn next_turn(record: &record::Record, now: crash::TimeOfDay) -> crash::TimeOfDay {
     let is_new = turn::number(record.trial_at) != turn::number(now);
--- a/crates/gateway/src/decision/quarantine/record.rs
+++ b/crates/gateway/src/decision/quarantine/record.rs
@@ -82,6 +82,11 @@
         !self.answered_at.is_zero() && first.saturating_sub(self.answered_at) < CURRENT
     }
 
+    /// Whether the same is said of its crashes as of those of another suspect.
+    pub(super) fn is_judged_as(&self, other: &Self) -> bool {
+        self.crashes == other.crashes && self.was_current() == other.was_current()
+    }
+
     pub(super) fn last_crash(&self) -> crash::TimeOfDay {
         self.crashes.iter().map(|crash| crash.at).max().unwrap_or_default()
     }
--- a/crates/gateway/src/decision/quarantine/telling.rs
+++ b/crates/gateway/src/decision/quarantine/telling.rs
@@ -24,9 +24,12 @@
     pub fn tell(&mut self, now: crash::TimeOfDay) -> Vec<suspect::Suspect> {
         let is_recent =
             |record: &record::Record| now.saturating_sub(record.last_change()) < TELL_CHANGES;
-        let mut recent: Vec<_> =
-            self.records.iter().filter(|(_, record)| is_recent(record)).collect();
-        recent.sort_unstable_by_key(|(id, record)| (cmp::Reverse(record.last_change()), **id));
+        let recent = self.records.iter().filter(|(_, record)| is_recent(record));
+        let by_change =
+            |(id, record)| (cmp::Reverse(record::Record::last_change(record)), id, record);
+        let mut recent: Vec<_> = recent.map(by_change).collect();
+        recent.sort_unstable_by_key(|(change, id, _)| (*change, **id));
+        let mut recent: Vec<_> = recent.into_iter().map(|(_, id, record)| (id, record)).collect();
         if recent.len() > TOLD_CHANGES {
             let first = self.messages * TOLD_CHANGES % recent.len();
             recent.rotate_left(first);
@@ -36,7 +39,14 @@
             record.crashes.len() >= super::REJECT_CRASHES && !is_recent(record)
         });
         let mut known: Vec<_> = rest.into_iter().chain(known).collect();
-        known.sort_unstable_by_key(|(id, record)| (cmp::Reverse(record.crashes.len()), **id));
+        let by_crashes = |(id, record): &(&suspect::SuspectId, &record::Record)| {
+            (cmp::Reverse(record.crashes.len()), **id)
+        };
+        if known.len() > MAX_TOLD {
+            known.select_nth_unstable_by_key(MAX_TOLD, by_crashes);
+            known.truncate(MAX_TOLD);
+        }
+        known.sort_unstable_by_key(by_crashes);
         self.messages = self.messages.wrapping_add(1);
         let told = recent.iter().chain(&known).take(MAX_TOLD);
         told.map(|(id, record)| record.suspect(**id)).collect()
--- a/crates/gateway/src/proxy/request_log.rs
+++ b/crates/gateway/src/proxy/request_log.rs
@@ -6,6 +6,9 @@
 use super::attempt;
 use super::dispatch;
 
+/// Maximum segments of a prompt in a log line.
+const MAX_LOGGED_SEGMENTS: usize = 32;
+
 impl dispatch::ProxyRequest {
     /// Logs an attempt that didn't lead to a complete response, with the shared segments of the
     /// prompt: failures at different backend servers may have one in common.
@@ -47,11 +50,15 @@
         );
     }
 
-    /// Ids of the shared segments of the prompt, for logs.
+    /// Ids of the first shared segments of the prompt, for logs, and how many more there are.
     fn segments_text(&self) -> String {
-        let ids = self.shared_segments().iter().map(|segment| format!("{:x}", segment.id));
-        let ids: SmallVec<[_; 4]> = ids.collect();
-        ids.join(",")
+        let segments = self.shared_segments();
+        let ids = segments.iter().map(|segment| format!("{:x}", segment.id));
+        let ids: SmallVec<[_; 4]> = ids.take(MAX_LOGGED_SEGMENTS).collect();
+        match segments.len().saturating_sub(MAX_LOGGED_SEGMENTS) {
+            0 => ids.join(","),
+            more => format!("{}, and {more} more", ids.join(",")),
+        }
     }
 
     /// Logs the end of the request and updates the metrics.
--- a/crates/gateway/src/proxy/screening.rs
+++ b/crates/gateway/src/proxy/screening.rs
@@ -244,7 +244,7 @@
     /// Whether the request might crash the last backend server of its service.
     fn is_too_risky(&self, suspects: &[quarantine::SuspectId]) -> bool {
         let quarantine = self.state.quarantine.borrow();
-        if !quarantine.suspects_requests() {
+        if !quarantine.has_lost(suspects) {
             return false;
         }
         let directory = self.state.directory.borrow();
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -8,6 +8,9 @@
 use crate::decision::quarantine;
 use crate::state;
 
+/// Maximum suspects of one request that get a log line each.
+const MAX_LOGGED: usize = 16;
+
 /// Source of what a gateway has found itself, in logs.
 const OWN: &str = "own";
 
@@ -72,14 +75,26 @@
     before: &Counts,
     source: &str,
 ) {
-    for (id, before) in suspects.iter().zip(before) {
+    let (mut found, mut answered) = (0, 0);
+    // The request itself is the last of its suspects, so it is always among those that are told.
+    for (id, before) in suspects.iter().zip(before).rev() {
         let crashes = state.quarantine.borrow().crashes(id);
-        let (kind, suspect) = (id.kind(), id.to_string());
         if crashes > *before && crashes >= quarantine::REJECT_CRASHES {
             state.metrics.suspects_found.inc();
-            tracing::warn!(kind, suspect, crashes, source, "suspect of crashes");
+            found += 1;
+            if found <= MAX_LOGGED {
+                let (kind, suspect) = (id.kind(), id.to_string());
+                tracing::warn!(kind, suspect, crashes, source, "suspect of crashes");
+            }
         } else if crashes == 0 && *before >= quarantine::REJECT_CRASHES {
-            tracing::info!(kind, suspect, source, "suspect of crashes was answered");
+            answered += 1;
+            if answered <= MAX_LOGGED {
+                let (kind, suspect) = (id.kind(), id.to_string());
+                tracing::info!(kind, suspect, source, "suspect of crashes was answered");
+            }
         }
     }
+    if found.max(answered) > MAX_LOGGED {
+        tracing::warn!(found, answered, source, "many suspects of one request");
+    }
 }
