fix(gateway): whoever is furthest behind gives way, not whoever was silent for longest

Cause: near a limit a connection gave way only if its client had sent nothing for a second, and an idle one, such as one that has just connected, before all others.

Change: decision::progress counts how far a client is behind 1,024 bytes a second, in heads, bodies and answers; the furthest behind gives way to connections and to memory. A sixteenth of the connections is kept free.

--- a/crates/gateway/src/decision.rs
+++ b/crates/gateway/src/decision.rs
@@ -25,6 +25,7 @@
 pub mod prefill_speed;
 pub mod prefix_cache;
 pub mod priority;
+pub mod progress;
 pub mod quarantine;
 pub mod quiet_period;
 pub mod recent_durations;
--- a/crates/gateway/src/decision/memory_budget.rs
+++ b/crates/gateway/src/decision/memory_budget.rs
@@ -1,15 +1,15 @@
 //! Bounds the memory that a process uses for what clients and backend servers send.
 //!
 //! It answers crowds of clients that send much and don't end it, or ask for much and don't read it.
-//! Whoever has made the process wait for a while gives way to others, the largest and slowest first;
+//! Whoever is behind with what it sends or reads gives way to others, the largest and slowest first;
 //! a small request never has to wait behind a large one.
 //!
 //! ```
 //! use azuregap_gateway::decision::memory_budget;
 //!
 //! let mut budget = memory_budget::MemoryBudget::new(Some(1 << 20));
-//! let nobody_waits = |_| None;
-//! let granted = budget.reserve(1, 4_096, nobody_waits);
+//! let nobody_is_behind = |_| None;
+//! let granted = budget.reserve(1, 4_096, nobody_is_behind);
 //! assert_eq!(granted, memory_budget::Outcome::Granted);
 //! ```
 
@@ -18,6 +18,8 @@
 use std::collections;
 use std::time::Duration;
 
+use super::progress;
+
 pub use reservation::Reservation;
 
 /// Part of the memory that a process needs for itself.
@@ -33,9 +35,6 @@
 /// Parts of the budget of which one is kept for small holders.
 const SMALL_PARTS: usize = 8;
 
-/// A client that the process has waited for so long gives way to others.
-const MIN_WAIT: Duration = Duration::from_secs(1);
-
 /// Client connection that memory is held for.
 pub type HolderId = u64;
 
@@ -87,15 +86,15 @@
         self.used
     }
 
-    /// Reserves bytes for a holder. `waited` tells for how long the process has waited for the client
-    /// of a holder, if it waits.
+    /// Reserves bytes for a holder. `lag` tells how far the client of a holder is behind, if the process
+    /// waits for it.
     pub fn reserve(
         &mut self,
         id: HolderId,
         bytes: usize,
-        waited: impl Fn(HolderId) -> Option<Duration>,
+        lag: impl Fn(HolderId) -> Option<Duration>,
     ) -> Outcome {
-        let outcome = self.decide(id, bytes, waited);
+        let outcome = self.decide(id, bytes, lag);
         if let Outcome::GrantedFor(victim) = outcome
             && let Some(victim) = self.holders.get_mut(&victim)
         {
@@ -115,7 +114,7 @@
         &self,
         id: HolderId,
         bytes: usize,
-        waited: impl Fn(HolderId) -> Option<Duration>,
+        lag: impl Fn(HolderId) -> Option<Duration>,
     ) -> Outcome {
         let Some(limit) = self.limit else { return Outcome::Granted };
         let own = self.holders.get(&id).map_or(0, |holder| holder.bytes) + bytes;
@@ -128,9 +127,9 @@
             return Outcome::Granted;
         }
         let candidates = self.holders.iter().filter_map(|(other, holder)| {
-            let waited = waited(*other).filter(|waited| *waited >= MIN_WAIT)?;
+            let lag = lag(*other).filter(|lag| *lag >= progress::MIN_LAG)?;
             let may_go = *other != id && !holder.gives_way && holder.bytes >= missing;
-            may_go.then_some((size_class(holder.bytes), waited, *other))
+            may_go.then_some((size_class(holder.bytes), lag, *other))
         });
         candidates.max().map_or(Outcome::Refused, |(.., victim)| Outcome::GrantedFor(victim))
     }
--- a/crates/gateway/src/decision/memory_budget/reservation.rs
+++ b/crates/gateway/src/decision/memory_budget/reservation.rs
@@ -23,8 +23,8 @@
     }
 
     /// Reserves more bytes; see [`MemoryBudget::reserve`].
-    pub fn grow(&mut self, bytes: usize, waited: impl Fn(HolderId) -> Option<Duration>) -> Outcome {
-        let outcome = lock(&self.budget).reserve(self.holder, bytes, waited);
+    pub fn grow(&mut self, bytes: usize, lag: impl Fn(HolderId) -> Option<Duration>) -> Outcome {
+        let outcome = lock(&self.budget).reserve(self.holder, bytes, lag);
         if outcome != Outcome::Refused {
             self.bytes += bytes;
         }
--- a/crates/gateway/src/proxy/client.rs
+++ b/crates/gateway/src/proxy/client.rs
@@ -11,6 +11,7 @@
 use crate::configuration;
 use crate::decision::connection_limit;
 use crate::decision::memory_budget;
+use crate::decision::progress;
 use crate::state;
 
 /// Time for which a client may leave an answer unread; longer than clients wait between events.
@@ -20,7 +21,10 @@
 pub(super) const MAX_BODY_PAUSE: Duration = Duration::from_secs(10);
 
 /// Longest time for which a connection is kept until its client has closed its side.
-pub(super) const MAX_LINGER: Duration = Duration::from_secs(2);
+const MAX_LINGER: Duration = Duration::from_secs(2);
+
+/// The same for a connection that gives way to another one.
+const EVICTED_LINGER: Duration = Duration::from_millis(200);
 
 /// How much longer than the configuration says a client may take for a head. The process may have
 /// been suspended in between.
@@ -72,6 +76,8 @@
     stage: cell::Cell<Stage>,
     /// When the client last sent something.
     read_at: cell::Cell<time::Instant>,
+    /// How far it is behind in what it sends or reads now.
+    progress: cell::Cell<progress::Progress>,
     /// Since when the client has not read what was sent.
     blocked_since: cell::Cell<Option<time::Instant>>,
     /// When the client last was slower than what was sent.
@@ -92,6 +98,7 @@
             state: rc::Rc::downgrade(state),
             stage: cell::Cell::new(Stage::Idle),
             read_at: cell::Cell::new(time::Instant::now()),
+            progress: cell::Cell::default(),
             blocked_since: cell::Cell::new(None),
             blocked_at: cell::Cell::new(None),
             is_lingering: cell::Cell::new(false),
@@ -108,20 +115,44 @@
     pub(super) fn set_stage(&self, stage: Stage) {
         self.stage.set(stage);
         self.is_answered.set(false);
+        let mut progress = progress::Progress::default();
+        if matches!(stage, Stage::Head(_) | Stage::Body) {
+            progress.start(time::Instant::now());
+        }
+        self.progress.set(progress);
     }
 
-    /// Records that the client sent something.
-    pub(super) fn record_read(&self) {
+    fn change_progress(&self, change: impl FnOnce(&mut progress::Progress)) {
+        let mut progress = self.progress.get();
+        change(&mut progress);
+        self.progress.set(progress);
+    }
+
+    /// Records that the client sent some bytes.
+    pub(super) fn record_read(&self, bytes: usize) {
         let now = time::Instant::now();
         self.read_at.set(now);
-        if self.stage.get() == Stage::Idle {
-            self.stage.set(Stage::Head(now));
+        match self.stage.get() {
+            Stage::Idle => self.set_stage(Stage::Head(now)),
+            Stage::Head(_) | Stage::Body => {
+                self.change_progress(|progress| progress.advance(bytes, now));
+            }
+            Stage::Running | Stage::Answer => {}
         }
     }
 
-    /// Records whether the client takes what is sent.
-    pub(super) fn record_write(&self, is_blocked: bool) {
-        let now = time::Instant::now();
+    /// Records how many bytes the client has taken, or that it takes none.
+    pub(super) fn record_write(&self, taken: Option<usize>) {
+        let (now, is_blocked) = (time::Instant::now(), taken.is_none());
+        if self.stage.get() == Stage::Answer {
+            self.change_progress(|progress| match taken {
+                None => progress.start(now),
+                Some(bytes) => {
+                    progress.advance(bytes, now);
+                    progress.stop(now);
+                }
+            });
+        }
         if is_blocked || self.blocked_since.get().is_some() {
             self.blocked_at.set(Some(now));
         }
@@ -154,6 +185,11 @@
         self.is_sending.get() || self.blocked_at.get().is_some_and(is_recent)
     }
 
+    /// For how long the connection is kept until the client has closed its side.
+    pub(super) fn linger_time(&self) -> Duration {
+        if self.is_evicted() { EVICTED_LINGER } else { MAX_LINGER }
+    }
+
     pub(super) fn set_lingering(&self, is_lingering: bool) {
         self.is_lingering.set(is_lingering);
     }
@@ -165,26 +201,20 @@
         is_owed.then(stalled)
     }
 
-    /// Since when the process has waited for the client, if it does.
-    fn waits_since(&self) -> Option<time::Instant> {
-        match self.stage.get() {
-            Stage::Idle | Stage::Head(_) | Stage::Body => Some(self.read_at.get()),
-            Stage::Running => None,
-            Stage::Answer => self.blocked_since.get(),
-        }
-    }
-
-    /// How long the process has waited for the client, if it does.
-    pub(super) fn waited(&self) -> Option<Duration> {
-        self.waits_since().map(|since| since.elapsed())
+    /// For how long the client has sent nothing.
+    pub(super) fn silence(&self) -> Duration {
+        self.read_at.get().elapsed()
     }
 
     /// What the connection does.
     pub(super) fn activity(&self) -> connection_limit::Activity {
-        match (self.stage.get(), self.waited()) {
-            (Stage::Idle, Some(waited)) => connection_limit::Activity::Idle(waited),
-            (_, Some(waited)) => connection_limit::Activity::Waiting(waited),
-            (_, None) => connection_limit::Activity::Busy,
+        let lag = || self.progress.get().lag(time::Instant::now());
+        match self.stage.get() {
+            Stage::Idle => connection_limit::Activity::Idle(self.silence()),
+            Stage::Head(_) | Stage::Body => connection_limit::Activity::Waiting(lag()),
+            Stage::Running => connection_limit::Activity::Busy,
+            Stage::Answer if lag().is_zero() => connection_limit::Activity::Busy,
+            Stage::Answer => connection_limit::Activity::Waiting(lag()),
         }
     }
 
@@ -205,17 +235,17 @@
         }
     }
 
+    pub(super) fn is_evicted(&self) -> bool {
+        self.evicted.borrow().is_some()
+    }
+
     pub(super) fn evict(&self, eviction: Eviction) {
         self.evicted.send_replace(Some(eviction));
     }
 
     /// Whether nothing that was passed on would be lost with the connection.
     pub(super) fn may_close(&self) -> bool {
-        match self.activity() {
-            connection_limit::Activity::Busy => false,
-            connection_limit::Activity::Waiting(waited) => waited >= connection_limit::MIN_WAIT,
-            connection_limit::Activity::Idle(_) => true,
-        }
+        self.activity().lag().is_some()
     }
 
     /// Withdraws an eviction.
--- a/crates/gateway/src/proxy/client_stream.rs
+++ b/crates/gateway/src/proxy/client_stream.rs
@@ -38,7 +38,8 @@
     /// Discards what the client sends until it closes its side, or for some time. If it was left unread,
     /// the client would see a reset and lose the answer.
     fn poll_discard(&mut self, cx: &mut task::Context<'_>) -> task::Poll<()> {
-        let linger = self.linger.get_or_insert_with(|| Box::pin(time::sleep(client::MAX_LINGER)));
+        let linger =
+            self.linger.get_or_insert_with(|| Box::pin(time::sleep(self.client.linger_time())));
         if linger.as_mut().poll(cx).is_ready() {
             return task::Poll::Ready(());
         }
@@ -56,6 +57,14 @@
     }
 }
 
+/// Bytes that a client has taken; `None` if it takes none.
+fn taken(written: &task::Poll<io::Result<usize>>) -> Option<usize> {
+    match written {
+        task::Poll::Pending => None,
+        task::Poll::Ready(written) => Some(written.as_ref().copied().unwrap_or_default()),
+    }
+}
+
 impl AsyncRead for ClientStream {
     fn poll_read(
         self: pin::Pin<&mut Self>,
@@ -68,8 +77,9 @@
             pin::Pin::new(stream).poll_read(cx, buffer)
         };
         let polled = turn.poll(cx, buffer, read);
-        if buffer.filled().len() > before {
-            client.record_read();
+        let count = buffer.filled().len() - before;
+        if count > 0 {
+            client.record_read(count);
         }
         polled
     }
@@ -82,7 +92,7 @@
         bytes: &[u8],
     ) -> task::Poll<io::Result<usize>> {
         let polled = pin::Pin::new(&mut self.stream).poll_write(cx, bytes);
-        self.client.record_write(polled.is_pending());
+        self.client.record_write(taken(&polled));
         polled
     }
 
@@ -92,7 +102,7 @@
         parts: &[io::IoSlice<'_>],
     ) -> task::Poll<io::Result<usize>> {
         let polled = pin::Pin::new(&mut self.stream).poll_write_vectored(cx, parts);
-        self.client.record_write(polled.is_pending());
+        self.client.record_write(taken(&polled));
         polled
     }
 
--- a/crates/gateway/src/proxy/clients.rs
+++ b/crates/gateway/src/proxy/clients.rs
@@ -42,6 +42,7 @@
     pub(super) fn victim(&self) -> Option<rc::Rc<client::Client>> {
         let open = self.open.borrow();
         let clients = open.values().filter_map(rc::Weak::upgrade);
+        let clients = clients.filter(|client| !client.is_evicted());
         connection_limit::pick_victim(clients.map(|client| (client.clone(), client.activity())))
     }
 
--- a/crates/gateway/src/proxy/held_bytes.rs
+++ b/crates/gateway/src/proxy/held_bytes.rs
@@ -51,16 +51,8 @@
         is_short
     }
 
-    /// Reserves memory; closes the client that gives way for it.
     fn reserve(&mut self, state: &state::State, bytes: usize) -> bool {
-        let waited = |id| state.clients.get(id)?.waited();
-        let outcome = self.reservation.grow(bytes, waited);
-        if let memory_budget::Outcome::GrantedFor(victim) = outcome
-            && let Some(victim) = state.clients.get(victim)
-        {
-            victim.evict(client::Eviction::Memory);
-        }
-        outcome != memory_budget::Outcome::Refused
+        grow(state, &mut self.reservation, bytes)
     }
 
     /// The bytes, which are counted until their last part is dropped.
@@ -75,6 +67,22 @@
     }
 }
 
+/// Reserves memory, and closes the client that gives way for it; returns whether there is room.
+pub(super) fn grow(
+    state: &state::State,
+    reservation: &mut memory_budget::Reservation,
+    bytes: usize,
+) -> bool {
+    let lag = |id| state.clients.get(id)?.activity().lag();
+    let outcome = reservation.grow(bytes, lag);
+    if let memory_budget::Outcome::GrantedFor(victim) = outcome
+        && let Some(victim) = state.clients.get(victim)
+    {
+        victim.evict(client::Eviction::Memory);
+    }
+    outcome != memory_budget::Outcome::Refused
+}
+
 /// Counts bytes that wait for a client; `None` if there is no room for them.
 pub(super) fn hold(
     state: &rc::Rc<state::State>,
--- a/crates/gateway/src/proxy/listener.rs
+++ b/crates/gateway/src/proxy/listener.rs
@@ -60,27 +60,28 @@
         if make_room(&state, max_connections).await {
             let client = state.clients.add(&state);
             actix_rt::spawn(serve_connection(state.clone(), stream, client));
+        } else {
+            client::record_limit(&state, Some("connections"), "");
         }
     }
 }
 
 /// Closes a connection for a new one if there are too many; returns whether there is room.
 async fn make_room(state: &state::State, max_connections: usize) -> bool {
-    if state.clients.count() < max_connections {
+    let room = connection_limit::room(state.clients.count(), max_connections);
+    if room == connection_limit::Room::Plenty {
         return true;
     }
     let closed = state.clients.wait_for_close();
     if let Some(victim) = state.clients.victim() {
         victim.evict(client::Eviction::Connection);
         drop(victim);
-        // If none is closed in time, the new connection is.
-        let _ = time::timeout(CLOSE_TIMEOUT, closed).await;
-    }
-    let has_room = state.clients.count() < max_connections;
-    if !has_room {
-        client::record_limit(state, Some("connections"), "");
+        if room == connection_limit::Room::None {
+            // If none is closed in time, the new connection is.
+            let _ = time::timeout(CLOSE_TIMEOUT, closed).await;
+        }
     }
-    has_room
+    state.clients.count() < max_connections
 }
 
 /// Longest head that a client may send now, in bytes.
--- a/crates/gateway/src/proxy/request_body.rs
+++ b/crates/gateway/src/proxy/request_body.rs
@@ -76,7 +76,7 @@
             () = exit.as_mut() => return Err(BodyFailure::Stopping),
             frame = body.frame() => frame,
             () = pause.as_mut() => {
-                let waited = client.waited().unwrap_or_default();
+                let waited = client.silence();
                 if waited >= client::MAX_BODY_PAUSE {
                     return Err(BodyFailure::Stalled);
                 }
