fix(gateway): one account of memory for connections, bodies and running requests

Cause: connections were bounded as if each took 16 KiB, bodies by a budget of their own, and connections to backend servers by nothing.

Change: decision::memory_budget counts all of it, in three quarters of the memory that is left; who has no room is told 503 before anything is sent, or closed unread. A connection allocates nothing before its first byte, the future of a request only while there is one, and reads less than 8 KiB at a time.

--- a/crates/gateway/src/decision/connection_limit.rs
+++ b/crates/gateway/src/decision/connection_limit.rs
@@ -15,15 +15,6 @@
 /// Connections to the readiness endpoint, and to that of the metrics.
 pub const ENDPOINT_CONNECTIONS: usize = 16;
 
-/// Memory that a process needs for itself, in bytes.
-const OWN_BYTES: usize = 24 << 20;
-
-/// Memory of a connection with its buffers, in bytes.
-const CONNECTION_BYTES: usize = 16 << 10;
-
-/// Parts of the memory that is left, of which one is for connections.
-const MEMORY_PARTS: usize = 4;
-
 /// Connections that are always allowed.
 const MIN_CONNECTIONS: usize = 8;
 
@@ -80,14 +71,10 @@
 /// Largest number of connections of clients. Each of them may need another one to a backend server.
 #[must_use]
 pub fn max_connections(resources: &settings::Resources) -> usize {
-    let by_descriptors = resources.descriptors.map_or(usize::MAX, |descriptors| {
-        let descriptors = usize::try_from(descriptors).unwrap_or(usize::MAX);
-        descriptors.saturating_sub(OWN_DESCRIPTORS + 2 * ENDPOINT_CONNECTIONS) / 2
-    });
-    let by_memory = resources.memory.map_or(usize::MAX, |memory| {
-        memory.saturating_sub(OWN_BYTES) / MEMORY_PARTS / CONNECTION_BYTES
-    });
-    by_descriptors.min(by_memory).max(MIN_CONNECTIONS)
+    let Some(descriptors) = resources.descriptors else { return usize::MAX };
+    let descriptors = usize::try_from(descriptors).unwrap_or(usize::MAX);
+    let most = descriptors.saturating_sub(OWN_DESCRIPTORS + 2 * ENDPOINT_CONNECTIONS) / 2;
+    most.max(MIN_CONNECTIONS)
 }
 
 /// The connection that is closed for a new one, if any may be.
--- a/crates/gateway/src/decision/memory_budget.rs
+++ b/crates/gateway/src/decision/memory_budget.rs
@@ -1,8 +1,10 @@
 //! Bounds the memory that a process uses for what clients and backend servers send.
 //!
-//! It answers crowds of clients that send much and don't end it, or ask for much and don't read it.
-//! Whoever is behind with what it sends or reads gives way to others, the largest and slowest first;
-//! a small request never has to wait behind a large one.
+//! One account holds what a process keeps for clients: their connections with their buffers, bodies and
+//! answers, running requests with their connections to backend servers, and such connections that are
+//! idle. It answers crowds of clients that send much and don't end it, ask for much and don't read it, or
+//! are many. Whoever is behind with what it sends or reads gives way to others, the largest and the one
+//! that is furthest behind first; a small request never has to wait behind a large one.
 //!
 //! ```
 //! use azuregap_gateway::decision::memory_budget;
@@ -25,12 +27,26 @@
 /// Part of the memory that a process needs for itself.
 const OWN_BYTES: usize = 24 << 20;
 
-/// Parts of the remaining memory of which one is the budget; the others are for the buffers of
-/// connections and for what the allocator keeps.
-const BUDGET_PARTS: usize = 2;
+/// Share of the remaining memory that is the budget, as a numerator and a denominator; the rest is for what
+/// the allocator keeps.
+const BUDGET_SHARE: (usize, usize) = (3, 4);
 
-/// A holder with at most so many bytes may use all of the budget.
-const SMALL_BYTES: usize = 64 << 10;
+/// Memory of a connection on which nothing was sent yet.
+pub const SILENT_BYTES: usize = 4 << 10;
+
+/// What a connection needs beyond that once something was sent on it: buffers for reading, beside a head
+/// that is in use, and for writing.
+pub const BUFFER_BYTES: usize = 26 << 10;
+
+/// Memory of a request that runs, with its connection to a backend server.
+pub const RUN_BYTES: usize = 22 << 10;
+
+/// Memory of an idle connection to a backend server.
+pub const IDLE_BACKEND_BYTES: usize = 18 << 10;
+
+/// A holder with at most so many bytes may use all of the budget: a request that runs, and a body or an
+/// answer of some length.
+const SMALL_BYTES: usize = 128 << 10;
 
 /// Parts of the budget of which one is kept for small holders.
 const SMALL_PARTS: usize = 8;
@@ -38,6 +54,9 @@
 /// Client connection that memory is held for.
 pub type HolderId = u64;
 
+/// Holder of the idle connections to backend servers.
+pub const IDLE_BACKENDS: HolderId = 0;
+
 /// Whether bytes may be held.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -77,7 +96,8 @@
     /// Creates the budget of a process that may use so many bytes of its VM.
     #[must_use]
     pub fn for_process(memory: Option<usize>) -> Self {
-        Self::new(memory.map(|memory| memory.saturating_sub(OWN_BYTES) / BUDGET_PARTS))
+        let (share, whole) = BUDGET_SHARE;
+        Self::new(memory.map(|memory| memory.saturating_sub(OWN_BYTES) / whole * share))
     }
 
     /// Bytes that are held.
--- a/crates/gateway/src/proxy/client.rs
+++ b/crates/gateway/src/proxy/client.rs
@@ -108,6 +108,11 @@
         }
     }
 
+    /// An empty reservation for the connection.
+    pub(super) fn reservation(&self, state: &state::State) -> memory_budget::Reservation {
+        memory_budget::Reservation::new(state.memory_budget.clone(), self.id)
+    }
+
     pub(super) const fn id(&self) -> memory_budget::HolderId {
         self.id
     }
--- a/crates/gateway/src/proxy/client_stream.rs
+++ b/crates/gateway/src/proxy/client_stream.rs
@@ -14,6 +14,9 @@
 use super::client;
 use super::read_turn;
 
+/// Most bytes that are read at one time. One more would make the buffer of the connection grow.
+const PART_BYTES: usize = (8 << 10) - 1;
+
 /// Most bytes that are discarded at one time, before other connections get their turn.
 const DISCARD_BYTES: usize = 8 << 10;
 
@@ -72,12 +75,14 @@
         buffer: &mut ReadBuf<'_>,
     ) -> task::Poll<io::Result<()>> {
         let Self { stream, client, turn, .. } = self.get_mut();
-        let before = buffer.filled().len();
-        let read = |cx: &mut task::Context<'_>, buffer: &mut ReadBuf<'_>| {
-            pin::Pin::new(stream).poll_read(cx, buffer)
+        let length = buffer.remaining().min(PART_BYTES);
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(length));
+        let read = |cx: &mut task::Context<'_>, part: &mut ReadBuf<'_>| {
+            pin::Pin::new(stream).poll_read(cx, part)
         };
-        let polled = turn.poll(cx, buffer, read);
-        let count = buffer.filled().len() - before;
+        let polled = turn.poll(cx, &mut part, read);
+        let count = part.filled().len();
+        buffer.advance(count);
         if count > 0 {
             client.record_read(count);
         }
--- a/crates/gateway/src/proxy/dispatch.rs
+++ b/crates/gateway/src/proxy/dispatch.rs
@@ -22,6 +22,7 @@
 use crate::decision::engine_partition;
 use crate::decision::failure;
 use crate::decision::health;
+use crate::decision::memory_budget;
 use crate::decision::priority;
 use crate::decision::quarantine;
 use crate::directory;
@@ -88,6 +89,8 @@
     pub(super) room: Option<u64>,
     /// Whether the end of the request was logged; shared by all clones.
     pub(super) end_logged: rc::Rc<cell::Cell<bool>>,
+    /// Memory that it takes while it runs; shared by all clones.
+    _memory: rc::Rc<memory_budget::Reservation>,
 }
 
 /// A backend server's response, with the guard that counts the request in its load.
@@ -115,6 +118,7 @@
         admitted: admission::Admitted,
         head: request::Parts,
         body: Bytes,
+        memory: memory_budget::Reservation,
         started: time::Instant,
     ) -> Self {
         let route_timeout = admitted.route.timeout;
@@ -147,6 +151,7 @@
             reading: 0,
             room: None,
             end_logged: rc::Rc::default(),
+            _memory: rc::Rc::new(memory),
         }
     }
 
--- a/crates/gateway/src/proxy/handler.rs
+++ b/crates/gateway/src/proxy/handler.rs
@@ -19,6 +19,7 @@
 use super::collect;
 use super::dispatch;
 use super::guards;
+use super::held_bytes;
 use super::interruption;
 use super::own_response;
 use super::relay;
@@ -28,6 +29,7 @@
 use crate::configuration;
 use crate::decision::failure;
 use crate::decision::health;
+use crate::decision::memory_budget;
 use crate::peers;
 use crate::state;
 
@@ -104,10 +106,16 @@
             Err(denial) => return own_response::denial_response(state, &head, denial),
         };
     }
+    let mut memory = client.reservation(state);
+    if !held_bytes::grow(state, &mut memory, memory_budget::RUN_BYTES) {
+        let failure = request_body::BodyFailure::NoRoom;
+        client::record_limit(state, failure.reason(), head.uri.path());
+        return own_response::body_failure_response(state, &head, failure);
+    }
     state.retry_budget.borrow_mut().record_request(&admitted.service, state.clock.now());
     let client = client.clone();
     let mut request =
-        dispatch::ProxyRequest::new(state.clone(), client, admitted, head, body, started);
+        dispatch::ProxyRequest::new(state.clone(), client, admitted, head, body, memory, started);
     let mut error_response = None;
     let response = tokio::select! {
         biased;
--- a/crates/gateway/src/proxy/listener.rs
+++ b/crates/gateway/src/proxy/listener.rs
@@ -15,8 +15,10 @@
 use super::client_stream;
 use super::guards;
 use super::handler;
+use super::held_bytes;
 use super::pool;
 use crate::decision::connection_limit;
+use crate::decision::memory_budget;
 use crate::state;
 
 /// How long sent data may stay unacknowledged by a client; longer than clients wait between events.
@@ -57,11 +59,16 @@
                 continue;
             }
         };
-        if make_room(&state, max_connections).await {
-            let client = state.clients.add(&state);
-            actix_rt::spawn(serve_connection(state.clone(), stream, client));
-        } else {
+        if !make_room(&state, max_connections).await {
             client::record_limit(&state, Some("connections"), "");
+            continue;
+        }
+        let client = state.clients.add(&state);
+        let mut memory = client.reservation(&state);
+        if held_bytes::grow(&state, &mut memory, memory_budget::SILENT_BYTES) {
+            actix_rt::spawn(serve_connection(state.clone(), stream, client, memory));
+        } else {
+            client::record_limit(&state, Some("memory"), "");
         }
     }
 }
@@ -90,10 +97,40 @@
     configuration.map_or(UNCONFIGURED_HEAD_BYTES, |found| found.limits.max_head_bytes)
 }
 
+/// Waits until a client sends its first bytes: until then its connection needs no buffers. Returns whether
+/// the connection goes on.
+async fn wait_for_request(
+    state: &state::State,
+    stream: &net::TcpStream,
+    client: &client::Client,
+) -> bool {
+    let mut byte = [0];
+    let mut peeked = std::pin::pin!(stream.peek(&mut byte));
+    loop {
+        let limits = state.configuration().map(|c| c.limits).unwrap_or_default();
+        let now = time::Instant::now();
+        let deadline = client.deadline(&limits).map_or(now, |(deadline, _)| deadline);
+        if now >= deadline {
+            return false;
+        }
+        tokio::select! {
+            biased;
+            // An error shows when the connection is read.
+            peeked = peeked.as_mut() => return !matches!(peeked, Ok(0)),
+            eviction = client.wait_for_eviction() => {
+                client::record_limit(state, Some(eviction.reason()), "");
+                return false;
+            }
+            () = time::sleep_until(deadline.min(now + CHECK_INTERVAL)) => {}
+        }
+    }
+}
+
 async fn serve_connection(
     state: rc::Rc<state::State>,
     stream: net::TcpStream,
     client: rc::Rc<client::Client>,
+    mut memory: memory_budget::Reservation,
 ) {
     if let Err(error) = pool::set_socket_options(&stream, USER_TIMEOUT) {
         tracing::debug!(reason = error.to_string(), "failed to set a socket option");
@@ -103,6 +140,13 @@
     if let Err(error) = buffer {
         tracing::debug!(reason = error.to_string(), "failed to set the size of a send buffer");
     }
+    if !wait_for_request(&state, &stream, &client).await {
+        return;
+    }
+    if !held_bytes::grow(&state, &mut memory, memory_budget::BUFFER_BYTES) {
+        // A client may send a request again that was not read.
+        return client::record_limit(&state, Some("memory"), "");
+    }
     let limits = || state.configuration().map(|c| c.limits).unwrap_or_default();
     let mut limits_changed = state.limits_changed.subscribe();
     let initial_limit = head_limit(&state);
@@ -112,11 +156,12 @@
     let service = service::service_fn(move |request| {
         used.record_request();
         let (state, client) = (shared.clone(), requester.clone());
-        async move {
+        // A connection without a request holds no memory for one.
+        Box::pin(async move {
             let response = handler::handle(state, client.clone(), request).await;
             let answer = |body| client_body::ClientBody::new(body, client);
             Ok::<_, convert::Infallible>(response.map(answer))
-        }
+        })
     });
     let mut stopping = state.stopping.subscribe();
     // A connection accepted during shutdown serves a single request.
--- a/crates/gateway/src/proxy/pool.rs
+++ b/crates/gateway/src/proxy/pool.rs
@@ -4,6 +4,7 @@
 use std::collections;
 use std::net;
 use std::rc;
+use std::sync;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,6 +16,7 @@
 use tokio::time;
 
 use super::backend_stream;
+use crate::decision::memory_budget;
 
 /// Timeout for opening a connection; after it another backend server is tried.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -73,6 +75,7 @@
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
+    _memory: memory_budget::Reservation,
     idle_since: time::Instant,
     expires_at: time::Instant,
 }
@@ -89,11 +92,13 @@
     servers: cell::RefCell<collections::HashMap<net::SocketAddr, Server>>,
     /// Connections beyond which no idle ones are kept.
     max_connections: usize,
+    /// Memory of idle connections.
+    budget: sync::Arc<sync::Mutex<memory_budget::MemoryBudget>>,
 }
 
 impl Default for Pool {
     fn default() -> Self {
-        Self { servers: cell::RefCell::default(), max_connections: usize::MAX }
+        Self::with_limits(usize::MAX, sync::Arc::default())
     }
 }
 
@@ -104,10 +109,14 @@
         Self::default()
     }
 
-    /// Creates an empty pool that keeps no idle connections beyond a total of `max_connections`.
+    /// Creates an empty pool that keeps no idle connections beyond a total of `max_connections`, or
+    /// without memory for them.
     #[must_use]
-    pub fn with_limit(max_connections: usize) -> Self {
-        Self { max_connections, ..Self::default() }
+    pub fn with_limits(
+        max_connections: usize,
+        budget: sync::Arc<sync::Mutex<memory_budget::MemoryBudget>>,
+    ) -> Self {
+        Self { servers: cell::RefCell::default(), max_connections, budget }
     }
 
     /// Number of connections to all addresses that are open or being opened.
@@ -212,12 +221,22 @@
         if lifetime.is_zero() || connection.sender.is_closed() {
             return;
         }
+        let holder = memory_budget::IDLE_BACKENDS;
+        let mut memory = memory_budget::Reservation::new(self.budget.clone(), holder);
+        // An idle connection displaces nobody.
+        let outcome = memory.grow(memory_budget::IDLE_BACKEND_BYTES, |_| None);
         let mut servers = self.servers.borrow_mut();
         let server = servers.entry(address).or_default();
-        if server.idle.len() < MAX_IDLE_CONNECTIONS {
+        let has_room = outcome == memory_budget::Outcome::Granted;
+        if has_room && server.idle.len() < MAX_IDLE_CONNECTIONS {
             let idle_since = time::Instant::now();
             let expires_at = idle_since + lifetime;
-            server.idle.push(IdleConnection { connection, idle_since, expires_at });
+            server.idle.push(IdleConnection {
+                connection,
+                _memory: memory,
+                idle_since,
+                expires_at,
+            });
         }
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -159,6 +159,8 @@
     pub fn new(settings: settings::Settings, codec: codec::Codec, clock: clock::Clock) -> Self {
         let now = clock.now();
         let spread = f64::from(directory::id_hash(&settings.node)) / f64::from(u32::MAX);
+        let memory_budget = memory_budget::MemoryBudget::for_process(settings.resources.memory);
+        let memory_budget = std_sync::Arc::new(std_sync::Mutex::new(memory_budget));
         Self {
             quarantine: cell::RefCell::new(quarantine::Quarantine::new(spread)),
             answered: cell::RefCell::default(),
@@ -170,9 +172,7 @@
             cold_servers: cell::RefCell::default(),
             engine_rooms: cell::RefCell::default(),
             learned_capacities: cell::RefCell::default(),
-            memory_budget: std_sync::Arc::new(std_sync::Mutex::new(
-                memory_budget::MemoryBudget::for_process(settings.resources.memory),
-            )),
+            memory_budget: memory_budget.clone(),
             clients: clients::Clients::default(),
             told_version: cell::RefCell::default(),
             configuration: cell::RefCell::new(None),
@@ -192,7 +192,10 @@
             team_names: cell::RefCell::default(),
             median_clock: cell::RefCell::new(median_clock::MedianClock::new(now, clock.wall())),
             peers: cell::RefCell::default(),
-            pool: pool::Pool::with_limit(connection_limit::max_connections(&settings.resources)),
+            pool: pool::Pool::with_limits(
+                connection_limit::max_connections(&settings.resources),
+                memory_budget,
+            ),
             metrics: metrics::Metrics::new(),
             log_limiter: logs::Limiter::new(),
             capacity_changed: sync::Notify::new(),
