fix(gateway): a client that has left is noticed behind requests that it sent ahead

Cause: the end of a connection is found by reading it, and nothing is read while requests that were sent ahead lie in the buffer. With one request a connection the end is noticed at once.

--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -12,6 +12,7 @@
 mod body;
 pub mod client;
 mod client_body;
+mod client_socket;
 mod client_stream;
 pub mod clients;
 mod collect;
--- a/crates/gateway/src/proxy/admission.rs
+++ b/crates/gateway/src/proxy/admission.rs
@@ -38,6 +38,8 @@
     StaleConfiguration,
     /// The process is shutting down.
     Stopping,
+    /// The client has closed its connection, or its sending side.
+    Left,
 }
 
 impl Denial {
@@ -47,7 +49,7 @@
             Self::Malformed(_) => 400,
             Self::NoRoute => 404,
             Self::InvalidKey => 401,
-            Self::StaleConfiguration | Self::Stopping => 503,
+            Self::StaleConfiguration | Self::Stopping | Self::Left => 503,
         }
     }
 
@@ -58,6 +60,7 @@
             Self::NoRoute => "6402: no route has this host and path",
             Self::InvalidKey => "6403: the key is missing or not valid",
             Self::Stopping => "6410: this gateway is stopping; another one serves the request",
+            Self::Left => "6414: the client has closed the connection",
             Self::StaleConfiguration => {
                 "6404: the configuration is not known well enough; come back later"
             }
--- a/crates/gateway/src/proxy/client.rs
+++ b/crates/gateway/src/proxy/client.rs
@@ -76,6 +76,8 @@
     stage: cell::Cell<Stage>,
     /// When the client last sent something.
     read_at: cell::Cell<time::Instant>,
+    /// Whether bytes were read that may belong to a later request.
+    has_unread: cell::Cell<bool>,
     /// How far it is behind in what it sends or reads now.
     progress: cell::Cell<progress::Progress>,
     /// Since when the client has not read what was sent.
@@ -98,6 +100,7 @@
             state: rc::Rc::downgrade(state),
             stage: cell::Cell::new(Stage::Idle),
             read_at: cell::Cell::new(time::Instant::now()),
+            has_unread: cell::Cell::new(false),
             progress: cell::Cell::default(),
             blocked_since: cell::Cell::new(None),
             blocked_at: cell::Cell::new(None),
@@ -206,6 +209,19 @@
         is_owed.then(stalled)
     }
 
+    /// Records whether the last read brought something. The connection reads on until it waits for more,
+    /// unless what it has read belongs to a later request.
+    pub(super) fn set_unread(&self, has_unread: bool) {
+        self.has_unread.set(has_unread);
+    }
+
+    /// Whether a later request was sent ahead of the answer to this one: its connection reads nothing
+    /// meanwhile, and so doesn't notice its end.
+    pub(super) fn sends_ahead(&self) -> bool {
+        let is_answered_now = matches!(self.stage.get(), Stage::Running | Stage::Answer);
+        is_answered_now && self.has_unread.get()
+    }
+
     /// For how long the client has sent nothing.
     pub(super) fn silence(&self) -> Duration {
         self.read_at.get().elapsed()
--- a/crates/gateway/src/proxy/client_stream.rs
+++ b/crates/gateway/src/proxy/client_stream.rs
@@ -8,10 +8,10 @@
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
-use tokio::net;
 use tokio::time;
 
 use super::client;
+use super::client_socket;
 use super::read_turn;
 
 /// Most bytes that are read at one time. One more would make the buffer of the connection grow.
@@ -26,7 +26,7 @@
 /// The stream of a client's connection.
 #[derive(Debug)]
 pub(super) struct ClientStream {
-    stream: net::TcpStream,
+    socket: client_socket::ClientSocket,
     client: rc::Rc<client::Client>,
     turn: read_turn::ReadTurn,
     /// Ends the discarding of what the client still sends.
@@ -34,8 +34,8 @@
 }
 
 impl ClientStream {
-    pub(super) fn new(stream: net::TcpStream, client: rc::Rc<client::Client>) -> Self {
-        Self { stream, client, turn: read_turn::ReadTurn::default(), linger: None }
+    pub(super) fn new(socket: client_socket::ClientSocket, client: rc::Rc<client::Client>) -> Self {
+        Self { socket, client, turn: read_turn::ReadTurn::default(), linger: None }
     }
 
     /// Discards what the client sends until it closes its side, or for some time. If it was left unread,
@@ -49,7 +49,7 @@
         let mut bytes = [0; DISCARD_BYTES];
         for _ in 0..DISCARD_PARTS {
             let mut buffer = ReadBuf::new(&mut bytes);
-            match pin::Pin::new(&mut self.stream).poll_read(cx, &mut buffer) {
+            match self.socket.poll(|stream| stream.poll_read(cx, &mut buffer)) {
                 task::Poll::Pending => return task::Poll::Pending,
                 task::Poll::Ready(Ok(())) if !buffer.filled().is_empty() => {}
                 task::Poll::Ready(_) => return task::Poll::Ready(()),
@@ -74,15 +74,16 @@
         cx: &mut task::Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> task::Poll<io::Result<()>> {
-        let Self { stream, client, turn, .. } = self.get_mut();
+        let Self { socket, client, turn, .. } = self.get_mut();
         let length = buffer.remaining().min(PART_BYTES);
         let mut part = ReadBuf::new(buffer.initialize_unfilled_to(length));
         let read = |cx: &mut task::Context<'_>, part: &mut ReadBuf<'_>| {
-            pin::Pin::new(stream).poll_read(cx, part)
+            socket.poll(|stream| stream.poll_read(cx, part))
         };
         let polled = turn.poll(cx, &mut part, read);
         let count = part.filled().len();
         buffer.advance(count);
+        client.set_unread(count > 0);
         if count > 0 {
             client.record_read(count);
         }
@@ -92,34 +93,34 @@
 
 impl AsyncWrite for ClientStream {
     fn poll_write(
-        mut self: pin::Pin<&mut Self>,
+        self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
         bytes: &[u8],
     ) -> task::Poll<io::Result<usize>> {
-        let polled = pin::Pin::new(&mut self.stream).poll_write(cx, bytes);
+        let polled = self.socket.poll(|stream| stream.poll_write(cx, bytes));
         self.client.record_write(taken(&polled));
         polled
     }
 
     fn poll_write_vectored(
-        mut self: pin::Pin<&mut Self>,
+        self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> task::Poll<io::Result<usize>> {
-        let polled = pin::Pin::new(&mut self.stream).poll_write_vectored(cx, parts);
+        let polled = self.socket.poll(|stream| stream.poll_write_vectored(cx, parts));
         self.client.record_write(taken(&polled));
         polled
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.socket.poll(|stream| stream.is_write_vectored())
     }
 
     fn poll_flush(
-        mut self: pin::Pin<&mut Self>,
+        self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
-        let polled = pin::Pin::new(&mut self.stream).poll_flush(cx);
+        let polled = self.socket.poll(|stream| stream.poll_flush(cx));
         if polled.is_ready() {
             self.client.record_flush();
         }
@@ -131,7 +132,7 @@
         cx: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
         if self.linger.is_none() {
-            let polled = pin::Pin::new(&mut self.stream).poll_shutdown(cx);
+            let polled = self.socket.poll(|stream| stream.poll_shutdown(cx));
             if !self.client.needs_linger() || !matches!(polled, task::Poll::Ready(Ok(()))) {
                 return polled;
             }
--- a/crates/gateway/src/proxy/handler.rs
+++ b/crates/gateway/src/proxy/handler.rs
@@ -59,14 +59,20 @@
 
 type Response = http::Response<response_body::Body>;
 
-/// Handles one request of a client.
+/// Handles one request of a client; one whose client `has_left` isn't sent anywhere.
 pub(super) async fn handle(
     state: rc::Rc<state::State>,
     client: rc::Rc<client::Client>,
     request: http::Request<body::Incoming>,
+    has_left: bool,
 ) -> Response {
     client.set_stage(client::Stage::Body);
-    let response = answer(&state, &client, request).await;
+    let response = if has_left {
+        // The client has closed its side before the request began.
+        own_response::denial_response(&state, &request.into_parts().0, admission::Denial::Left)
+    } else {
+        answer(&state, &client, request).await
+    };
     client.set_stage(client::Stage::Answer);
     response
 }
--- a/crates/gateway/src/proxy/listener.rs
+++ b/crates/gateway/src/proxy/listener.rs
@@ -1,7 +1,10 @@
 //! Accepts client connections.
 
 use std::convert;
+use std::future;
+use std::future::Future as _;
 use std::rc;
+use std::task;
 use std::time::Duration;
 
 use hyper::server::conn::http1;
@@ -12,6 +15,7 @@
 
 use super::client;
 use super::client_body;
+use super::client_socket;
 use super::client_stream;
 use super::guards;
 use super::handler;
@@ -30,6 +34,9 @@
 /// Interval at which a connection is checked for a client that does nothing.
 const CHECK_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Interval at which the end of a connection is looked for behind requests that were sent ahead.
+const END_INTERVAL: Duration = Duration::from_millis(150);
+
 /// Bytes that a connection may read beyond the longest head, such as those of requests that are sent
 /// ahead.
 const READ_MARGIN: usize = 4 << 10;
@@ -126,6 +133,28 @@
     }
 }
 
+/// Waits for the end of a connection whose client has sent requests ahead; it isn't read meanwhile. This
+/// has to be polled after the connection, which may have begun to wait for an answer.
+async fn end_behind_requests(
+    client: &client::Client,
+    socket: &client_socket::ClientSocket,
+    end_check: &mut Option<std::pin::Pin<Box<time::Sleep>>>,
+) {
+    future::poll_fn(|cx| {
+        while client.sends_ahead() {
+            let check = end_check.get_or_insert_with(|| Box::pin(time::sleep(END_INTERVAL)));
+            task::ready!(check.as_mut().poll(cx));
+            *end_check = None;
+            if socket.is_closed() {
+                return task::Poll::Ready(());
+            }
+        }
+        *end_check = None;
+        task::Poll::Pending
+    })
+    .await;
+}
+
 async fn serve_connection(
     state: rc::Rc<state::State>,
     stream: net::TcpStream,
@@ -152,13 +181,15 @@
     let initial_limit = head_limit(&state);
     let max_head_bytes = initial_limit + READ_MARGIN;
     let (shared, used) = (state.clone(), guards::UsedConnection::new(&state));
-    let requester = client.clone();
+    let (requester, socket) = (client.clone(), client_socket::ClientSocket::new(stream));
+    let requester_socket = socket.clone();
     let service = service::service_fn(move |request| {
         used.record_request();
         let (state, client) = (shared.clone(), requester.clone());
+        let has_left = requester_socket.is_closed();
         // A connection without a request holds no memory for one.
         Box::pin(async move {
-            let response = handler::handle(state, client.clone(), request).await;
+            let response = handler::handle(state, client.clone(), request, has_left).await;
             let answer = |body| client_body::ClientBody::new(body, client);
             Ok::<_, convert::Infallible>(response.map(answer))
         })
@@ -166,7 +197,7 @@
     let mut stopping = state.stopping.subscribe();
     // A connection accepted during shutdown serves a single request.
     let mut is_ending = state.is_stopping();
-    let io = rt::TokioIo::new(client_stream::ClientStream::new(stream, client.clone()));
+    let io = rt::TokioIo::new(client_stream::ClientStream::new(socket.clone(), client.clone()));
     let connection = http1::Builder::new()
         .header_read_timeout(None)
         .max_buf_size(max_head_bytes.max(MIN_BUFFER_BYTES))
@@ -174,6 +205,7 @@
         .keep_alive(!is_ending)
         .serve_connection(io, service);
     let mut connection = std::pin::pin!(connection);
+    let mut end_check = None;
     let served = loop {
         let now = time::Instant::now();
         let deadline = client.deadline(&limits());
@@ -187,6 +219,9 @@
         tokio::select! {
             biased;
             served = connection.as_mut() => break served,
+            () = end_behind_requests(&client, &socket, &mut end_check) => {
+                return tracing::debug!("the client has left behind requests that it sent ahead");
+            }
             eviction = client.wait_for_eviction() => {
                 // A request may have begun, or been refused, since the connection was chosen.
                 if !client.may_close() {
